Lay down the seams: workspace, types, messages and core interfaces

Every crate stands as a skeleton that compiles and lints clean: typed ids, jobs, runs and resources; the configuration document; Raft without I/O (steps in, Ready out); the Disk seam and store; record commands and changes; the dispatcher's four atomic steps; every message between daemons; the three role cores as (now, input) -> effects; the history the checker reads.

Bodies are todo!() here and follow crate by crate. Ruled out: one crate with modules (arrows between subsystems could not be checked by the compiler) and async traits at the seams (the simulation needs the same code without a runtime).

--- /dev/null
+++ b/crates/api/src/decision.rs
@@ -0,0 +1,1 @@
+//! JSON bodies: decision.
--- /dev/null
+++ b/crates/api/src/lib.rs
@@ -0,0 +1,12 @@
+//! JSON bodies and routes of the outer HTTP interface, and nothing else.
+//!
+//! The users' names for fields (`hold`, `ended`, `twice`, `most`) live here
+//! alone; everything behind speaks the domain's terms. A change of the outer
+//! interface touches this crate only.
+
+pub mod configuration;
+pub mod decision;
+pub mod job;
+pub mod operator;
+pub mod refusal;
+pub mod runner;
--- /dev/null
+++ b/crates/api/src/refusal.rs
@@ -0,0 +1,1 @@
+//! JSON bodies: refusal.
--- /dev/null
+++ b/crates/checker/src/event.rs
@@ -0,0 +1,199 @@
+//! Events of a history. One JSON line each, in order of time; one clock, the
+//! observer's, dates them all.
+
+use serde::{Deserialize, Serialize};
+use types::{
+    ConfigurationVersion, JobKey, JobState, Milliseconds, Outcome, RunId, RunnerId,
+    RunnerIncarnation, StepName, Term,
+};
+
+/// One event with its time and place.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Observation {
+    /// Observer's clock since the start of the run.
+    pub at: Milliseconds,
+    /// Who saw it, for people: `caller-3`, `runner-a2`.
+    pub observer: String,
+    /// What was seen.
+    #[serde(flatten)]
+    pub event: Event,
+}
+
+/// What was seen.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(tag = "event", rename_all = "snake_case")]
+pub enum Event {
+    /// A caller sent a submit (first time or again).
+    SubmitSent {
+        /// The job.
+        job: JobKey,
+        /// What the checker must know of its content.
+        steps: Vec<ExpectedStep>,
+        /// No start before this time on the observer's clock.
+        not_before: Option<Milliseconds>,
+    },
+    /// A submit was acknowledged.
+    SubmitAcknowledged {
+        /// The job.
+        job: JobKey,
+    },
+    /// A submit got a final refusal.
+    SubmitRefused {
+        /// The job.
+        job: JobKey,
+        /// Code of the refusal.
+        code: String,
+    },
+    /// A caller asked for a job's state and got an answer.
+    StateRead {
+        /// The job.
+        job: JobKey,
+        /// When the question was sent.
+        asked_at: Milliseconds,
+        /// The answer.
+        state: ReadState,
+    },
+    /// A caller's request of any kind got no answer in its time.
+    RequestTimedOut {
+        /// What was asked.
+        operation: String,
+    },
+    /// A cancel was sent.
+    CancelSent {
+        /// The job.
+        job: JobKey,
+    },
+    /// A cancel was acknowledged.
+    CancelAcknowledged {
+        /// The job.
+        job: JobKey,
+    },
+    /// A runner began a run.
+    RunStarted {
+        /// The runner.
+        runner: RunnerId,
+        /// Its life.
+        incarnation: RunnerIncarnation,
+        /// The run.
+        run: RunId,
+        /// The job.
+        job: JobKey,
+        /// The step.
+        step: StepName,
+        /// Position in the step.
+        task: u32,
+        /// Slots, processor, memory and accelerators it holds.
+        resources: types::Resources,
+    },
+    /// A run ended on its runner, or died with it.
+    RunEnded {
+        /// The runner.
+        runner: RunnerId,
+        /// The run.
+        run: RunId,
+        /// How; a run that died with its runner has `stopped`.
+        outcome: Outcome,
+    },
+    /// A runner took an order.
+    OrderAccepted {
+        /// The runner.
+        runner: RunnerId,
+        /// Term of the order.
+        term: Term,
+        /// True when the leader of that term had been superseded in the eyes of
+        /// this runner: it had seen a higher term before.
+        stale: bool,
+    },
+    /// A runner began to say that it leaves.
+    RunnerDraining {
+        /// The runner.
+        runner: RunnerId,
+    },
+    /// An operator's draining order was acknowledged.
+    RunnerDrainAcknowledged {
+        /// The runner.
+        runner: RunnerId,
+    },
+    /// A runner process ended; its runs with it.
+    RunnerStopped {
+        /// The runner.
+        runner: RunnerId,
+    },
+    /// An operator sent a configuration.
+    ConfigurationSent {
+        /// The version wanted.
+        version: ConfigurationVersion,
+        /// Digest of the document.
+        digest: String,
+    },
+    /// It was acknowledged.
+    ConfigurationAcknowledged {
+        /// The version.
+        version: ConfigurationVersion,
+        /// Digest of the document.
+        digest: String,
+    },
+    /// It was refused.
+    ConfigurationRefused {
+        /// The version wanted.
+        version: ConfigurationVersion,
+        /// Digest of the document.
+        digest: String,
+        /// Code of the refusal.
+        code: String,
+    },
+    /// A ready daemon answered with this configuration.
+    ConfigurationRead {
+        /// The daemon.
+        daemon: String,
+        /// When the question was sent.
+        asked_at: Milliseconds,
+        /// The version.
+        version: ConfigurationVersion,
+        /// Digest of the document.
+        digest: String,
+    },
+    /// A tenant's ceiling was acknowledged in a configuration.
+    CeilingInForce {
+        /// The tenant.
+        tenant: types::TenantId,
+        /// Its ceiling.
+        ceiling: types::Resources,
+    },
+    /// A fault was caused, or ended.
+    Fault {
+        /// The fault, for people.
+        what: String,
+    },
+    /// From now on nothing is broken that should stop service; within the
+    /// limit it must be back.
+    Healed,
+    /// The run is over, after a calm phase in which all work could end.
+    Finished,
+}
+
+/// What the checker must know of a step.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ExpectedStep {
+    /// Its name.
+    pub name: StepName,
+    /// Steps before it.
+    pub after: Vec<StepName>,
+    /// Its tasks.
+    pub tasks: u32,
+    /// Copies allowed at once.
+    pub max_copies: u32,
+    /// Failed runs allowed for a task.
+    pub allowed_failures: u32,
+}
+
+/// What a caller was told of a job.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum ReadState {
+    /// There is no such job.
+    Unknown,
+    /// It is in this state.
+    #[serde(untagged)]
+    Known(JobState),
+}
--- /dev/null
+++ b/crates/configuration/src/lib.rs
@@ -0,0 +1,17 @@
+//! The versioned cluster configuration document and its validation.
+//!
+//! One document describes all queues, tenant contracts and keys. It is taken
+//! whole, by compare-and-set on its version, and checked here before it may
+//! enter the log. The outer JSON names (`most` for the ceiling) are the `api`
+//! crate's; this crate speaks only the domain's terms.
+
+pub mod document;
+pub mod key;
+pub mod validate;
+
+pub use document::{
+    ClusterConfiguration, ErrorBudget, PoolSettings, QueueMode, QueueSettings, TenantSettings,
+    Timings,
+};
+pub use key::{Key, KeyHash, KeyRole};
+pub use validate::{ConfigurationProblem, validate};
--- /dev/null
+++ b/crates/cypressdrum/src/main.rs
@@ -0,0 +1,3 @@
+//! The command line: daemons, operator and caller commands, toolbox.
+
+fn main() {}
--- /dev/null
+++ b/crates/dispatch/src/decision.rs
@@ -0,0 +1,107 @@
+//! Decisions with their reasons.
+
+use serde::{Deserialize, Serialize};
+use std::fmt;
+use types::{QueueName, Reservation, RunnerId, TaskRef, TenantId, WallTime};
+
+/// One decision of the dispatcher.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Decision {
+    /// Leader's wall time.
+    pub at: WallTime,
+    /// The queue.
+    pub queue: QueueName,
+    /// The tenant whose task it is about.
+    pub tenant: TenantId,
+    /// What was decided.
+    pub kind: DecisionKind,
+}
+
+/// What was decided.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum DecisionKind {
+    /// The task goes to this runner under this run.
+    Placed {
+        /// The choice, to be committed.
+        reservation: Reservation,
+        /// Tenants that were runnable when one was drawn.
+        runnable_tenants: u32,
+        /// True in a shadow queue: nothing will be started.
+        shadow: bool,
+    },
+    /// The tenant's next task stays where it is. Reported when the reason
+    /// changes, not at every pull.
+    NotPlaced {
+        /// The task.
+        task: TaskRef,
+        /// Why.
+        reason: NotPlacedReason,
+    },
+}
+
+/// Why a task was not placed.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum NotPlacedReason {
+    /// The tenant's runs hold its ceiling.
+    TenantAtCeiling,
+    /// The tenant is above its share and another one below its own waits.
+    TenantAboveShare,
+    /// No runner of the pool has room.
+    NoRoom,
+    /// No runner with room carries the labels.
+    NoRunnerWithLabels,
+    /// The only room left is on a runner on probation.
+    RunnerOnProbation,
+    /// A runner is kept free for an older, larger task.
+    HeldForLargerTask {
+        /// The runner.
+        runner: RunnerId,
+    },
+    /// Its start time or backoff has not come.
+    BeforeItsTime {
+        /// When it comes.
+        not_before: WallTime,
+    },
+    /// A step before it is not done.
+    WaitingForStep,
+    /// The queue is paused.
+    QueuePaused,
+    /// The queue only decides and logs.
+    QueueShadow,
+    /// No runner of the pool has reported to this leader yet.
+    NoRunnerKnown,
+    /// It has all the runs it may have.
+    AlreadyRunning,
+}
+
+impl fmt::Display for NotPlacedReason {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::TenantAtCeiling => formatter.write_str("the tenant is at its ceiling"),
+            Self::TenantAboveShare => {
+                formatter.write_str("the tenant is above its share while others below theirs wait")
+            }
+            Self::NoRoom => formatter.write_str("no runner of the pool has room"),
+            Self::NoRunnerWithLabels => {
+                formatter.write_str("no runner with room carries the labels asked for")
+            }
+            Self::RunnerOnProbation => {
+                formatter.write_str("the only room is on a runner on probation")
+            }
+            Self::HeldForLargerTask { runner } => {
+                write!(formatter, "runner {runner} is kept free for a larger task")
+            }
+            Self::BeforeItsTime { not_before } => {
+                write!(formatter, "it may not start before {}", not_before.0)
+            }
+            Self::WaitingForStep => formatter.write_str("a step it depends on is not done"),
+            Self::QueuePaused => formatter.write_str("the queue is paused"),
+            Self::QueueShadow => formatter.write_str("the queue is in shadow mode"),
+            Self::NoRunnerKnown => {
+                formatter.write_str("no runner of the pool has reported to this leader yet")
+            }
+            Self::AlreadyRunning => formatter.write_str("it has all the runs it may have"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/lib.rs
@@ -0,0 +1,13 @@
+//! Pure per-tenant view of waiting and running work, and placement.
+//!
+//! The view is derived from the record and may be thrown away: a new leader
+//! rebuilds it by idempotent publish and audits it in slices ever after.
+//! Source: the Job Pump (Salsify, 2019) with its `jobs:<id>` entry, pending
+//! list and running set by queue and tenant, tenant limits, runnable tenants,
+//! and four atomic steps: publish, reserve, reschedule, remove.
+
+pub mod decision;
+pub mod dispatcher;
+
+pub use decision::{Decision, DecisionKind, NotPlacedReason};
+pub use dispatcher::{AuditReport, Dispatcher, DispatcherOptions, Published, RunnerView};
--- /dev/null
+++ b/crates/peer/src/lib.rs
@@ -0,0 +1,21 @@
+//! Messages between daemons and the framed, authenticated transport that
+//! carries them.
+//!
+//! Every message between processes is a variant of [`PeerMessage`]. The
+//! transport promises little on purpose: a message arrives at most once a
+//! send, or not at all, in any order over reconnects. The cores above live
+//! with loss; the simulation gives them the same.
+
+pub mod message;
+pub mod request;
+pub mod transport;
+
+pub use message::{
+    AgentReport, Bootstrap, Envelope, Hello, Members, OrderResult, PeerMessage, Relay,
+    RunnerUpdate, SessionLease,
+};
+pub use request::{
+    DecisionEntry, DecisionEvent, JobFilter, MemberView, Operation, OperationReply, QueueView,
+    Refusal, RefusalCode, Reply, Request, RequestId, TenantView,
+};
+pub use transport::{ClusterKey, Transport, TransportError, TransportOptions};
--- /dev/null
+++ b/crates/settings/src/lib.rs
@@ -0,0 +1,1 @@
+//! Local settings of one daemon: file, flags, checked values.
--- /dev/null
+++ b/crates/simulation/src/lib.rs
@@ -0,0 +1,1 @@
+//! A whole fleet in one process under one seed.
--- /dev/null
+++ b/crates/standin/src/lib.rs
@@ -0,0 +1,5 @@
+//! Stand-in runners and callers without I/O, for simulation and lab.
+
+pub mod caller;
+pub mod runner;
+pub mod workload;
--- /dev/null
+++ b/crates/types/src/error.rs
@@ -0,0 +1,25 @@
+//! Errors of the identifier types.
+
+use thiserror::Error;
+
+/// A name that is empty, too long, or holds a character outside the allowed set.
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
+pub enum InvalidName {
+    /// The name has no characters.
+    #[error("a name must not be empty")]
+    Empty,
+    /// The name is longer than [`crate::id::MAX_NAME_BYTES`].
+    #[error("a name holds at most {max} bytes, this one has {length}")]
+    TooLong {
+        /// Length found, in bytes.
+        length: usize,
+        /// Longest allowed length, in bytes.
+        max: usize,
+    },
+    /// The name holds a character other than letters, digits and `. _ : -`.
+    #[error("a name holds only letters, digits and . _ : - but this one has {character:?}")]
+    Character {
+        /// The first character that is not allowed.
+        character: char,
+    },
+}
--- /dev/null
+++ b/crates/types/src/resources.rs
@@ -0,0 +1,77 @@
+//! Resource amounts and labels.
+
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+
+/// Labels of a runner, or the labels a step asks for.
+pub type Labels = BTreeMap<String, String>;
+
+/// Amounts of what a runner has, a task needs, or a tenant may hold.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Default, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Resources {
+    /// Places for tasks on a runner.
+    pub slots: u32,
+    /// Processor time in thousandths of a core.
+    pub cpu_milli: u32,
+    /// Memory in MiB.
+    pub memory_mib: u32,
+    /// Whole accelerators.
+    pub gpus: u32,
+}
+
+impl Resources {
+    /// Nothing of anything.
+    pub const ZERO: Self = Self {
+        slots: 0,
+        cpu_milli: 0,
+        memory_mib: 0,
+        gpus: 0,
+    };
+
+    /// More of everything than any machine has; a tenant without a ceiling.
+    pub const UNLIMITED: Self = Self {
+        slots: u32::MAX,
+        cpu_milli: u32::MAX,
+        memory_mib: u32::MAX,
+        gpus: u32::MAX,
+    };
+
+    /// True when this amount is at most `room` in every kind.
+    pub fn fits_in(&self, room: &Self) -> bool {
+        self.slots <= room.slots
+            && self.cpu_milli <= room.cpu_milli
+            && self.memory_mib <= room.memory_mib
+            && self.gpus <= room.gpus
+    }
+
+    /// Sum by kind, held at the largest value.
+    pub fn plus(&self, other: &Self) -> Self {
+        Self {
+            slots: self.slots.saturating_add(other.slots),
+            cpu_milli: self.cpu_milli.saturating_add(other.cpu_milli),
+            memory_mib: self.memory_mib.saturating_add(other.memory_mib),
+            gpus: self.gpus.saturating_add(other.gpus),
+        }
+    }
+
+    /// Difference by kind, held at zero.
+    pub fn minus(&self, other: &Self) -> Self {
+        Self {
+            slots: self.slots.saturating_sub(other.slots),
+            cpu_milli: self.cpu_milli.saturating_sub(other.cpu_milli),
+            memory_mib: self.memory_mib.saturating_sub(other.memory_mib),
+            gpus: self.gpus.saturating_sub(other.gpus),
+        }
+    }
+
+    /// The smaller amount of each kind.
+    pub fn least(&self, other: &Self) -> Self {
+        Self {
+            slots: self.slots.min(other.slots),
+            cpu_milli: self.cpu_milli.min(other.cpu_milli),
+            memory_mib: self.memory_mib.min(other.memory_mib),
+            gpus: self.gpus.min(other.gpus),
+        }
+    }
+}
--- /dev/null
+++ b/crates/types/src/runner.rs
@@ -0,0 +1,131 @@
+//! What a runner reports and which orders it takes.
+//!
+//! Fencing at the runner. It refuses an order whose term is below the highest
+//! it has seen, whose incarnation is not its own, or (for a start) whose
+//! `basis` heartbeat it sent longer ago than the run lease. Since the leader
+//! waits lease plus margin after the last heartbeat it received, no start can
+//! land after the leader has given the run up.
+
+use crate::{
+    EndedRun, HeartbeatSequence, HeldRun, Labels, Milliseconds, OrderSequence, PoolName, RackName,
+    Resources, RunId, RunSpec, RunnerId, RunnerIncarnation, Term,
+};
+use serde::{Deserialize, Serialize};
+
+/// One heartbeat of a runner.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RunnerReport {
+    /// The runner.
+    pub runner: RunnerId,
+    /// Its current life.
+    pub incarnation: RunnerIncarnation,
+    /// Place among the heartbeats of this life.
+    pub sequence: HeartbeatSequence,
+    /// Pool it serves.
+    pub pool: PoolName,
+    /// Its rack.
+    pub rack: RackName,
+    /// Its labels.
+    pub labels: Labels,
+    /// All it has.
+    pub capacity: Resources,
+    /// What is free now.
+    pub free: Resources,
+    /// True when it is about to leave: nothing new may start on it.
+    pub draining: bool,
+    /// True when it stops its own runs at lease end.
+    pub self_stop: bool,
+    /// Every run it holds.
+    pub held: Vec<HeldRun>,
+    /// Ended runs the record has not confirmed yet.
+    pub ended: Vec<EndedRun>,
+}
+
+/// An order to one runner.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RunnerOrder {
+    /// Term of the leader that gave it.
+    pub term: Term,
+    /// Place among that term's orders.
+    pub sequence: OrderSequence,
+    /// The runner it is for.
+    pub runner: RunnerId,
+    /// The life of the runner it is for.
+    pub incarnation: RunnerIncarnation,
+    /// What to do.
+    pub kind: OrderKind,
+}
+
+/// What an order asks for.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum OrderKind {
+    /// Start this run, unless it is known, voided or the basis is too old.
+    Start {
+        /// The run.
+        run: RunSpec,
+        /// The heartbeat whose room led to this order.
+        basis: HeartbeatSequence,
+        /// Run lease: the start is refused, and the run stopped, this long
+        /// after the runner sent the heartbeat that was last confirmed.
+        lease: Milliseconds,
+    },
+    /// Stop this run if it is held.
+    Stop {
+        /// The run.
+        run: RunId,
+    },
+    /// Never start this run from now on; answer how it stands.
+    Void {
+        /// The run.
+        run: RunId,
+    },
+}
+
+impl OrderKind {
+    /// The run this order is about.
+    pub fn run(&self) -> RunId {
+        match self {
+            Self::Start { run, .. } => run.run,
+            Self::Stop { run } | Self::Void { run } => *run,
+        }
+    }
+}
+
+/// Why a runner, or the agent before it, refused an order.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum RefusalReason {
+    /// A higher term has been seen.
+    StaleTerm,
+    /// The order is for another life of the runner.
+    OtherIncarnation,
+    /// The basis heartbeat is too old or unknown.
+    StaleBasis,
+    /// The run was voided before, or has already been started or ended.
+    KnownRun,
+    /// The runner has no room.
+    NoRoom,
+    /// The runner is draining.
+    Draining,
+}
+
+/// What became of an order.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum OrderAnswer {
+    /// The run is going.
+    Started,
+    /// The run is stopping, its end will be reported.
+    Stopping,
+    /// The run was never started here and never will be (answer to a void, or
+    /// to a stop of an unknown run).
+    Voided,
+    /// Answer to a void or stop: the run is held, and goes on until stopped.
+    Held,
+    /// The run has ended; its entry stands in the ended list.
+    Ended,
+    /// Nothing was done, for this reason.
+    Refused(RefusalReason),
+    /// No answer came: the run may or may not have started. Never from the
+    /// runner itself; the agent says it, and the leader must void the run.
+    Unknown,
+}
--- /dev/null
+++ b/crates/types/src/task.rs
@@ -0,0 +1,74 @@
+//! What the record tells the dispatcher about tasks and runs.
+
+use crate::{
+    JobNumber, Labels, Milliseconds, QueueName, Resources, RunId, RunnerId, RunnerIncarnation,
+    TaskRef, TenantId, Urgency, WallTime,
+};
+use serde::{Deserialize, Serialize};
+
+/// The minimal metadata published for a task that may start (source: the
+/// `jobs:<id>` entry of the Job Pump, here one for each task).
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TaskMeta {
+    /// The task.
+    pub task: TaskRef,
+    /// Whose it is.
+    pub tenant: TenantId,
+    /// Its queue.
+    pub queue: QueueName,
+    /// Urgent tasks go before the tenant's others.
+    pub urgency: Urgency,
+    /// What one run holds.
+    pub resources: Resources,
+    /// Labels its runner must carry.
+    pub labels: Labels,
+    /// Copies that may run at once.
+    pub max_copies: u32,
+    /// Not before this time: the job's start time or a retry's backoff.
+    pub not_before: Option<WallTime>,
+}
+
+/// A run that is reserved and not closed.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OpenRun {
+    /// The run.
+    pub run: RunId,
+    /// Its task.
+    pub task: TaskRef,
+    /// Whose ceiling it counts against.
+    pub tenant: TenantId,
+    /// Its queue.
+    pub queue: QueueName,
+    /// The runner it is bound to.
+    pub runner: RunnerId,
+    /// The life of the runner it is bound to.
+    pub incarnation: RunnerIncarnation,
+    /// What it holds.
+    pub resources: Resources,
+    /// Its time limit.
+    pub time_limit: Milliseconds,
+    /// When the record took the reservation.
+    pub reserved_at: WallTime,
+}
+
+/// A choice of the dispatcher, to be committed before its order may leave.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Reservation {
+    /// The new run.
+    pub run: RunId,
+    /// The task chosen.
+    pub task: TaskRef,
+    /// The runner chosen.
+    pub runner: RunnerId,
+    /// The life of the runner whose room was seen.
+    pub incarnation: RunnerIncarnation,
+}
+
+/// A job's number with the caller's names, for messages to people.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct NumberedJob {
+    /// Number in the record.
+    pub number: JobNumber,
+    /// The caller's names.
+    pub key: crate::JobKey,
+}
