Implement Raft without I/O

Cause: consensus::Node was a skeleton; every coordinator rests on it.

Ruled out: dating the lease from the reply (a late reply stretches it past the voters' promise); resuming a failed transfer in the same term (the TimeoutNow may still arrive, so the lease stays given up for that term and the leader stands again in the next); sending vote requests before their sync (a candidate that crashed could win with votes for a log it lost); counting a batch with nothing to write as synced before those ahead of it.

A seeded in-memory cluster checks leaders, leases, logs and state machines after every event; six mutations show that each mechanism is needed.

Before: todo!().

--- a/crates/consensus/src/lib.rs
+++ b/crates/consensus/src/lib.rs
@@ -8,12 +8,25 @@
 //! and leader lease (6.4), learners (4.2.1), membership one at a time (4.1),
 //! leadership transfer (3.10).
 
+mod election;
+mod follower;
+mod lease;
+mod log;
+mod membership;
 pub mod message;
 pub mod node;
+pub mod options;
+mod progress;
+pub mod ready;
+mod replication;
+mod snapshot;
 pub mod state;
+mod transfer;
 
-pub use message::Message;
-pub use node::{Node, Options, ProposeError, Ready, Status};
+pub use message::{Message, Outgoing};
+pub use node::{Node, ProposeError, Status};
+pub use options::{Mutation, Options};
+pub use ready::Ready;
 pub use state::{
     Entry, HardState, Membership, Payload, RaftRole, Recovered, Snapshot, SnapshotMeta,
 };
--- a/crates/consensus/src/node.rs
+++ b/crates/consensus/src/node.rs
@@ -1,82 +1,38 @@
-//! The Raft node.
+//! The Raft node: its state, its inputs and what it says of itself.
 
-use crate::message::Outgoing;
-use crate::{Entry, HardState, Membership, Message, RaftRole, Recovered, Snapshot};
+use crate::lease::Rounds;
+use crate::log::Log;
+use crate::membership::MembershipHistory;
+use crate::progress::Progress;
+use crate::ready::{Batches, Outbox};
+use crate::snapshot::IncomingSnapshot;
+use crate::transfer::Transfer;
+use crate::{
+    HardState, Membership, Message, Options, Outgoing, Payload, RaftRole, Recovered, Snapshot,
+};
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
 use thiserror::Error;
 use types::{LogIndex, Milliseconds, Monotonic, NodeId, Term};
 
-/// Timings and limits of a node.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Options {
-    /// Shortest silence before an election; drawn between this and twice it.
-    pub election_timeout: Milliseconds,
-    /// Time between heartbeats.
-    pub heartbeat_interval: Milliseconds,
-    /// The leader acts for this long after the start of the last round that a
-    /// quorum answered; must be less than `election_timeout`.
-    pub leader_lease: Milliseconds,
-    /// Bytes of entries in one append.
-    pub max_append_bytes: usize,
-    /// Appends in flight to one follower.
-    pub max_appends_in_flight: usize,
-    /// Bytes in one piece of a snapshot.
-    pub snapshot_chunk_bytes: usize,
-}
-
-impl Default for Options {
-    fn default() -> Self {
-        Self {
-            election_timeout: Milliseconds(1_000),
-            heartbeat_interval: Milliseconds(150),
-            leader_lease: Milliseconds(800),
-            max_append_bytes: 512 * 1024,
-            max_appends_in_flight: 8,
-            snapshot_chunk_bytes: 256 * 1024,
-        }
-    }
-}
-
 /// Why a proposal was not taken.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
 pub enum ProposeError {
     /// This node does not lead, or is handing over.
     #[error("this node is not the leader")]
     NotLeader,
-    /// An earlier membership change is not committed yet.
+    /// An earlier membership change is not committed yet, or this leader has
+    /// not committed an entry of its own term yet.
     #[error("a membership change is still under way")]
     ChangeInProgress,
     /// The new membership differs from the old one by more than one voter.
     #[error("a membership change may add or remove one voter at a time")]
     MoreThanOneVoter,
-}
-
-/// What the shell must do, in this order: persist `hard_state`, `snapshot`
-/// and `entries` with one sync; hand `committed` to the state machine; and
-/// send. `messages` may leave at once; `messages_after_persist` only when the
-/// sync is done. Then call [`Node::persisted`] with `number`.
-#[derive(Debug, Clone, PartialEq, Eq, Default)]
-pub struct Ready {
-    /// Number of this batch; rises by one.
-    pub number: u64,
-    /// Hard state, when it changed.
-    pub hard_state: Option<HardState>,
-    /// A snapshot received whole: it replaces log and state machine.
-    pub snapshot: Option<Snapshot>,
-    /// Entries to write; the first may overwrite a tail already written.
-    pub entries: Vec<Entry>,
-    /// Entries to apply in order.
-    pub committed: Vec<Entry>,
-    /// Messages that promise nothing about the disk.
-    pub messages: Vec<Outgoing>,
-    /// Messages that promise what this batch persists.
-    pub messages_after_persist: Vec<Outgoing>,
-}
-
-impl Ready {
-    /// True when the batch has something for the disk.
-    pub fn needs_persist(&self) -> bool {
-        self.hard_state.is_some() || self.snapshot.is_some() || !self.entries.is_empty()
-    }
+    /// The new membership has no voter left.
+    #[error("a membership needs at least one voter")]
+    NoVoters,
 }
 
 /// What a node says of itself.
@@ -100,16 +56,63 @@
     pub matched: Vec<(NodeId, LogIndex)>,
 }
 
+/// What a node keeps in its role.
+#[derive(Debug)]
+pub(crate) enum Role {
+    Follower,
+    /// With those that would vote for it.
+    PreCandidate(BTreeSet<NodeId>),
+    /// With those that voted for it; its own vote counts once synced.
+    Candidate(BTreeSet<NodeId>),
+    Leader(Leadership),
+}
+
+/// What a leader keeps for its term.
+#[derive(Debug)]
+pub(crate) struct Leadership {
+    pub progress: BTreeMap<NodeId, Progress>,
+    pub rounds: Rounds,
+    pub next_heartbeat: Monotonic,
+    /// Index of the first entry of its own term.
+    pub first_index: LogIndex,
+    pub transfer: Option<Transfer>,
+}
+
 /// A Raft node; see the crate's page for how it is driven.
 #[derive(Debug)]
 pub struct Node {
-    _id: NodeId,
+    pub(crate) id: NodeId,
+    pub(crate) options: Options,
+    pub(crate) random: ChaCha8Rng,
+    /// The latest time seen; it never runs back.
+    pub(crate) clock: Monotonic,
+    pub(crate) term: Term,
+    pub(crate) voted_for: Option<NodeId>,
+    pub(crate) commit: LogIndex,
+    /// Last index handed to the state machine, by entry or snapshot.
+    pub(crate) delivered: LogIndex,
+    pub(crate) log: Log,
+    pub(crate) history: MembershipHistory,
+    /// The newest snapshot, for followers that are too far behind.
+    pub(crate) snapshot: Option<Snapshot>,
+    pub(crate) incoming: Option<IncomingSnapshot>,
+    pub(crate) role: Role,
+    pub(crate) leader: Option<NodeId>,
+    /// When a message of a live leader was last taken, of whatever term.
+    pub(crate) leader_heard: Option<Monotonic>,
+    /// A restarted voter grants no vote before, for it forgot its promises.
+    pub(crate) votes_from: Monotonic,
+    pub(crate) election_deadline: Monotonic,
+    pub(crate) outbox: Outbox,
+    pub(crate) batches: Batches,
 }
 
 impl Node {
     /// A node from what its disk held. `membership` is used only while neither
     /// snapshot nor log names one: the voters agreed at first start, or an
-    /// empty one for a node that waits to be added.
+    /// empty one for a node that waits to be added. The snapshot, if any, is
+    /// the state machine's base: the first committed entry handed out is the
+    /// one after it.
     pub fn new(
         id: NodeId,
         options: Options,
@@ -118,80 +121,223 @@
         seed: u64,
         now: Monotonic,
     ) -> Self {
-        let _ = (options, membership, recovered, seed, now);
-        Self { _id: id }
+        let hard_state = recovered.hard_state;
+        let base = recovered.snapshot.as_ref().map(|s| s.meta.clone());
+        let base = base.unwrap_or_default();
+        let named = !base.membership.voters.is_empty() || !base.membership.learners.is_empty();
+        let membership = if named { base.membership } else { membership };
+        let log = Log::new(base.index, base.term, recovered.entries);
+        let commit = hard_state.commit.min(log.last_index()).max(base.index);
+        let mut node = Self {
+            id,
+            random: ChaCha8Rng::seed_from_u64(seed),
+            clock: now,
+            term: hard_state.term.max(log.last_term()),
+            voted_for: hard_state
+                .voted_for
+                .filter(|_| hard_state.term >= log.last_term()),
+            commit,
+            delivered: base.index,
+            history: MembershipHistory::new(base.index, membership),
+            snapshot: recovered.snapshot,
+            incoming: None,
+            role: Role::Follower,
+            leader: None,
+            leader_heard: None,
+            votes_from: now,
+            election_deadline: now,
+            outbox: Outbox::default(),
+            batches: Batches::new(hard_state),
+            log,
+            options,
+        };
+        node.recover_memberships();
+        node.begin_after_restart(hard_state);
+        node
+    }
+
+    fn recover_memberships(&mut self) {
+        for entry in self.log.iter() {
+            if let Payload::Membership(membership) = &entry.payload {
+                self.history.push(entry.index, membership.clone());
+            }
+        }
+    }
+
+    /// A node that never saw a term never promised anything and may vote at
+    /// once; any other waits until its forgotten promises have run out.
+    fn begin_after_restart(&mut self, hard_state: HardState) {
+        let wait = hard_state.term > Term(0);
+        if wait && !self.options.has(crate::Mutation::VoteAfterRestart) {
+            self.votes_from = self.clock + self.options.election_timeout;
+        }
+        self.reset_election_deadline();
     }
 
     /// Takes a message from another node.
     pub fn step(&mut self, now: Monotonic, from: NodeId, message: Message) {
-        let _ = (now, from, message);
-        todo!()
+        self.observe(now);
+        if from == self.id {
+            return;
+        }
+        match message {
+            Message::PreVote {
+                term,
+                last_index,
+                last_term,
+            } => self.on_pre_vote(from, term, (last_term, last_index)),
+            Message::PreVoteReply { term, granted } => self.on_pre_vote_reply(from, term, granted),
+            Message::Vote {
+                term,
+                last_index,
+                last_term,
+                transfer,
+            } => self.on_vote(from, term, (last_term, last_index), transfer),
+            Message::VoteReply { term, granted } => self.on_vote_reply(from, term, granted),
+            Message::Append {
+                term,
+                previous_index,
+                previous_term,
+                entries,
+                commit,
+                round,
+            } => {
+                let previous = (previous_index, previous_term);
+                self.on_append(from, term, previous, entries, commit, round);
+            }
+            Message::AppendReply {
+                term,
+                success,
+                index,
+                round,
+            } => self.on_append_reply(from, term, success, index, round),
+            Message::SnapshotChunk {
+                term,
+                meta,
+                offset,
+                total,
+                data,
+                round,
+            } => {
+                let piece = crate::snapshot::Piece {
+                    meta,
+                    offset,
+                    total,
+                    data,
+                };
+                self.on_snapshot_chunk(from, term, piece, round);
+            }
+            Message::SnapshotReply {
+                term,
+                index,
+                next_offset,
+                round,
+            } => self.on_snapshot_reply(from, term, index, next_offset, round),
+            Message::TimeoutNow { term } => self.on_timeout_now(term),
+        }
     }
 
     /// Looks at the clock: elections, heartbeats, loss of the lease.
     pub fn tick(&mut self, now: Monotonic) {
-        let _ = now;
-        todo!()
+        self.observe(now);
+        match &self.role {
+            Role::Leader(leadership) => {
+                if self.clock >= leadership.next_heartbeat {
+                    self.begin_round();
+                }
+                self.check_transfer();
+            }
+            _ if self.clock >= self.election_deadline => self.on_election_timeout(),
+            _ => {}
+        }
+    }
+
+    /// Takes the time, before anything else is done with an input: a leader
+    /// that slept too long must not act as one any more.
+    pub(crate) fn observe(&mut self, now: Monotonic) {
+        self.clock = self.clock.max(now);
+        if !self.hears_quorum() {
+            tracing::info!(node = %self.id, term = %self.term, "no quorum heard, stepping down");
+            self.become_follower(self.term, None);
+        }
     }
 
     /// When [`Node::tick`] wants to be called next.
     pub fn next_wakeup(&self) -> Monotonic {
-        todo!()
+        match &self.role {
+            Role::Leader(leadership) => match leadership.transfer_deadline() {
+                Some(deadline) => leadership.next_heartbeat.min(deadline),
+                None => leadership.next_heartbeat,
+            },
+            _ => self.election_deadline,
+        }
     }
 
     /// Appends a command; its index tells when it is committed. The caller
     /// must check the term of the committed entry.
     pub fn propose(&mut self, now: Monotonic, command: Vec<u8>) -> Result<LogIndex, ProposeError> {
-        let _ = (now, command);
-        todo!()
+        self.observe(now);
+        self.check_may_propose()?;
+        Ok(self
+            .log
+            .push(self.term, Payload::Command(Arc::from(command))))
     }
 
-    /// Appends a new membership that differs by at most one voter; learners
-    /// may change freely.
-    pub fn propose_membership(
-        &mut self,
-        now: Monotonic,
-        membership: Membership,
-    ) -> Result<LogIndex, ProposeError> {
-        let _ = (now, membership);
-        todo!()
-    }
-
-    /// Hands leadership to the most advanced voter; returns it, if there is one.
-    pub fn transfer_leadership(&mut self, now: Monotonic) -> Option<NodeId> {
-        let _ = now;
-        todo!()
-    }
-
-    /// What there is to do, or none.
-    pub fn ready(&mut self) -> Option<Ready> {
-        todo!()
+    pub(crate) fn check_may_propose(&self) -> Result<(), ProposeError> {
+        match &self.role {
+            Role::Leader(leadership) if leadership.transfer.is_none() => Ok(()),
+            _ => Err(ProposeError::NotLeader),
+        }
     }
 
-    /// Says that batch `number` and all before it are synced.
-    pub fn persisted(&mut self, now: Monotonic, number: u64) {
-        let _ = (now, number);
-        todo!()
+    /// Queues a message that promises nothing about the disk.
+    pub(crate) fn send(&mut self, to: NodeId, message: Message) {
+        self.outbox.messages.push(Outgoing { to, message });
     }
 
-    /// Says that the state machine's snapshot is synced: the log may be cut
-    /// before it, and slow followers get it in pieces.
-    pub fn compact(&mut self, snapshot: Snapshot) {
-        let _ = snapshot;
-        todo!()
+    /// Queues a message that may leave once all that came before it is synced.
+    pub(crate) fn send_after_persist(&mut self, to: NodeId, message: Message) {
+        if self.options.has(crate::Mutation::ReplyBeforeSync) {
+            self.send(to, message);
+            return;
+        }
+        self.outbox.after_persist.push(Outgoing { to, message });
     }
 
-    /// True when this node leads, has committed an entry of its own term, and
-    /// a quorum answered a round begun less than the lease ago. To be asked
-    /// after every wake and just before each effect.
-    pub fn holds_lease(&self, now: Monotonic) -> bool {
-        let _ = now;
-        todo!()
+    /// This node's identity.
+    pub fn id(&self) -> NodeId {
+        self.id
     }
 
     /// What the node says of itself.
     pub fn status(&self, now: Monotonic) -> Status {
-        let _ = now;
-        todo!()
+        let mut status = Status {
+            role: self.public_role(),
+            term: self.term,
+            leader: self.leader,
+            commit: self.commit,
+            last_index: self.log.last_index(),
+            membership: self.membership().clone(),
+            silence: Vec::new(),
+            matched: Vec::new(),
+        };
+        if let Role::Leader(leadership) = &self.role {
+            for (node, progress) in &leadership.progress {
+                let silence = now.since(progress.last_heard);
+                status.silence.push((*node, silence));
+                status.matched.push((*node, progress.matched));
+            }
+        }
+        status
+    }
+
+    fn public_role(&self) -> RaftRole {
+        match &self.role {
+            Role::Leader(_) => RaftRole::Leader,
+            Role::Candidate(_) => RaftRole::Candidate,
+            Role::PreCandidate(_) => RaftRole::PreCandidate,
+            Role::Follower if self.is_voter() => RaftRole::Follower,
+            Role::Follower => RaftRole::Learner,
+        }
     }
 }
--- /dev/null
+++ b/crates/consensus/src/progress.rs
@@ -0,0 +1,208 @@
+//! What a leader knows of one other member, and what it sends there next.
+
+use crate::log::{Log, after, before};
+use crate::snapshot::OutgoingSnapshot;
+use crate::{Entry, Message, Options, Outgoing, Snapshot};
+use std::collections::VecDeque;
+use types::{LogIndex, Milliseconds, Monotonic, NodeId, Term};
+
+/// Heartbeat intervals without progress after which appends in flight count
+/// as lost.
+const LOSS_HEARTBEATS: u64 = 2;
+
+/// How entries are sent to a member.
+#[derive(Debug)]
+pub(crate) enum Sending {
+    /// One append at a time, until it is known where the logs are equal.
+    Probe { waiting: bool },
+    /// Several appends in flight; with the last index of each.
+    Replicate { in_flight: VecDeque<LogIndex> },
+    /// The entries it needs are gone: a snapshot goes first.
+    Snapshot(OutgoingSnapshot),
+}
+
+/// What a leader has at hand for sending.
+pub(crate) struct Source<'a> {
+    pub term: Term,
+    pub commit: LogIndex,
+    pub round: u64,
+    pub now: Monotonic,
+    pub log: &'a Log,
+    pub snapshot: Option<&'a Snapshot>,
+    pub options: &'a Options,
+}
+
+/// A leader's view of one other member.
+#[derive(Debug)]
+pub(crate) struct Progress {
+    /// Last index known equal and synced there.
+    pub matched: LogIndex,
+    /// Next index to send.
+    next: LogIndex,
+    pub sending: Sending,
+    /// When it last answered in this term, or joined the list.
+    pub last_heard: Monotonic,
+    /// When the newest round it answered was begun.
+    pub answered_round: Option<Monotonic>,
+    /// When `matched` last grew, or sending began anew.
+    advanced_at: Monotonic,
+}
+
+impl Progress {
+    pub fn new(next: LogIndex, now: Monotonic) -> Self {
+        Self {
+            matched: LogIndex(0),
+            next,
+            sending: Sending::Probe { waiting: false },
+            last_heard: now,
+            answered_round: None,
+            advanced_at: now,
+        }
+    }
+
+    /// Sends as much as the window allows.
+    pub fn pump(&mut self, source: &Source<'_>, to: NodeId, out: &mut Vec<Outgoing>) {
+        loop {
+            let window = source.options.max_appends_in_flight.max(1);
+            let may_send = match &self.sending {
+                Sending::Probe { waiting } => !waiting,
+                Sending::Replicate { in_flight } => {
+                    in_flight.len() < window && self.next <= source.log.last_index()
+                }
+                Sending::Snapshot(transfer) => !transfer.waiting(),
+            };
+            if !may_send {
+                return;
+            }
+            out.push(Outgoing {
+                to,
+                message: self.next_message(source),
+            });
+        }
+    }
+
+    /// The next append or piece of a snapshot; switches to a snapshot when
+    /// the entries are gone.
+    fn next_message(&mut self, source: &Source<'_>) -> Message {
+        let previous = before(self.next);
+        if let Sending::Snapshot(transfer) = &mut self.sending {
+            return transfer.next_chunk(source);
+        }
+        match (source.log.term_at(previous), source.snapshot) {
+            (None, Some(snapshot)) => {
+                let mut transfer = OutgoingSnapshot::new(snapshot.clone());
+                let chunk = transfer.next_chunk(source);
+                self.sending = Sending::Snapshot(transfer);
+                chunk
+            }
+            (previous_term, _) => {
+                let max_bytes = source.options.max_append_bytes;
+                let entries = source.log.batch(self.next, max_bytes);
+                self.note_sent(&entries, source.now);
+                append(source, previous, previous_term.unwrap_or_default(), entries)
+            }
+        }
+    }
+
+    fn note_sent(&mut self, entries: &[Entry], now: Monotonic) {
+        match &mut self.sending {
+            Sending::Probe { waiting } => *waiting = true,
+            Sending::Replicate { in_flight } => {
+                if let Some(last) = entries.last() {
+                    if in_flight.is_empty() {
+                        self.advanced_at = now;
+                    }
+                    in_flight.push_back(last.index);
+                    self.next = after(last.index);
+                }
+            }
+            Sending::Snapshot(_) => {}
+        }
+    }
+
+    /// Begins a round: sends a heartbeat, or again what may have been lost.
+    pub fn heartbeat(&mut self, source: &Source<'_>, to: NodeId, out: &mut Vec<Outgoing>) {
+        let patience = Milliseconds(source.options.heartbeat_interval.0 * LOSS_HEARTBEATS);
+        let stalled = source.now.since(self.advanced_at) >= patience;
+        match &mut self.sending {
+            Sending::Probe { waiting } => *waiting = false,
+            Sending::Snapshot(transfer) => transfer.resend(),
+            Sending::Replicate { in_flight } if stalled && !in_flight.is_empty() => self.probe(),
+            Sending::Replicate { .. } => {
+                // Everything up to `matched` is equal there, so an empty append
+                // after it never fails and carries the commit index that far.
+                let matched_term = source.log.term_at(self.matched);
+                match matched_term {
+                    Some(term) => out.push(Outgoing {
+                        to,
+                        message: append(source, self.matched, term, Vec::new()),
+                    }),
+                    None => self.probe(),
+                }
+            }
+        }
+        self.pump(source, to, out);
+    }
+
+    /// Goes back to sending one append at a time, from what is known equal.
+    fn probe(&mut self) {
+        self.next = after(self.matched);
+        self.sending = Sending::Probe { waiting: false };
+    }
+
+    /// Notes that the member holds the log up to `index`, synced.
+    pub fn succeed(&mut self, index: LogIndex, log: &Log, now: Monotonic) {
+        if index > self.matched {
+            self.matched = index;
+            self.advanced_at = now;
+        }
+        self.next = self.next.max(after(self.matched));
+        match &mut self.sending {
+            Sending::Replicate { in_flight } => {
+                while in_flight.front().is_some_and(|last| *last <= self.matched) {
+                    in_flight.pop_front();
+                }
+            }
+            Sending::Snapshot(_) if after(self.matched) < log.first_index() => {}
+            _ => {
+                self.next = after(self.matched);
+                self.advanced_at = now;
+                self.sending = Sending::Replicate {
+                    in_flight: VecDeque::new(),
+                };
+            }
+        }
+    }
+
+    /// Ends the transfer of a snapshot that is installed.
+    pub fn leave_snapshot(&mut self) {
+        self.sending = Sending::Probe { waiting: false };
+    }
+
+    /// Notes that an append was refused; `hint` is where the logs may still
+    /// be equal. A refusal that says nothing new is an old one.
+    pub fn fail(&mut self, hint: LogIndex) {
+        if matches!(self.sending, Sending::Snapshot(_)) {
+            return;
+        }
+        let tried = before(self.next);
+        self.next = after(hint.min(before(tried)).max(self.matched));
+        self.sending = Sending::Probe { waiting: false };
+    }
+}
+
+fn append(
+    source: &Source<'_>,
+    previous_index: LogIndex,
+    previous_term: Term,
+    entries: Vec<Entry>,
+) -> Message {
+    Message::Append {
+        term: source.term,
+        previous_index,
+        previous_term,
+        entries,
+        commit: source.commit,
+        round: source.round,
+    }
+}
--- /dev/null
+++ b/crates/consensus/src/transfer.rs
@@ -0,0 +1,117 @@
+//! Handing leadership over.
+//!
+//! The receiver of `TimeoutNow` stands at once, and its votes are given
+//! despite the promise to the live leader. So from the moment `TimeoutNow` is
+//! queued the leader of term T must not hold its lease, and not only until
+//! the transfer times out: the message may arrive at any later time. A
+//! transfer that failed therefore ends by this node's standing itself for
+//! term T+1, again with the transfer flag. The flag overrides only promises
+//! to a leader of term T or before, and that leader is this node, which gave
+//! its lease up. If the late receiver stands for T+1 as well, each voter
+//! gives its one vote of that term to one of them.
+
+use crate::node::{Leadership, Role};
+use crate::{Message, Node};
+use types::{LogIndex, Monotonic, NodeId, Term};
+
+/// A transfer under way.
+#[derive(Debug)]
+pub(crate) struct Transfer {
+    target: NodeId,
+    deadline: Monotonic,
+    /// Whether `TimeoutNow` was queued: the lease is given up for this term.
+    sent: bool,
+}
+
+impl Leadership {
+    /// True once the lease is given up for this term.
+    pub(crate) fn handed_over(&self) -> bool {
+        self.transfer.as_ref().is_some_and(|t| t.sent)
+    }
+
+    /// When the transfer under way, if any, times out.
+    pub(crate) fn transfer_deadline(&self) -> Option<Monotonic> {
+        self.transfer.as_ref().map(|t| t.deadline)
+    }
+}
+
+impl Node {
+    /// Hands leadership to the most advanced voter; returns it, if there is
+    /// one. Proposals are refused from now on. If the voter has not taken over
+    /// within an election timeout this node goes on leading, in a new term if
+    /// it had already told the voter to stand.
+    pub fn transfer_leadership(&mut self, now: Monotonic) -> Option<NodeId> {
+        self.observe(now);
+        let target = self.most_advanced_voter();
+        let deadline = self.clock + self.options.election_timeout;
+        let Role::Leader(leadership) = &mut self.role else {
+            return None;
+        };
+        if let Some(transfer) = &leadership.transfer {
+            return Some(transfer.target);
+        }
+        leadership.transfer = Some(Transfer {
+            target: target?,
+            deadline,
+            sent: false,
+        });
+        self.advance_transfer();
+        target
+    }
+
+    /// The voter with the longest log among those heard lately.
+    pub(crate) fn most_advanced_voter(&self) -> Option<NodeId> {
+        let Role::Leader(leadership) = &self.role else {
+            return None;
+        };
+        let voters = &self.membership().voters;
+        leadership
+            .progress
+            .iter()
+            .filter(|(node, _)| voters.contains_key(node))
+            .filter(|(_, p)| self.clock.since(p.last_heard) < self.options.election_timeout)
+            .max_by_key(|(_, p)| (p.matched, p.last_heard))
+            .map(|(node, _)| *node)
+    }
+
+    /// Tells the target to stand once it has the whole log.
+    pub(crate) fn advance_transfer(&mut self) {
+        let last_index: LogIndex = self.log.last_index();
+        let Role::Leader(leadership) = &mut self.role else {
+            return;
+        };
+        let Some(transfer) = &mut leadership.transfer else {
+            return;
+        };
+        let progress = leadership.progress.get(&transfer.target);
+        if transfer.sent || progress.is_none_or(|p| p.matched < last_index) {
+            return;
+        }
+        transfer.sent = true;
+        let to = transfer.target;
+        self.send(to, Message::TimeoutNow { term: self.term });
+    }
+
+    /// Ends a transfer that took too long.
+    pub(crate) fn check_transfer(&mut self) {
+        let Role::Leader(leadership) = &mut self.role else {
+            return;
+        };
+        let deadline = leadership.transfer_deadline();
+        if deadline.is_none_or(|at| self.clock < at) {
+            return;
+        }
+        if leadership.handed_over() {
+            self.stand(true);
+        } else {
+            leadership.transfer = None;
+        }
+    }
+
+    pub(crate) fn on_timeout_now(&mut self, term: Term) {
+        let follows = matches!(self.role, Role::Follower | Role::PreCandidate(_));
+        if term == self.term && follows && self.is_voter() {
+            self.stand(true);
+        }
+    }
+}
--- /dev/null
+++ b/crates/consensus/tests/cluster/mod.rs
@@ -0,0 +1,318 @@
+//! A seeded cluster in memory: virtual time, a bad network, disks that lose
+//! what was not synced, freezes, and a checker that looks after every event.
+
+#![allow(dead_code, reason = "each test file uses a part of it")]
+
+pub mod checker;
+pub mod machine;
+pub mod script;
+
+use checker::{Checker, Violation};
+use consensus::{Membership, Message, Mutation, Options, RaftRole};
+use machine::Machine;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use types::{LogIndex, Milliseconds, NodeId};
+
+/// What happens at a moment of virtual time.
+pub enum Event {
+    Deliver {
+        from: NodeId,
+        to: NodeId,
+        message: Message,
+    },
+    Synced {
+        node: NodeId,
+        incarnation: u64,
+    },
+    Thaw(NodeId),
+}
+
+/// How bad the network is.
+#[derive(Clone, Copy)]
+pub struct Network {
+    pub loss: f64,
+    pub duplicate: f64,
+    /// Share of messages that take up to `longest_delay`.
+    pub slow: f64,
+    pub longest_delay: u64,
+    /// When set, only messages to this node are slow.
+    pub slow_to: Option<NodeId>,
+}
+
+impl Network {
+    pub const GOOD: Self = Self {
+        loss: 0.0,
+        duplicate: 0.0,
+        slow: 0.0,
+        longest_delay: 5,
+        slow_to: None,
+    };
+    pub const BAD: Self = Self {
+        loss: 0.05,
+        duplicate: 0.05,
+        slow: 0.05,
+        longest_delay: 2_500,
+        slow_to: None,
+    };
+}
+
+pub struct Cluster {
+    pub now: u64,
+    pub random: ChaCha8Rng,
+    pub options: Options,
+    pub machines: BTreeMap<NodeId, Machine>,
+    pub network: Network,
+    /// Directions in which nothing passes.
+    pub cuts: BTreeSet<(NodeId, NodeId)>,
+    pub checker: Checker,
+    events: BTreeMap<(u64, u64), Event>,
+    next_event: u64,
+}
+
+pub fn socket(node: NodeId) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 1_000 + node.0 as u16))
+}
+
+pub fn membership(voters: &[u64], learners: &[u64]) -> Membership {
+    let member = |id: &u64| (NodeId(*id), socket(NodeId(*id)));
+    Membership {
+        voters: voters.iter().map(member).collect(),
+        learners: learners.iter().map(member).collect(),
+    }
+}
+
+pub fn options(mutation: Option<Mutation>) -> Options {
+    Options {
+        max_append_bytes: 256,
+        max_appends_in_flight: 4,
+        snapshot_chunk_bytes: 16,
+        retained_entries: 8,
+        mutation,
+        ..Options::default()
+    }
+}
+
+impl Cluster {
+    /// Nodes 1 to `voters` agree on the first membership; those up to
+    /// `machines` start empty.
+    pub fn new(seed: u64, voters: u64, machines: u64, mutation: Option<Mutation>) -> Self {
+        let ids: Vec<u64> = (1..=voters).collect();
+        let mut cluster = Self {
+            now: 0,
+            random: ChaCha8Rng::seed_from_u64(seed),
+            options: options(mutation),
+            machines: BTreeMap::new(),
+            network: Network::GOOD,
+            cuts: BTreeSet::new(),
+            checker: Checker::default(),
+            events: BTreeMap::new(),
+            next_event: 0,
+        };
+        for id in 1..=machines {
+            let initial = match id <= voters {
+                true => membership(&ids, &[]),
+                false => Membership::default(),
+            };
+            let machine = Machine::new(NodeId(id), initial);
+            cluster.machines.insert(NodeId(id), machine);
+            cluster.start(NodeId(id));
+        }
+        cluster
+    }
+
+    pub fn start(&mut self, id: NodeId) {
+        let seed = self.random.random();
+        let offset = self.random.random_range(0..1_000_000);
+        let options = self.options.clone();
+        let now = self.now;
+        self.machine(id).start(options, seed, offset, now);
+    }
+
+    pub fn machine(&mut self, id: NodeId) -> &mut Machine {
+        self.machines.get_mut(&id).expect("a known machine")
+    }
+
+    pub fn crash(&mut self, id: NodeId) {
+        let keep = self.random.random_range(0..3);
+        self.machine(id).crash(keep);
+    }
+
+    pub fn freeze(&mut self, id: NodeId, length: u64) {
+        let until = self.now + length;
+        let machine = self.machine(id);
+        if machine.node.is_some() && machine.frozen_until.is_none() {
+            machine.frozen_until = Some(until);
+            self.schedule(until, Event::Thaw(id));
+        }
+    }
+
+    /// Cuts `id` off from all others, in one direction or both.
+    pub fn cut_off(&mut self, id: NodeId, outwards: bool, inwards: bool) {
+        let others: Vec<NodeId> = self.machines.keys().copied().collect();
+        for other in others {
+            if outwards {
+                self.cuts.insert((id, other));
+            }
+            if inwards {
+                self.cuts.insert((other, id));
+            }
+        }
+    }
+
+    /// All machines up, the network whole.
+    pub fn heal(&mut self) {
+        self.cuts.clear();
+        self.network = Network::GOOD;
+        let stopped = self.machines.values().filter(|m| m.node.is_none());
+        let down: Vec<NodeId> = stopped.map(|m| m.id).collect();
+        for id in down {
+            self.start(id);
+        }
+    }
+
+    pub fn schedule(&mut self, at: u64, event: Event) {
+        self.next_event += 1;
+        let at = at.max(self.now);
+        self.events.insert((at, self.next_event), event);
+    }
+
+    fn transmit(&mut self, from: NodeId, to: NodeId, message: Message) {
+        if !self.machines.contains_key(&to) || self.cuts.contains(&(from, to)) {
+            return;
+        }
+        let network = self.network;
+        if self.random.random_bool(network.loss) {
+            return;
+        }
+        let copies = 1 + u64::from(self.random.random_bool(network.duplicate));
+        for _ in 0..copies {
+            let may_be_slow = network.slow_to.is_none_or(|slow| slow == to);
+            let longest = match may_be_slow && self.random.random_bool(network.slow) {
+                true => network.longest_delay,
+                false => 5,
+            };
+            let at = self.now + self.random.random_range(1..=longest);
+            let message = message.clone();
+            self.schedule(at, Event::Deliver { from, to, message });
+        }
+    }
+
+    /// Runs for `length` milliseconds of virtual time.
+    pub fn run(&mut self, length: u64) -> Result<(), Violation> {
+        let end = self.now + length;
+        loop {
+            let event_at = self.events.keys().next().map_or(u64::MAX, |(at, _)| *at);
+            let wakeup_at = self.next_wakeup();
+            let next = event_at.min(wakeup_at.max(self.now));
+            if next > end {
+                self.now = end;
+                return Ok(());
+            }
+            self.now = next;
+            if event_at <= next {
+                if let Some((_, event)) = self.events.pop_first() {
+                    self.happen(event);
+                }
+            } else {
+                self.tick_due();
+            }
+            self.settle()?;
+        }
+    }
+
+    /// Runs until `done`, at most `length`; true if it came to be.
+    pub fn run_until(
+        &mut self,
+        length: u64,
+        done: impl Fn(&Self) -> bool,
+    ) -> Result<bool, Violation> {
+        let end = self.now + length;
+        while self.now < end {
+            if done(self) {
+                return Ok(true);
+            }
+            self.run(10)?;
+        }
+        Ok(done(self))
+    }
+
+    fn next_wakeup(&self) -> u64 {
+        let awake = self.machines.values().filter_map(Machine::wakeup);
+        awake.min().unwrap_or(u64::MAX)
+    }
+
+    fn tick_due(&mut self) {
+        let now = self.now;
+        for machine in self.machines.values_mut() {
+            if machine.wakeup().is_some_and(|at| at <= now) {
+                machine.tick(now);
+            }
+        }
+    }
+
+    fn happen(&mut self, event: Event) {
+        let now = self.now;
+        match event {
+            Event::Deliver { from, to, message } => self.machine(to).receive(now, from, message),
+            Event::Synced { node, incarnation } => self.machine(node).sync(now, incarnation),
+            Event::Thaw(id) => {
+                let tick_first = self.random.random_bool(0.5);
+                self.machine(id).thaw(now, tick_first);
+            }
+        }
+    }
+
+    /// Takes what every node has ready, then checks.
+    pub fn settle(&mut self) -> Result<(), Violation> {
+        let ids: Vec<NodeId> = self.machines.keys().copied().collect();
+        for id in ids {
+            let delay = self.random.random_range(0..12);
+            let now = self.now;
+            let Some(machine) = self.machines.get_mut(&id) else {
+                continue;
+            };
+            let taken = machine.take_ready(now, delay, &mut self.checker)?;
+            for outgoing in taken.messages {
+                self.transmit(id, outgoing.to, outgoing.message);
+            }
+            for (at, incarnation) in taken.syncs {
+                let node = id;
+                self.schedule(at, Event::Synced { node, incarnation });
+            }
+        }
+        self.checker.look(self.now, &self.machines)
+    }
+
+    /// The node that holds the lease.
+    pub fn leader(&self) -> Option<NodeId> {
+        let holds = |m: &&Machine| m.holds_lease(self.now);
+        self.machines.values().find(holds).map(|m| m.id)
+    }
+
+    pub fn wait_for_leader(&mut self) -> Result<NodeId, Violation> {
+        self.run_until(20_000, |c| c.leader().is_some())?;
+        self.leader().ok_or(Violation::Stuck)
+    }
+
+    /// Proposes a command at the leader, if there is one.
+    pub fn propose(&mut self, command: u64) -> Option<LogIndex> {
+        let now = self.now;
+        let leader = self.leader()?;
+        self.machine(leader).propose(now, command)
+    }
+
+    pub fn applied(&self, id: NodeId) -> LogIndex {
+        self.machines.get(&id).map_or(LogIndex(0), |m| m.applied)
+    }
+
+    pub fn role(&self, id: NodeId) -> Option<RaftRole> {
+        Some(self.machines.get(&id)?.status(self.now)?.role)
+    }
+
+    pub fn election_timeout(&self) -> Milliseconds {
+        self.options.election_timeout
+    }
+}
--- /dev/null
+++ b/crates/consensus/tests/node.rs
@@ -0,0 +1,211 @@
+//! One node by itself: batches, restart and malformed messages.
+
+mod cluster;
+
+use cluster::{membership, options};
+use consensus::{
+    Entry, HardState, Message, Node, Payload, RaftRole, Ready, Recovered, SnapshotMeta,
+};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::sync::Arc;
+use types::{LogIndex, Monotonic, NodeId, Term};
+
+const LEADER: NodeId = NodeId(2);
+
+fn command(index: u64, term: u64) -> Entry {
+    Entry {
+        index: LogIndex(index),
+        term: Term(term),
+        payload: Payload::Command(Arc::from([1, 2, 3])),
+    }
+}
+
+fn node(voters: &[u64], recovered: Recovered) -> Node {
+    let initial = membership(voters, &[]);
+    Node::new(
+        NodeId(1),
+        options(None),
+        initial,
+        recovered,
+        1,
+        Monotonic(0),
+    )
+}
+
+fn append(term: u64, previous: (u64, u64), entries: Vec<Entry>, commit: u64) -> Message {
+    Message::Append {
+        term: Term(term),
+        previous_index: LogIndex(previous.0),
+        previous_term: Term(previous.1),
+        entries,
+        commit: LogIndex(commit),
+        round: 1,
+    }
+}
+
+fn persist_all(node: &mut Node, now: Monotonic) -> Vec<Ready> {
+    let mut all = Vec::new();
+    while let Some(ready) = node.ready() {
+        node.persisted(now, ready.number);
+        all.push(ready);
+    }
+    all
+}
+
+#[test]
+fn a_lone_voter_leads_and_commits_only_what_it_synced() {
+    let mut node = node(&[1], Recovered::default());
+    let now = node.next_wakeup();
+    node.tick(now);
+    persist_all(&mut node, now);
+    assert!(node.holds_lease(now));
+    assert_eq!(node.status(now).role, RaftRole::Leader);
+    let index = node.propose(now, vec![1]).expect("it leads");
+    let ready = node.ready().expect("an entry to write");
+    assert!(ready.committed.is_empty());
+    assert!(node.ready().is_none());
+    node.persisted(now, ready.number);
+    let committed = node.ready().expect("an entry to apply").committed;
+    assert_eq!(committed.last().map(|e| e.index), Some(index));
+}
+
+#[test]
+fn a_reply_waits_for_all_earlier_batches() {
+    let mut node = node(&[1, 2, 3], Recovered::default());
+    let now = Monotonic(10);
+    node.step(now, LEADER, append(1, (0, 0), vec![command(1, 1)], 0));
+    let first = node.ready().expect("an entry to write");
+    assert_eq!(first.messages_after_persist.len(), 1);
+    assert!(first.messages.is_empty());
+    // The same again has nothing to write, yet its reply promises the first.
+    node.step(now, LEADER, append(1, (0, 0), vec![command(1, 1)], 0));
+    assert!(node.ready().is_none());
+    node.persisted(now, first.number);
+    let second = node.ready().expect("the second reply");
+    assert_eq!(second.number, first.number + 1);
+    assert_eq!(second.messages_after_persist.len(), 1);
+}
+
+#[test]
+fn what_was_known_committed_comes_first_after_a_restart() {
+    let recovered = Recovered {
+        hard_state: HardState {
+            term: Term(3),
+            voted_for: None,
+            commit: LogIndex(2),
+        },
+        snapshot: None,
+        entries: vec![command(1, 1), command(2, 1), command(3, 2)],
+    };
+    let mut node = node(&[1, 2, 3], recovered);
+    let ready = node.ready().expect("entries to apply");
+    assert!(!ready.needs_persist());
+    assert_eq!(ready.committed, [command(1, 1), command(2, 1)]);
+}
+
+#[test]
+fn a_restarted_voter_waits_before_it_votes() {
+    let recovered = Recovered {
+        hard_state: HardState {
+            term: Term(3),
+            ..HardState::default()
+        },
+        ..Recovered::default()
+    };
+    let mut node = node(&[1, 2, 3], recovered);
+    let vote = Message::Vote {
+        term: Term(4),
+        last_index: LogIndex(9),
+        last_term: Term(3),
+        transfer: false,
+    };
+    node.step(Monotonic(999), LEADER, vote.clone());
+    assert!(node.ready().is_none());
+    node.step(Monotonic(1_000), LEADER, vote);
+    let reply = Message::VoteReply {
+        term: Term(4),
+        granted: true,
+    };
+    let ready = node.ready().expect("a vote");
+    assert_eq!(ready.messages_after_persist[0].message, reply);
+}
+
+fn any_number(random: &mut ChaCha8Rng) -> u64 {
+    match random.random_range(0..8) {
+        0 => u64::MAX,
+        1 => u64::MAX - 1,
+        _ => random.random_range(0..12),
+    }
+}
+
+fn any_message(random: &mut ChaCha8Rng) -> Message {
+    let mut number = || any_number(random);
+    let (term, index, other, round) = (Term(number()), LogIndex(number()), number(), number());
+    let entries = vec![command(number(), number()), command(number(), number())];
+    let (kind, success) = (number() % 9, number() % 2 == 0);
+    match kind {
+        0 => Message::PreVote {
+            term,
+            last_index: index,
+            last_term: Term(other),
+        },
+        1 => Message::PreVoteReply {
+            term,
+            granted: success,
+        },
+        2 => Message::Vote {
+            term,
+            last_index: index,
+            last_term: Term(other),
+            transfer: success,
+        },
+        3 => Message::VoteReply {
+            term,
+            granted: success,
+        },
+        4 => append(term.0, (index.0, other), entries, round),
+        5 => Message::AppendReply {
+            term,
+            success,
+            index,
+            round,
+        },
+        6 => Message::SnapshotChunk {
+            term,
+            meta: SnapshotMeta {
+                index,
+                term: Term(other),
+                membership: membership(&[1, 2, 3], &[]),
+            },
+            offset: number(),
+            total: number(),
+            data: Arc::from([0, 1]),
+            round,
+        },
+        7 => Message::SnapshotReply {
+            term,
+            index,
+            next_offset: other,
+            round,
+        },
+        _ => Message::TimeoutNow { term },
+    }
+}
+
+#[test]
+fn malformed_messages_do_no_harm() {
+    for seed in 0..400 {
+        let mut random = ChaCha8Rng::seed_from_u64(seed);
+        let mut node = node(&[1, 2, 3], Recovered::default());
+        let mut now = Monotonic(0);
+        for _ in 0..100 {
+            now = Monotonic(now.0 + random.random_range(0..400));
+            let from = NodeId(random.random_range(0..5));
+            node.step(now, from, any_message(&mut random));
+            node.tick(now);
+            persist_all(&mut node, now);
+            node.status(now);
+        }
+    }
+}
