--- a/crates/configuration/src/lib.rs
+++ b/crates/configuration/src/lib.rs
@@ -5,10 +5,12 @@
 //! enter the log. The outer JSON names (`most` for the ceiling) are the `api`
 //! crate's; this crate speaks only the domain's terms.
 
+pub mod authenticate;
 pub mod document;
 pub mod key;
 pub mod validate;
 
+pub use authenticate::{authenticate, requires_keys};
 pub use document::{
     ClusterConfiguration, ErrorBudget, PoolSettings, QueueMode, QueueSettings, TenantSettings,
     Timings,
--- a/crates/configuration/src/validate.rs
+++ b/crates/configuration/src/validate.rs
@@ -1,8 +1,17 @@
 //! Checks that a document makes sense as a whole.
 
-use crate::ClusterConfiguration;
+use crate::{ClusterConfiguration, KeyRole, TenantSettings};
 use serde::{Deserialize, Serialize};
+use std::collections::BTreeSet;
 use thiserror::Error;
+use types::{Milliseconds, Resources};
+
+/// Shares are percents of a pool.
+pub const MAX_SHARE_PERCENT: u32 = 100;
+/// Error budgets count jobs in a thousand.
+pub const MAX_PER_THOUSAND: u32 = 1_000;
+/// Shortest retention: a caller that lost an answer must be able to resend.
+pub const MIN_RETENTION: Milliseconds = Milliseconds::from_seconds(60);
 
 /// One thing wrong with a document, with its place.
 #[derive(Debug, Clone, PartialEq, Eq, Error, Serialize, Deserialize)]
@@ -16,6 +25,152 @@
 
 /// Finds every problem at once; an empty list means the document may be taken.
 pub fn validate(document: &ClusterConfiguration) -> Vec<ConfigurationProblem> {
-    let _ = document;
-    Vec::new()
+    let mut problems = Problems::default();
+    check_pools(document, &mut problems);
+    check_queues(document, &mut problems);
+    check_tenants(document, &mut problems);
+    check_keys(document, &mut problems);
+    check_timings(document, &mut problems);
+    problems.found
+}
+
+#[derive(Default)]
+struct Problems {
+    found: Vec<ConfigurationProblem>,
+}
+
+impl Problems {
+    fn check(&mut self, good: bool, place: String, problem: impl Into<String>) {
+        if !good {
+            self.found.push(ConfigurationProblem {
+                place,
+                problem: problem.into(),
+            });
+        }
+    }
+
+    fn check_positive(&mut self, value: u64, place: String) {
+        self.check(value > 0, place, "must be at least 1");
+    }
+
+    /// A task always needs a slot, so room without slots can hold nothing.
+    fn check_slots(&mut self, room: &Resources, place: String) {
+        self.check_positive(u64::from(room.slots), format!("{place}.slots"));
+    }
+}
+
+fn check_pools(document: &ClusterConfiguration, problems: &mut Problems) {
+    for (name, pool) in &document.pools {
+        problems.check_slots(&pool.largest_runner, format!("pools.{name}.largest_runner"));
+    }
+}
+
+fn check_queues(document: &ClusterConfiguration, problems: &mut Problems) {
+    for (name, queue) in &document.queues {
+        problems.check(
+            document.pools.contains_key(&queue.pool),
+            format!("queues.{name}.pool"),
+            format!("there is no pool {}", queue.pool),
+        );
+        problems.check_positive(
+            queue.max_unfinished_jobs,
+            format!("queues.{name}.max_unfinished_jobs"),
+        );
+    }
+}
+
+fn check_tenants(document: &ClusterConfiguration, problems: &mut Problems) {
+    for (name, tenant) in &document.tenants {
+        check_tenant(&format!("tenants.{name}"), tenant, problems);
+    }
+    let shares = document
+        .tenants
+        .values()
+        .map(|tenant| u64::from(tenant.share_percent))
+        .sum::<u64>();
+    problems.check(
+        shares <= u64::from(MAX_SHARE_PERCENT),
+        "tenants".to_owned(),
+        format!("the shares add up to {shares} percent, more than {MAX_SHARE_PERCENT}"),
+    );
+}
+
+fn check_tenant(place: &str, tenant: &TenantSettings, problems: &mut Problems) {
+    problems.check(
+        (1..=MAX_SHARE_PERCENT).contains(&tenant.share_percent),
+        format!("{place}.share_percent"),
+        format!("must be 1 to {MAX_SHARE_PERCENT}"),
+    );
+    problems.check_slots(&tenant.ceiling, format!("{place}.ceiling"));
+    let limits = [
+        ("submits_per_second", u64::from(tenant.submits_per_second)),
+        ("submit_burst", u64::from(tenant.submit_burst)),
+        ("max_unfinished_jobs", tenant.max_unfinished_jobs),
+    ];
+    for (field, value) in limits {
+        problems.check_positive(value, format!("{place}.{field}"));
+    }
+    let budget = &tenant.error_budget;
+    problems.check_positive(
+        budget.late_after.0,
+        format!("{place}.error_budget.late_after"),
+    );
+    let allowances = [
+        ("late_per_thousand", budget.late_per_thousand),
+        ("failed_per_thousand", budget.failed_per_thousand),
+    ];
+    for (field, value) in allowances {
+        problems.check(
+            value <= MAX_PER_THOUSAND,
+            format!("{place}.error_budget.{field}"),
+            format!("must be at most {MAX_PER_THOUSAND}"),
+        );
+    }
+}
+
+fn check_keys(document: &ClusterConfiguration, problems: &mut Problems) {
+    let mut seen = BTreeSet::new();
+    for (position, key) in document.keys.iter().enumerate() {
+        problems.check(
+            seen.insert(&key.id),
+            format!("keys.{position}.id"),
+            format!("the key id {} is used twice", key.id),
+        );
+        if let KeyRole::Caller(tenant) = &key.role {
+            problems.check(
+                document.tenants.contains_key(tenant),
+                format!("keys.{position}.role"),
+                format!("there is no tenant {tenant}"),
+            );
+        }
+    }
+    // Keys are asked for once an operator key exists, so other keys alone
+    // would look like protection and give none.
+    problems.check(
+        document.keys.is_empty() || crate::requires_keys(document),
+        "keys".to_owned(),
+        "keys without an operator key protect nothing",
+    );
+}
+
+fn check_timings(document: &ClusterConfiguration, problems: &mut Problems) {
+    let timings = &document.timings;
+    let lengths = [
+        ("run_lease", timings.run_lease),
+        ("run_lease_margin", timings.run_lease_margin),
+        ("retry_backoff", timings.retry_backoff),
+    ];
+    for (field, length) in lengths {
+        problems.check_positive(length.0, format!("timings.{field}"));
+    }
+    problems.check(
+        timings.retry_backoff <= timings.max_retry_backoff,
+        "timings.max_retry_backoff".to_owned(),
+        "must be at least retry_backoff",
+    );
+    problems.check(
+        timings.retention >= MIN_RETENTION,
+        "timings.retention".to_owned(),
+        format!("must be at least {MIN_RETENTION}"),
+    );
 }
--- a/crates/record/src/error.rs
+++ b/crates/record/src/error.rs
@@ -19,4 +19,7 @@
         /// Version supported.
         supported: u32,
     },
+    /// A snapshot whose parts contradict each other.
+    #[error("a snapshot contradicts itself: {0}")]
+    Inconsistent(&'static str),
 }
--- a/crates/record/src/lib.rs
+++ b/crates/record/src/lib.rs
@@ -15,4 +15,4 @@
     ReserveRefusal,
 };
 pub use error::RecordError;
-pub use state::Record;
+pub use state::{Record, TaskStanding};
--- a/crates/record/src/state.rs
+++ b/crates/record/src/state.rs
@@ -1,15 +1,48 @@
 //! The record's state.
-
-use crate::{Applied, Command, RecordError};
-use configuration::ClusterConfiguration;
-use types::{
-    ConfigurationVersion, JobKey, JobNumber, JobSpec, JobState, JobView, OpenRun, RunId, RunSpec,
-    RunnerId, TaskMeta, TenantId,
-};
+//!
+//! The jobs, open runs, configuration and operators' words are the state
+//! proper; everything in [`Indexes`] follows from them and is built anew from
+//! a snapshot. With the indexes every command costs its own size times the
+//! logarithm of the state, never a walk over all jobs.
+
+mod cancel;
+mod configuration;
+mod holdings;
+mod indexes;
+mod job;
+mod jobs;
+mod queries;
+mod retention;
+mod runs;
+mod snapshot;
+pub mod submission;
+
+pub use queries::TaskStanding;
+
+use crate::{Applied, Change, Command, CommandReply, RecordRefusal};
+use ::configuration::ClusterConfiguration;
+use indexes::Indexes;
+use job::Job;
+use std::collections::{BTreeMap, BTreeSet};
+use types::{ConfigurationVersion, JobNumber, OpenRun, RunId, RunnerId};
 
 /// Jobs, runs, configuration and operators' words on runners.
 #[derive(Debug, Clone, PartialEq, Eq, Default)]
-pub struct Record {}
+pub struct Record {
+    version: ConfigurationVersion,
+    document: ClusterConfiguration,
+    last_number: JobNumber,
+    jobs: BTreeMap<JobNumber, Job>,
+    open_runs: BTreeMap<RunId, OpenRun>,
+    draining_runners: BTreeSet<RunnerId>,
+    /// The highest run of any forgotten job. Runs grow by term and sequence
+    /// in the order of the log, and a job is forgotten a retention after its
+    /// last run, so no leader still has a lower one to reserve; one that
+    /// tries is refused, and the dispatcher draws another. This one value
+    /// keeps every run of every forgotten job from starting again.
+    highest_forgotten_run: Option<RunId>,
+    indexes: Indexes,
+}
 
 impl Record {
     /// An empty record at configuration version 0.
@@ -19,100 +52,34 @@
 
     /// Applies one command.
     pub fn apply(&mut self, command: &Command) -> Applied {
-        let _ = command;
-        todo!()
-    }
-
-    /// All state as bytes with a format version.
-    pub fn snapshot(&self) -> Result<Vec<u8>, RecordError> {
-        todo!()
-    }
-
-    /// A record from a snapshot's bytes.
-    pub fn restore(bytes: &[u8]) -> Result<Self, RecordError> {
-        let _ = bytes;
-        todo!()
-    }
-
-    /// Version and document in force.
-    pub fn configuration(&self) -> (ConfigurationVersion, &ClusterConfiguration) {
-        todo!()
-    }
-
-    /// A job as its caller sees it.
-    pub fn job(&self, key: &JobKey) -> Option<JobView> {
-        let _ = key;
-        todo!()
-    }
-
-    /// The job as submitted.
-    pub fn job_spec(&self, key: &JobKey) -> Option<&JobSpec> {
-        let _ = key;
-        todo!()
-    }
-
-    /// The caller's names of a job.
-    pub fn job_key(&self, number: JobNumber) -> Option<JobKey> {
-        let _ = number;
-        todo!()
-    }
-
-    /// The number of a job.
-    pub fn job_number(&self, key: &JobKey) -> Option<JobNumber> {
-        let _ = key;
-        todo!()
-    }
-
-    /// Jobs in order of number after `after`, at most `limit`, of one tenant
-    /// and one state where they are given.
-    pub fn jobs(
-        &self,
-        tenant: Option<&TenantId>,
-        state: Option<JobState>,
-        after: Option<JobNumber>,
-        limit: usize,
-    ) -> Vec<(JobNumber, JobView)> {
-        let _ = (tenant, state, after, limit);
-        todo!()
-    }
-
-    /// Every task that may start now or from its `not_before`, for republish
-    /// and audit; from `after` on in order of job number, at most `limit` jobs.
-    pub fn ready_tasks(&self, after: Option<JobNumber>, limit: usize) -> Vec<TaskMeta> {
-        let _ = (after, limit);
-        todo!()
-    }
-
-    /// Every open run.
-    pub fn open_runs(&self) -> Vec<OpenRun> {
-        todo!()
-    }
-
-    /// One open run.
-    pub fn open_run(&self, run: RunId) -> Option<OpenRun> {
-        let _ = run;
-        todo!()
-    }
-
-    /// What a runner needs to start an open run.
-    pub fn run_spec(&self, run: RunId) -> Option<RunSpec> {
-        let _ = run;
-        todo!()
-    }
-
-    /// True when the run was closed, and its job is not forgotten.
-    pub fn is_closed(&self, run: RunId) -> bool {
-        let _ = run;
-        todo!()
-    }
-
-    /// Runners that drain by order of an operator.
-    pub fn draining_runners(&self) -> Vec<RunnerId> {
-        todo!()
-    }
-
-    /// Unfinished jobs of all tenants.
-    pub fn unfinished_jobs(&self) -> u64 {
-        todo!()
+        let mut changes = Vec::new();
+        let reply = self.reply_to(command, &mut changes);
+        Applied {
+            reply: reply.unwrap_or_else(CommandReply::Refused),
+            changes,
+        }
+    }
+
+    fn reply_to(
+        &mut self,
+        command: &Command,
+        changes: &mut Vec<Change>,
+    ) -> Result<CommandReply, RecordRefusal> {
+        match command {
+            Command::Submit { spec, at } => self.submit(spec, *at, changes),
+            Command::Cancel { selector, at } => Ok(self.cancel(selector, *at, changes)),
+            Command::Reserve { reservations, at } => Ok(self.reserve(reservations, *at, changes)),
+            Command::CloseRuns { runs, at } => Ok(self.close_runs(runs, *at, changes)),
+            Command::PutConfiguration {
+                version, document, ..
+            } => self.put_configuration(*version, document, changes),
+            Command::SetRunnerDraining {
+                runner, draining, ..
+            } => Ok(self.set_runner_draining(runner, *draining, changes)),
+            Command::Forget {
+                ended_before,
+                limit,
+            } => Ok(self.forget(*ended_before, *limit)),
+        }
     }
 }
--- /dev/null
+++ b/crates/record/src/state/cancel.rs
@@ -0,0 +1,69 @@
+//! Cancelling jobs.
+
+use super::Record;
+use crate::{CancelSelector, Change, CommandReply};
+use types::{JobNumber, JobState, QueueName, TenantId, WallTime};
+
+impl Record {
+    /// Cancels the jobs selected that are not in a final state.
+    pub(super) fn cancel(
+        &mut self,
+        selector: &CancelSelector,
+        at: WallTime,
+        changes: &mut Vec<Change>,
+    ) -> CommandReply {
+        let mut unknown = Vec::new();
+        let mut selected = Vec::new();
+        match selector {
+            CancelSelector::Jobs(keys) => {
+                for key in keys {
+                    match self.indexes.numbers.get(key) {
+                        Some(number) => selected.push(*number),
+                        None => unknown.push(key.clone()),
+                    }
+                }
+            }
+            CancelSelector::Tenant { tenant, queue } => {
+                selected = self.unfinished_numbers(tenant, queue.as_ref());
+            }
+        }
+        let mut cancelled = 0;
+        let mut finished = 0;
+        for number in selected {
+            if self.cancel_job(number, at, changes) {
+                cancelled += 1;
+            } else {
+                finished += 1;
+            }
+        }
+        CommandReply::Cancelled {
+            cancelled,
+            finished,
+            unknown,
+        }
+    }
+
+    /// True when the job was not in a final state before.
+    fn cancel_job(&mut self, number: JobNumber, at: WallTime, changes: &mut Vec<Change>) -> bool {
+        let job = self.jobs.get(&number);
+        let unfinished = job.is_some_and(|job| !job.state.is_final());
+        if unfinished {
+            self.end_job(number, JobState::Cancelled, None, at, changes);
+        }
+        unfinished
+    }
+
+    /// Unfinished jobs of a tenant in order of submission.
+    fn unfinished_numbers(&self, tenant: &TenantId, queue: Option<&QueueName>) -> Vec<JobNumber> {
+        let Some(queues) = self.indexes.unfinished.get(tenant) else {
+            return Vec::new();
+        };
+        let mut numbers: Vec<JobNumber> = queues
+            .iter()
+            .filter(|(name, _)| queue.is_none_or(|queue| queue == *name))
+            .flat_map(|(_, numbers)| numbers.iter().copied())
+            .collect();
+        numbers.sort_unstable();
+        numbers
+    }
+}
--- /dev/null
+++ b/crates/record/src/state/configuration.rs
@@ -0,0 +1,90 @@
+//! Taking configurations and operators' words on runners.
+
+use super::Record;
+use crate::{Change, CommandReply, RecordRefusal};
+use configuration::{ClusterConfiguration, ConfigurationProblem, validate};
+use types::{ConfigurationVersion, RunnerId};
+
+impl Record {
+    /// Takes a document by compare-and-set on its version.
+    pub(super) fn put_configuration(
+        &mut self,
+        version: ConfigurationVersion,
+        document: &ClusterConfiguration,
+        changes: &mut Vec<Change>,
+    ) -> Result<CommandReply, RecordRefusal> {
+        if version == self.version && *document == self.document {
+            return Ok(CommandReply::Configured {
+                version,
+                known: true,
+            });
+        }
+        if self.version.0.checked_add(1) != Some(version.0) {
+            return Err(RecordRefusal::VersionConflict {
+                wanted: version,
+                current: self.version,
+            });
+        }
+        let mut problems = validate(document);
+        problems.extend(self.find_removed_in_use(document));
+        if !problems.is_empty() {
+            return Err(RecordRefusal::InvalidConfiguration { problems });
+        }
+        self.version = version;
+        self.document = document.clone();
+        changes.push(Change::ConfigurationChanged(version));
+        Ok(CommandReply::Configured {
+            version,
+            known: false,
+        })
+    }
+
+    /// Queues and tenants that the document leaves out while they hold
+    /// unfinished jobs. Those jobs could neither start nor end any more, so
+    /// the operator first drains or cancels them; nothing is lost silently.
+    fn find_removed_in_use(&self, document: &ClusterConfiguration) -> Vec<ConfigurationProblem> {
+        let queues = &self.indexes.unfinished_of_queue;
+        let removed_queues = queues
+            .iter()
+            .filter(|(name, _)| !document.queues.contains_key(name))
+            .map(|(name, count)| in_use(format!("queues.{name}"), *count));
+        let removed_tenants = self
+            .indexes
+            .unfinished
+            .keys()
+            .filter(|name| !document.tenants.contains_key(name))
+            .map(|name| {
+                let count = self.indexes.unfinished_of_tenant(name);
+                in_use(format!("tenants.{name}"), count)
+            });
+        removed_queues.chain(removed_tenants).collect()
+    }
+
+    /// Marks a runner as draining, or takes that back.
+    pub(super) fn set_runner_draining(
+        &mut self,
+        runner: &RunnerId,
+        draining: bool,
+        changes: &mut Vec<Change>,
+    ) -> CommandReply {
+        let changed = if draining {
+            self.draining_runners.insert(runner.clone())
+        } else {
+            self.draining_runners.remove(runner)
+        };
+        if changed {
+            changes.push(Change::RunnerDrainingChanged {
+                runner: runner.clone(),
+                draining,
+            });
+        }
+        CommandReply::Accepted
+    }
+}
+
+fn in_use(place: String, count: u64) -> ConfigurationProblem {
+    ConfigurationProblem {
+        place,
+        problem: format!("may not be removed while it has {count} unfinished jobs"),
+    }
+}
--- /dev/null
+++ b/crates/record/src/state/holdings.rs
@@ -0,0 +1,68 @@
+//! Sums of what open runs hold. Wider than [`Resources`], so that adding and
+//! taking away always meet again.
+
+use types::Resources;
+
+/// Sum over many runs.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub(crate) struct Holdings {
+    slots: u64,
+    cpu_milli: u64,
+    memory_mib: u64,
+    gpus: u64,
+}
+
+impl From<Resources> for Holdings {
+    fn from(amount: Resources) -> Self {
+        Self {
+            slots: amount.slots.into(),
+            cpu_milli: amount.cpu_milli.into(),
+            memory_mib: amount.memory_mib.into(),
+            gpus: amount.gpus.into(),
+        }
+    }
+}
+
+impl Holdings {
+    /// With one more run.
+    pub fn plus(self, amount: Resources) -> Self {
+        let other = Self::from(amount);
+        Self {
+            slots: self.slots + other.slots,
+            cpu_milli: self.cpu_milli + other.cpu_milli,
+            memory_mib: self.memory_mib + other.memory_mib,
+            gpus: self.gpus + other.gpus,
+        }
+    }
+
+    /// With one run less.
+    pub fn minus(self, amount: Resources) -> Self {
+        let other = Self::from(amount);
+        Self {
+            slots: self.slots.saturating_sub(other.slots),
+            cpu_milli: self.cpu_milli.saturating_sub(other.cpu_milli),
+            memory_mib: self.memory_mib.saturating_sub(other.memory_mib),
+            gpus: self.gpus.saturating_sub(other.gpus),
+        }
+    }
+
+    /// True when at most `ceiling` in every kind.
+    pub fn fits_in(self, ceiling: Resources) -> bool {
+        let ceiling = Self::from(ceiling);
+        self.slots <= ceiling.slots
+            && self.cpu_milli <= ceiling.cpu_milli
+            && self.memory_mib <= ceiling.memory_mib
+            && self.gpus <= ceiling.gpus
+    }
+
+    /// As an amount, held at the largest value.
+    pub fn amount(self) -> Resources {
+        let narrow = |value: u64| u32::try_from(value).unwrap_or(u32::MAX);
+        Resources {
+            slots: narrow(self.slots),
+            cpu_milli: narrow(self.cpu_milli),
+            memory_mib: narrow(self.memory_mib),
+            gpus: narrow(self.gpus),
+        }
+    }
+}
--- /dev/null
+++ b/crates/record/src/state/indexes.rs
@@ -0,0 +1,151 @@
+//! What follows from the jobs and open runs, kept for quick answers.
+
+use super::holdings::Holdings;
+use super::job::Job;
+use std::collections::{BTreeMap, BTreeSet};
+use types::{JobKey, JobNumber, OpenRun, QueueName, RunId, TaskRef, TenantId, WallTime};
+
+/// Ways into the state; see the fields.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub(crate) struct Indexes {
+    /// Number of each job known.
+    pub numbers: BTreeMap<JobKey, JobNumber>,
+    /// All jobs of a tenant.
+    pub of_tenant: BTreeMap<TenantId, BTreeSet<JobNumber>>,
+    /// Jobs not in a final state, by tenant and queue.
+    pub unfinished: BTreeMap<TenantId, BTreeMap<QueueName, BTreeSet<JobNumber>>>,
+    /// Count of unfinished jobs by queue.
+    pub unfinished_of_queue: BTreeMap<QueueName, u64>,
+    /// Count of unfinished jobs.
+    pub unfinished_count: u64,
+    /// Jobs with a task that may start, now or from its time on.
+    pub startable: BTreeSet<JobNumber>,
+    /// Final jobs without open runs, by the time they ended.
+    pub forgettable: BTreeSet<(WallTime, JobNumber)>,
+    /// Closed runs of the jobs known.
+    pub closed_runs: BTreeSet<RunId>,
+    /// Open runs by task.
+    pub runs_of_task: BTreeSet<(TaskRef, RunId)>,
+    /// What each tenant's open runs hold.
+    pub holdings: BTreeMap<TenantId, Holdings>,
+}
+
+impl Indexes {
+    /// Enters a job that is not in a final state.
+    pub fn insert_unfinished(&mut self, number: JobNumber, job: &Job) {
+        let queue = &job.spec.queue;
+        self.unfinished
+            .entry(job.spec.tenant.clone())
+            .or_default()
+            .entry(queue.clone())
+            .or_default()
+            .insert(number);
+        *self.unfinished_of_queue.entry(queue.clone()).or_default() += 1;
+        self.unfinished_count += 1;
+    }
+
+    /// Takes a job out that reached a final state.
+    pub fn remove_unfinished(&mut self, number: JobNumber, job: &Job) {
+        let queue = &job.spec.queue;
+        if let Some(queues) = self.unfinished.get_mut(&job.spec.tenant) {
+            if let Some(numbers) = queues.get_mut(queue) {
+                numbers.remove(&number);
+                if numbers.is_empty() {
+                    queues.remove(queue);
+                }
+            }
+            if queues.is_empty() {
+                self.unfinished.remove(&job.spec.tenant);
+            }
+        }
+        if let Some(count) = self.unfinished_of_queue.get_mut(queue) {
+            *count = count.saturating_sub(1);
+            if *count == 0 {
+                self.unfinished_of_queue.remove(queue);
+            }
+        }
+        self.unfinished_count = self.unfinished_count.saturating_sub(1);
+    }
+
+    /// Enters a job's names and, by its state, all else.
+    pub fn insert_job(&mut self, number: JobNumber, job: &Job) {
+        self.numbers.insert(job.key(), number);
+        self.of_tenant
+            .entry(job.spec.tenant.clone())
+            .or_default()
+            .insert(number);
+        if !job.state.is_final() {
+            self.insert_unfinished(number, job);
+        }
+        self.closed_runs.extend(&job.closed_runs);
+        self.refresh(number, job);
+    }
+
+    /// Takes a forgotten job out.
+    pub fn remove_job(&mut self, number: JobNumber, job: &Job) {
+        self.numbers.remove(&job.key());
+        if let Some(numbers) = self.of_tenant.get_mut(&job.spec.tenant) {
+            numbers.remove(&number);
+            if numbers.is_empty() {
+                self.of_tenant.remove(&job.spec.tenant);
+            }
+        }
+        for run in &job.closed_runs {
+            self.closed_runs.remove(run);
+        }
+    }
+
+    /// Enters or takes out a job whose tasks or runs changed.
+    pub fn refresh(&mut self, number: JobNumber, job: &Job) {
+        if job.has_startable() {
+            self.startable.insert(number);
+        } else {
+            self.startable.remove(&number);
+        }
+        if let (Some(ended_at), 0) = (job.ended_at, job.open_runs) {
+            self.forgettable.insert((ended_at, number));
+        }
+    }
+
+    /// Enters an open run.
+    pub fn insert_run(&mut self, run: &OpenRun) {
+        self.runs_of_task.insert((run.task, run.run));
+        let held = self.holdings.entry(run.tenant.clone()).or_default();
+        *held = held.plus(run.resources);
+    }
+
+    /// Takes a closed run out and remembers it.
+    pub fn close_run(&mut self, run: &OpenRun) {
+        self.runs_of_task.remove(&(run.task, run.run));
+        self.closed_runs.insert(run.run);
+        if let Some(held) = self.holdings.get_mut(&run.tenant) {
+            *held = held.minus(run.resources);
+            if *held == Holdings::default() {
+                self.holdings.remove(&run.tenant);
+            }
+        }
+    }
+
+    /// Open runs of one task.
+    pub fn runs_of(&self, task: TaskRef) -> impl Iterator<Item = RunId> + '_ {
+        let first = RunId {
+            term: types::Term(0),
+            sequence: 0,
+        };
+        let last = RunId {
+            term: types::Term(u64::MAX),
+            sequence: u64::MAX,
+        };
+        self.runs_of_task
+            .range((task, first)..=(task, last))
+            .map(|(_, run)| *run)
+    }
+
+    /// Unfinished jobs of a tenant.
+    pub fn unfinished_of_tenant(&self, tenant: &TenantId) -> u64 {
+        let queues = self.unfinished.get(tenant);
+        queues.map_or(0, |queues| {
+            queues.values().map(|numbers| numbers.len() as u64).sum()
+        })
+    }
+}
--- /dev/null
+++ b/crates/record/src/state/job.rs
@@ -0,0 +1,328 @@
+//! A job with its steps and tasks, kept compact: a pending task is 16 bytes.
+
+use serde::{Deserialize, Serialize};
+use types::{
+    JobKey, JobNumber, JobSpec, JobState, JobView, RunId, StepSpec, StepView, TaskMeta, TaskRef,
+    TaskState, WallTime,
+};
+
+/// How far a task has come. Blocked, ready and running follow from its step
+/// and its open runs.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) enum Progress {
+    /// May still have runs.
+    Unfinished,
+    /// Ended done.
+    Done,
+    /// Used up its allowed failures.
+    Failed,
+    /// Its job was cancelled or failed.
+    Cancelled,
+}
+
+/// One task. Submit bounds failures and copies, so both fit in a byte.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct Task {
+    /// End of the backoff after its last failure; 0 when it never failed.
+    pub backoff_until: WallTime,
+    /// How far it has come.
+    pub progress: Progress,
+    /// Failed runs so far.
+    pub failed_runs: u8,
+    /// Open runs now.
+    pub open_runs: u8,
+}
+
+const NEW_TASK: Task = Task {
+    backoff_until: WallTime(0),
+    progress: Progress::Unfinished,
+    failed_runs: 0,
+    open_runs: 0,
+};
+
+/// A step's tasks with counters over them.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct Step {
+    /// Steps before it that are not done.
+    pub waiting_for: u16,
+    /// Its tasks.
+    pub tasks: Box<[Task]>,
+    counts: Counts,
+}
+
+/// What a step's tasks add up to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+struct Counts {
+    done: u32,
+    running: u32,
+    failed: u32,
+    failed_runs: u32,
+    startable: u32,
+}
+
+impl Counts {
+    fn of(task: &Task, blocked: bool, max_copies: u32) -> Self {
+        let startable = !blocked
+            && task.progress == Progress::Unfinished
+            && u32::from(task.open_runs) < max_copies;
+        Self {
+            done: u32::from(task.progress == Progress::Done),
+            running: u32::from(task.open_runs > 0),
+            failed: u32::from(task.progress == Progress::Failed),
+            failed_runs: u32::from(task.failed_runs),
+            startable: u32::from(startable),
+        }
+    }
+
+    fn plus(self, other: Self) -> Self {
+        Self {
+            done: self.done + other.done,
+            running: self.running + other.running,
+            failed: self.failed + other.failed,
+            failed_runs: self.failed_runs.saturating_add(other.failed_runs),
+            startable: self.startable + other.startable,
+        }
+    }
+
+    fn minus(self, other: Self) -> Self {
+        Self {
+            done: self.done.saturating_sub(other.done),
+            running: self.running.saturating_sub(other.running),
+            failed: self.failed.saturating_sub(other.failed),
+            failed_runs: self.failed_runs.saturating_sub(other.failed_runs),
+            startable: self.startable.saturating_sub(other.startable),
+        }
+    }
+}
+
+impl Step {
+    fn new(spec: &StepSpec) -> Self {
+        let tasks = vec![NEW_TASK; spec.tasks as usize].into_boxed_slice();
+        let mut step = Self {
+            waiting_for: u16::try_from(spec.after.len()).unwrap_or(u16::MAX),
+            tasks,
+            counts: Counts::default(),
+        };
+        step.recount(spec.max_copies);
+        step
+    }
+
+    fn recount(&mut self, max_copies: u32) {
+        let blocked = self.waiting_for > 0;
+        self.counts = self
+            .tasks
+            .iter()
+            .map(|task| Counts::of(task, blocked, max_copies))
+            .fold(Counts::default(), Counts::plus);
+    }
+
+    /// True when every task ended done.
+    pub fn is_done(&self) -> bool {
+        self.counts.done as usize == self.tasks.len()
+    }
+
+    fn state_of(&self, task: &Task) -> TaskState {
+        match task.progress {
+            Progress::Done => TaskState::Done,
+            Progress::Failed => TaskState::Failed,
+            Progress::Cancelled => TaskState::Cancelled,
+            Progress::Unfinished if self.waiting_for > 0 => TaskState::Blocked,
+            Progress::Unfinished if task.open_runs > 0 => TaskState::Running,
+            Progress::Unfinished => TaskState::Ready,
+        }
+    }
+}
+
+/// A job in the record.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct Job {
+    /// The job as submitted.
+    pub spec: JobSpec,
+    /// Where it stands.
+    pub state: JobState,
+    /// Why it failed.
+    pub reason: Option<String>,
+    /// When the record took it.
+    pub submitted_at: WallTime,
+    /// When its first run was reserved.
+    pub first_reserved_at: Option<WallTime>,
+    /// When it reached a final state.
+    pub ended_at: Option<WallTime>,
+    /// Its steps in order.
+    pub steps: Box<[Step]>,
+    /// Open runs of all tasks, also of ended ones.
+    pub open_runs: u32,
+    /// Its closed runs in the order they closed.
+    pub closed_runs: Vec<RunId>,
+    unfinished_steps: u16,
+}
+
+impl Job {
+    /// A job as it is at its submission.
+    pub fn new(spec: JobSpec, submitted_at: WallTime) -> Self {
+        let steps: Box<[Step]> = spec.steps.iter().map(Step::new).collect();
+        Self {
+            state: JobState::Waiting,
+            reason: None,
+            submitted_at,
+            first_reserved_at: None,
+            ended_at: None,
+            open_runs: 0,
+            closed_runs: Vec::new(),
+            unfinished_steps: u16::try_from(steps.len()).unwrap_or(u16::MAX),
+            steps,
+            spec,
+        }
+    }
+
+    /// The caller's names.
+    pub fn key(&self) -> JobKey {
+        JobKey {
+            tenant: self.spec.tenant.clone(),
+            job: self.spec.job.clone(),
+        }
+    }
+
+    /// True when every step is done.
+    pub fn all_done(&self) -> bool {
+        self.unfinished_steps == 0
+    }
+
+    /// True when a task may start, now or from its time on.
+    pub fn has_startable(&self) -> bool {
+        self.steps.iter().any(|step| step.counts.startable > 0)
+    }
+
+    /// One task with its step's specification.
+    pub fn task(&self, at: TaskRef) -> Option<(&StepSpec, &Step, &Task)> {
+        let spec = self.spec.steps.get(usize::from(at.step))?;
+        let step = self.steps.get(usize::from(at.step))?;
+        let task = step.tasks.get(at.task as usize)?;
+        Some((spec, step, task))
+    }
+
+    /// Changes one task and keeps the counters right.
+    pub fn change_task(&mut self, at: TaskRef, change: impl FnOnce(&mut Task)) {
+        let position = usize::from(at.step);
+        let Some(max_copies) = self.spec.steps.get(position).map(|spec| spec.max_copies) else {
+            return;
+        };
+        let Some(step) = self.steps.get_mut(position) else {
+            return;
+        };
+        let blocked = step.waiting_for > 0;
+        let Some(task) = step.tasks.get_mut(at.task as usize) else {
+            return;
+        };
+        let before = Counts::of(task, blocked, max_copies);
+        let open_before = u32::from(task.open_runs);
+        change(task);
+        let open_after = u32::from(task.open_runs);
+        let after = Counts::of(task, blocked, max_copies);
+        step.counts = step.counts.minus(before).plus(after);
+        self.open_runs = (self.open_runs + open_after).saturating_sub(open_before);
+    }
+
+    /// Notes that a step is done; the steps that may start by that.
+    pub fn complete_step(&mut self, done: u16) -> Vec<u16> {
+        self.unfinished_steps = self.unfinished_steps.saturating_sub(1);
+        let Some(name) = self.spec.steps.get(usize::from(done)).map(|s| &s.name) else {
+            return Vec::new();
+        };
+        let mut freed = Vec::new();
+        for ((position, spec), step) in (0..).zip(&self.spec.steps).zip(&mut self.steps) {
+            if !spec.after.contains(name) {
+                continue;
+            }
+            step.waiting_for = step.waiting_for.saturating_sub(1);
+            if step.waiting_for == 0 {
+                step.recount(spec.max_copies);
+                freed.push(position);
+            }
+        }
+        freed
+    }
+
+    /// References to all tasks of one step.
+    pub fn step_tasks(&self, number: JobNumber, step: u16) -> impl Iterator<Item = TaskRef> + '_ {
+        let count = self
+            .steps
+            .get(usize::from(step))
+            .map_or(0, |step| step.tasks.len());
+        (0..count as u32).map(move |task| TaskRef {
+            job: number,
+            step,
+            task,
+        })
+    }
+
+    /// References to all tasks, in order.
+    pub fn tasks(&self, number: JobNumber) -> impl Iterator<Item = TaskRef> + '_ {
+        let steps = u16::try_from(self.steps.len()).unwrap_or(u16::MAX);
+        (0..steps).flat_map(move |step| self.step_tasks(number, step))
+    }
+
+    /// True when the task may have another run.
+    pub fn is_startable(&self, at: TaskRef) -> bool {
+        self.task(at).is_some_and(|(spec, step, task)| {
+            Counts::of(task, step.waiting_for > 0, spec.max_copies).startable > 0
+        })
+    }
+
+    /// Where a task stands.
+    pub fn task_state(&self, at: TaskRef) -> Option<TaskState> {
+        self.task(at).map(|(_, step, task)| step.state_of(task))
+    }
+
+    /// When a task may start: the later of the job's own time and the end of
+    /// its backoff.
+    pub fn not_before(&self, task: &Task) -> Option<WallTime> {
+        let backoff = (task.backoff_until.0 > 0).then_some(task.backoff_until);
+        self.spec.start_at.max(backoff)
+    }
+
+    /// What the dispatcher needs, when the task may have another run.
+    pub fn startable_meta(&self, at: TaskRef) -> Option<TaskMeta> {
+        if !self.is_startable(at) {
+            return None;
+        }
+        let (step, _, task) = self.task(at)?;
+        Some(TaskMeta {
+            task: at,
+            tenant: self.spec.tenant.clone(),
+            queue: self.spec.queue.clone(),
+            urgency: self.spec.urgency,
+            resources: step.resources,
+            labels: step.labels.clone(),
+            max_copies: step.max_copies,
+            not_before: self.not_before(task),
+        })
+    }
+
+    /// The job as its caller sees it.
+    pub fn view(&self) -> JobView {
+        let steps = self.spec.steps.iter().zip(&self.steps);
+        JobView {
+            tenant: self.spec.tenant.clone(),
+            job: self.spec.job.clone(),
+            queue: self.spec.queue.clone(),
+            state: self.state,
+            reason: self.reason.clone(),
+            submitted_at: self.submitted_at,
+            first_reserved_at: self.first_reserved_at,
+            ended_at: self.ended_at,
+            steps: steps.map(|(spec, step)| step_view(spec, step)).collect(),
+        }
+    }
+}
+
+fn step_view(spec: &StepSpec, step: &Step) -> StepView {
+    StepView {
+        name: spec.name.clone(),
+        tasks: spec.tasks,
+        done: step.counts.done,
+        running: step.counts.running,
+        failed: step.counts.failed,
+        failed_runs: step.counts.failed_runs,
+    }
+}
--- /dev/null
+++ b/crates/record/src/state/jobs.rs
@@ -0,0 +1,221 @@
+//! Taking jobs, and bringing them to their final state.
+
+use super::Record;
+use super::job::{Job, Progress};
+use super::submission;
+use crate::{Change, CommandReply, RecordRefusal};
+use configuration::{ClusterConfiguration, QueueMode, QueueSettings, TenantSettings};
+use types::{
+    JobKey, JobNumber, JobSpec, JobState, Milliseconds, OpenRun, QueueName, TaskRef, TenantId,
+    WallTime,
+};
+
+/// When a caller refused for a full queue or tenant should come back.
+pub const FULL_RETRY_AFTER: Milliseconds = Milliseconds(1_000);
+
+/// Longest reason kept for a failed job, in bytes.
+const MAX_REASON_BYTES: usize = 1_024;
+
+impl Record {
+    /// Takes a job, or tells again about one that is known. A resent job is
+    /// acknowledged before any other check: it was taken under the rules of
+    /// its time.
+    pub(super) fn submit(
+        &mut self,
+        spec: &JobSpec,
+        at: WallTime,
+        changes: &mut Vec<Change>,
+    ) -> Result<CommandReply, RecordRefusal> {
+        let key = JobKey {
+            tenant: spec.tenant.clone(),
+            job: spec.job.clone(),
+        };
+        if let Some(number) = self.indexes.numbers.get(&key) {
+            return self.answer_resent(*number, key, spec);
+        }
+        let spec = self.check_submission(spec)?;
+        let number = self.last_number.next();
+        self.last_number = number;
+        let job = Job::new(spec, at);
+        self.indexes.insert_job(number, &job);
+        changes.extend(startable_changes(&job, job.tasks(number)));
+        self.jobs.insert(number, job);
+        Ok(CommandReply::Submitted {
+            number,
+            known: false,
+        })
+    }
+
+    fn answer_resent(
+        &self,
+        number: JobNumber,
+        key: JobKey,
+        spec: &JobSpec,
+    ) -> Result<CommandReply, RecordRefusal> {
+        let same = self.jobs.get(&number).is_some_and(|job| job.spec == *spec);
+        if !same {
+            return Err(RecordRefusal::OtherContent { key });
+        }
+        Ok(CommandReply::Submitted {
+            number,
+            known: true,
+        })
+    }
+
+    /// The job to keep, sharing its names with the configuration.
+    fn check_submission(&self, spec: &JobSpec) -> Result<JobSpec, RecordRefusal> {
+        let (tenant, contract) = find_tenant(&self.document, &spec.tenant)?;
+        let (queue, settings) = find_queue(&self.document, &spec.queue)?;
+        if settings.mode == QueueMode::Draining {
+            return Err(RecordRefusal::QueueDraining {
+                queue: queue.clone(),
+            });
+        }
+        if let Some(problem) = submission::find_problem(spec, &self.document) {
+            return Err(RecordRefusal::InvalidJob { problem });
+        }
+        check_limit(
+            || format!("tenant {tenant}"),
+            self.indexes.unfinished_of_tenant(tenant),
+            contract.max_unfinished_jobs,
+        )?;
+        check_limit(
+            || format!("queue {queue}"),
+            self.unfinished_of_queue(queue),
+            settings.max_unfinished_jobs,
+        )?;
+        Ok(JobSpec {
+            tenant: tenant.clone(),
+            queue: queue.clone(),
+            ..spec.clone()
+        })
+    }
+
+    /// Brings an unfinished job to a final state: every unfinished task is
+    /// cancelled, and the runs still open are told so that they are stopped.
+    pub(super) fn end_job(
+        &mut self,
+        number: JobNumber,
+        state: JobState,
+        reason: Option<String>,
+        at: WallTime,
+        changes: &mut Vec<Change>,
+    ) {
+        let Some(job) = self.jobs.get_mut(&number) else {
+            return;
+        };
+        let unfinished: Vec<TaskRef> = job
+            .tasks(number)
+            .filter(|task| is_unfinished(job, *task))
+            .collect();
+        for task in &unfinished {
+            job.change_task(*task, |task| task.progress = Progress::Cancelled);
+        }
+        job.state = state;
+        job.reason = reason.map(bound_reason);
+        job.ended_at = Some(at);
+        let ended = Change::JobEnded {
+            key: job.key(),
+            number,
+            state,
+            waited: waited(job),
+        };
+        self.indexes.remove_unfinished(number, job);
+        self.indexes.refresh(number, job);
+        for task in unfinished {
+            changes.push(self.task_ended(task));
+        }
+        changes.push(ended);
+    }
+
+    /// The change that tells of a task's end, with its open runs.
+    pub(super) fn task_ended(&self, task: TaskRef) -> Change {
+        let runs = self.indexes.runs_of(task);
+        let open_runs: Vec<OpenRun> = runs
+            .filter_map(|run| self.open_runs.get(&run).cloned())
+            .collect();
+        Change::TaskEnded { task, open_runs }
+    }
+
+    /// Notes that a step is done: dependents may start, or the job is done.
+    pub(super) fn step_done(
+        &mut self,
+        number: JobNumber,
+        step: u16,
+        at: WallTime,
+        changes: &mut Vec<Change>,
+    ) {
+        let Some(job) = self.jobs.get_mut(&number) else {
+            return;
+        };
+        for freed in job.complete_step(step) {
+            changes.extend(startable_changes(job, job.step_tasks(number, freed)));
+        }
+        if job.all_done() {
+            self.end_job(number, JobState::Done, None, at, changes);
+        }
+    }
+}
+
+/// True when the task may still have runs.
+pub(super) fn is_unfinished(job: &Job, task: TaskRef) -> bool {
+    job.task(task)
+        .is_some_and(|(_, _, task)| task.progress == Progress::Unfinished)
+}
+
+fn startable_changes<'a>(
+    job: &'a Job,
+    tasks: impl Iterator<Item = TaskRef> + 'a,
+) -> impl Iterator<Item = Change> + 'a {
+    tasks
+        .filter_map(|task| job.startable_meta(task))
+        .map(Change::TaskReady)
+}
+
+fn find_tenant<'a>(
+    document: &'a ClusterConfiguration,
+    name: &TenantId,
+) -> Result<(&'a TenantId, &'a TenantSettings), RecordRefusal> {
+    let unknown = || RecordRefusal::UnknownTenant {
+        tenant: name.clone(),
+    };
+    document.tenants.get_key_value(name).ok_or_else(unknown)
+}
+
+fn find_queue<'a>(
+    document: &'a ClusterConfiguration,
+    name: &QueueName,
+) -> Result<(&'a QueueName, &'a QueueSettings), RecordRefusal> {
+    let unknown = || RecordRefusal::UnknownQueue {
+        queue: name.clone(),
+    };
+    document.queues.get_key_value(name).ok_or_else(unknown)
+}
+
+fn check_limit(
+    what: impl FnOnce() -> String,
+    unfinished: u64,
+    limit: u64,
+) -> Result<(), RecordRefusal> {
+    if unfinished < limit {
+        return Ok(());
+    }
+    Err(RecordRefusal::Full {
+        what: what(),
+        limit,
+        retry_after: FULL_RETRY_AFTER,
+    })
+}
+
+fn waited(job: &Job) -> Option<Milliseconds> {
+    let first = job.first_reserved_at?;
+    Some(Milliseconds(first.0.saturating_sub(job.submitted_at.0)))
+}
+
+fn bound_reason(mut reason: String) -> String {
+    if reason.len() > MAX_REASON_BYTES {
+        let end = reason.floor_char_boundary(MAX_REASON_BYTES);
+        reason.truncate(end);
+    }
+    reason
+}
--- /dev/null
+++ b/crates/record/src/state/snapshot.rs
@@ -0,0 +1,235 @@
+//! The whole state as bytes. Only the state proper is written; counters and
+//! indexes are built anew, so that no bytes can make them disagree with it.
+
+use super::Record;
+use super::job::{Job, Progress};
+use super::submission::{MAX_COPIES, MAX_STEPS, MAX_TASKS};
+use crate::RecordError;
+use configuration::ClusterConfiguration;
+use serde::{Deserialize, Serialize};
+use std::borrow::Cow;
+use std::collections::BTreeSet;
+use types::{
+    ConfigurationVersion, JobNumber, JobSpec, JobState, OpenRun, RunId, RunnerId, TaskRef, WallTime,
+};
+
+/// Version of the bytes; a program reads only its own.
+pub const SNAPSHOT_VERSION: u32 = 1;
+
+/// The version stands before the body, little-endian.
+const VERSION_BYTES: usize = size_of::<u32>();
+
+#[derive(Serialize, Deserialize)]
+struct StoredRecord<'a> {
+    version: ConfigurationVersion,
+    document: Cow<'a, ClusterConfiguration>,
+    last_number: JobNumber,
+    jobs: Vec<StoredJob<'a>>,
+    open_runs: Vec<Cow<'a, OpenRun>>,
+    draining_runners: Cow<'a, BTreeSet<RunnerId>>,
+    highest_forgotten_run: Option<RunId>,
+}
+
+#[derive(Serialize, Deserialize)]
+struct StoredJob<'a> {
+    number: JobNumber,
+    spec: Cow<'a, JobSpec>,
+    state: JobState,
+    reason: Option<Cow<'a, str>>,
+    submitted_at: WallTime,
+    first_reserved_at: Option<WallTime>,
+    ended_at: Option<WallTime>,
+    closed_runs: Cow<'a, [RunId]>,
+    /// Only tasks that are no longer as they were at the submission.
+    tasks: Vec<StoredTask>,
+}
+
+#[derive(Serialize, Deserialize)]
+struct StoredTask {
+    step: u16,
+    task: u32,
+    progress: Progress,
+    failed_runs: u8,
+    backoff_until: WallTime,
+}
+
+impl Record {
+    /// All state as bytes with a format version.
+    pub fn snapshot(&self) -> Result<Vec<u8>, RecordError> {
+        let stored = StoredRecord {
+            version: self.version,
+            document: Cow::Borrowed(&self.document),
+            last_number: self.last_number,
+            jobs: self
+                .jobs
+                .iter()
+                .map(|(n, job)| store_job(*n, job))
+                .collect(),
+            open_runs: self.open_runs.values().map(Cow::Borrowed).collect(),
+            draining_runners: Cow::Borrowed(&self.draining_runners),
+            highest_forgotten_run: self.highest_forgotten_run,
+        };
+        let head = SNAPSHOT_VERSION.to_le_bytes().to_vec();
+        postcard::to_extend(&stored, head).map_err(RecordError::Snapshot)
+    }
+
+    /// A record from a snapshot's bytes.
+    pub fn restore(bytes: &[u8]) -> Result<Self, RecordError> {
+        let body = check_version(bytes)?;
+        let (stored, rest) =
+            postcard::take_from_bytes::<StoredRecord>(body).map_err(RecordError::Snapshot)?;
+        if !rest.is_empty() {
+            return Err(RecordError::Inconsistent("bytes follow the snapshot"));
+        }
+        let mut record = Self {
+            version: stored.version,
+            document: stored.document.into_owned(),
+            last_number: stored.last_number,
+            draining_runners: stored.draining_runners.into_owned(),
+            highest_forgotten_run: stored.highest_forgotten_run,
+            ..Self::default()
+        };
+        if record.last_number.0 == u64::MAX {
+            return Err(RecordError::Inconsistent("there are no more job numbers"));
+        }
+        for job in stored.jobs {
+            record.restore_job(job)?;
+        }
+        for run in stored.open_runs {
+            record.restore_run(run.into_owned())?;
+        }
+        for (number, job) in &record.jobs {
+            record.indexes.insert_job(*number, job);
+        }
+        Ok(record)
+    }
+
+    fn restore_job(&mut self, stored: StoredJob) -> Result<(), RecordError> {
+        let number = stored.number;
+        if number > self.last_number || self.jobs.contains_key(&number) {
+            return Err(RecordError::Inconsistent("a job has an impossible number"));
+        }
+        let mut job = Job::new(
+            self.share_names(stored.spec.into_owned())?,
+            stored.submitted_at,
+        );
+        job.state = stored.state;
+        job.reason = stored.reason.map(Cow::into_owned);
+        job.first_reserved_at = stored.first_reserved_at;
+        job.ended_at = stored.ended_at;
+        job.closed_runs = stored.closed_runs.into_owned();
+        if job.state.is_final() != job.ended_at.is_some() {
+            return Err(RecordError::Inconsistent(
+                "a job's end does not fit its state",
+            ));
+        }
+        for task in stored.tasks {
+            restore_task(number, &mut job, &task)?;
+        }
+        for step in done_steps(&job) {
+            job.complete_step(step);
+        }
+        self.jobs.insert(number, job);
+        Ok(())
+    }
+
+    /// Bounds the job before anything is built from it, and shares its names
+    /// with the configuration as submit does.
+    fn share_names(&self, mut spec: JobSpec) -> Result<JobSpec, RecordError> {
+        let tasks: u64 = spec.steps.iter().map(|step| u64::from(step.tasks)).sum();
+        if spec.steps.len() > MAX_STEPS || tasks > MAX_TASKS {
+            return Err(RecordError::Inconsistent("a job is larger than allowed"));
+        }
+        if let Some((tenant, _)) = self.document.tenants.get_key_value(&spec.tenant) {
+            spec.tenant = tenant.clone();
+        }
+        if let Some((queue, _)) = self.document.queues.get_key_value(&spec.queue) {
+            spec.queue = queue.clone();
+        }
+        Ok(spec)
+    }
+
+    fn restore_run(&mut self, run: OpenRun) -> Result<(), RecordError> {
+        let unknown_task = RecordError::Inconsistent("an open run has no task");
+        let Some(job) = self.jobs.get_mut(&run.task.job) else {
+            return Err(unknown_task);
+        };
+        let Some((_, _, task)) = job.task(run.task) else {
+            return Err(unknown_task);
+        };
+        let one_more_fits = u32::from(task.open_runs) < MAX_COPIES;
+        if !one_more_fits || self.open_runs.contains_key(&run.run) {
+            return Err(RecordError::Inconsistent("a task has too many open runs"));
+        }
+        job.change_task(run.task, |task| task.open_runs += 1);
+        self.indexes.insert_run(&run);
+        self.open_runs.insert(run.run, run);
+        Ok(())
+    }
+}
+
+fn check_version(bytes: &[u8]) -> Result<&[u8], RecordError> {
+    let (head, body) = bytes
+        .split_first_chunk::<VERSION_BYTES>()
+        .ok_or(RecordError::Inconsistent("the snapshot has no version"))?;
+    let found = u32::from_le_bytes(*head);
+    if found != SNAPSHOT_VERSION {
+        return Err(RecordError::Version {
+            found,
+            supported: SNAPSHOT_VERSION,
+        });
+    }
+    Ok(body)
+}
+
+fn store_job(number: JobNumber, job: &Job) -> StoredJob<'_> {
+    let tasks = job.tasks(number).filter_map(|task| store_task(job, task));
+    StoredJob {
+        number,
+        spec: Cow::Borrowed(&job.spec),
+        state: job.state,
+        reason: job.reason.as_deref().map(Cow::Borrowed),
+        submitted_at: job.submitted_at,
+        first_reserved_at: job.first_reserved_at,
+        ended_at: job.ended_at,
+        closed_runs: Cow::Borrowed(&job.closed_runs),
+        tasks: tasks.collect(),
+    }
+}
+
+fn store_task(job: &Job, at: TaskRef) -> Option<StoredTask> {
+    let (_, _, task) = job.task(at)?;
+    let untouched = task.progress == Progress::Unfinished && task.failed_runs == 0;
+    (!untouched).then_some(StoredTask {
+        step: at.step,
+        task: at.task,
+        progress: task.progress,
+        failed_runs: task.failed_runs,
+        backoff_until: task.backoff_until,
+    })
+}
+
+fn restore_task(number: JobNumber, job: &mut Job, stored: &StoredTask) -> Result<(), RecordError> {
+    let at = TaskRef {
+        job: number,
+        step: stored.step,
+        task: stored.task,
+    };
+    if job.task(at).is_none() {
+        return Err(RecordError::Inconsistent("a job has an unknown task"));
+    }
+    job.change_task(at, |task| {
+        task.progress = stored.progress;
+        task.failed_runs = stored.failed_runs;
+        task.backoff_until = stored.backoff_until;
+    });
+    Ok(())
+}
+
+fn done_steps(job: &Job) -> Vec<u16> {
+    let steps = (0..).zip(job.steps.iter());
+    steps
+        .filter(|(_, step)| step.is_done())
+        .map(|(position, _)| position)
+        .collect()
+}
--- /dev/null
+++ b/crates/record/tests/configuration.rs
@@ -0,0 +1,75 @@
+//! Configuration by compare-and-set.
+
+mod support;
+
+use configuration::ClusterConfiguration;
+use record::{CommandReply, RecordRefusal};
+use support::*;
+use types::*;
+
+fn conflict(wanted: u64, current: u64) -> CommandReply {
+    CommandReply::Refused(RecordRefusal::VersionConflict {
+        wanted: ConfigurationVersion(wanted),
+        current: ConfigurationVersion(current),
+    })
+}
+
+fn problem_places(reply: CommandReply) -> Vec<String> {
+    match reply {
+        CommandReply::Refused(RecordRefusal::InvalidConfiguration { problems }) => {
+            problems.into_iter().map(|problem| problem.place).collect()
+        }
+        other => panic!("{other:?}"),
+    }
+}
+
+#[test]
+fn a_version_is_taken_once() {
+    let mut driver = Driver::new();
+    let known = CommandReply::Configured {
+        version: ConfigurationVersion(1),
+        known: true,
+    };
+    assert_eq!(driver.configure(1, document()), known);
+    let mut other = document();
+    other.timings.run_lease = Milliseconds(1);
+    assert_eq!(driver.configure(1, other.clone()), conflict(1, 1));
+    assert_eq!(driver.configure(3, other.clone()), conflict(3, 1));
+    assert_eq!(
+        driver.configure(u64::MAX, other.clone()),
+        conflict(u64::MAX, 1)
+    );
+    let taken = CommandReply::Configured {
+        version: ConfigurationVersion(2),
+        known: false,
+    };
+    assert_eq!(driver.configure(2, other.clone()), taken);
+    assert_eq!(driver.configure(1, document()), conflict(1, 2));
+    assert_eq!(
+        driver.record.configuration(),
+        (ConfigurationVersion(2), &other)
+    );
+}
+
+#[test]
+fn an_invalid_document_changes_nothing() {
+    let mut driver = Driver::new();
+    let mut broken = document();
+    broken.pools.clear();
+    let places = problem_places(driver.configure(2, broken));
+    assert_eq!(places, ["queues.q.pool", "queues.r.pool"]);
+    assert_eq!(driver.record.configuration().0, ConfigurationVersion(1));
+}
+
+#[test]
+fn queues_and_tenants_with_unfinished_jobs_may_not_be_removed() {
+    let mut driver = Driver::new();
+    driver.submit(job("j", vec![step("s", 1, &[])]));
+    let empty = ClusterConfiguration::default();
+    let places = problem_places(driver.configure(2, empty.clone()));
+    assert_eq!(places, ["queues.q", "tenants.a"]);
+    let run = driver.reserve(task(1, 0, 0)).unwrap();
+    driver.close(run, DONE);
+    let reply = driver.configure(2, empty);
+    assert!(matches!(reply, CommandReply::Configured { .. }));
+}
--- /dev/null
+++ b/crates/record/tests/support/mod.rs
@@ -0,0 +1,244 @@
+//! A small cluster document, jobs for it, and a record driven by commands.
+#![allow(dead_code, reason = "each test file uses its own part")]
+
+use configuration::{
+    ClusterConfiguration, ErrorBudget, PoolSettings, QueueMode, QueueSettings, TenantSettings,
+};
+use record::{
+    Applied, CancelSelector, Change, ClosedRun, Command, CommandReply, Record, ReserveRefusal,
+};
+use types::*;
+
+pub const RUNNER_ROOM: Resources = slots(4);
+
+pub const fn slots(slots: u32) -> Resources {
+    Resources {
+        slots,
+        ..Resources::ZERO
+    }
+}
+
+pub fn tenant(name: &str) -> TenantId {
+    TenantId::new(name).unwrap()
+}
+
+pub fn queue(name: &str) -> QueueName {
+    QueueName::new(name).unwrap()
+}
+
+pub fn step_name(name: &str) -> StepName {
+    StepName::new(name).unwrap()
+}
+
+pub fn runner(name: &str) -> RunnerId {
+    RunnerId::new(name).unwrap()
+}
+
+pub fn key(tenant_name: &str, job: &str) -> JobKey {
+    JobKey {
+        tenant: tenant(tenant_name),
+        job: JobId::new(job).unwrap(),
+    }
+}
+
+fn contract(ceiling: u32) -> TenantSettings {
+    TenantSettings {
+        share_percent: 50,
+        ceiling: slots(ceiling),
+        error_budget: ErrorBudget {
+            late_after: Milliseconds(1_000),
+            late_per_thousand: 1,
+            failed_per_thousand: 1,
+        },
+        submits_per_second: 1,
+        submit_burst: 1,
+        max_unfinished_jobs: 4,
+    }
+}
+
+/// Tenants `a` (ceiling 4 slots) and `b` (2), queues `q` and `r`.
+pub fn document() -> ClusterConfiguration {
+    let mut document = ClusterConfiguration::default();
+    let pool = PoolName::new("p").unwrap();
+    let settings = PoolSettings {
+        largest_runner: RUNNER_ROOM,
+    };
+    document.pools.insert(pool.clone(), settings);
+    for name in ["q", "r"] {
+        let settings = QueueSettings {
+            pool: pool.clone(),
+            mode: QueueMode::Active,
+            max_unfinished_jobs: 5,
+        };
+        document.queues.insert(queue(name), settings);
+    }
+    document.tenants.insert(tenant("a"), contract(4));
+    document.tenants.insert(tenant("b"), contract(2));
+    document
+}
+
+pub fn step(name: &str, tasks: u32, after: &[&str]) -> StepSpec {
+    StepSpec {
+        name: step_name(name),
+        after: after.iter().map(|name| step_name(name)).collect(),
+        tasks,
+        resources: slots(1),
+        labels: Labels::new(),
+        max_copies: 1,
+        allowed_failures: 1,
+        time_limit: Milliseconds(1_000),
+        payload: "work".to_owned(),
+    }
+}
+
+/// A job of tenant `a` in queue `q`.
+pub fn job(name: &str, steps: Vec<StepSpec>) -> JobSpec {
+    JobSpec {
+        tenant: tenant("a"),
+        job: JobId::new(name).unwrap(),
+        queue: queue("q"),
+        urgency: Urgency::Normal,
+        start_at: None,
+        steps,
+    }
+}
+
+pub fn task(job: u64, step: u16, task: u32) -> TaskRef {
+    TaskRef {
+        job: JobNumber(job),
+        step,
+        task,
+    }
+}
+
+pub fn run_id(sequence: u64) -> RunId {
+    RunId {
+        term: Term(1),
+        sequence,
+    }
+}
+
+pub fn failed() -> RunClose {
+    RunClose::Ended(Outcome::Failed("it broke".to_owned()))
+}
+
+pub const DONE: RunClose = RunClose::Ended(Outcome::Done);
+
+/// A record and the clock of its leader.
+pub struct Driver {
+    pub record: Record,
+    pub at: WallTime,
+    pub last_run: u64,
+}
+
+impl Driver {
+    pub fn new() -> Self {
+        let mut driver = Self {
+            record: Record::new(),
+            at: WallTime(1_000),
+            last_run: 0,
+        };
+        let reply = driver.configure(1, document());
+        assert!(matches!(
+            reply,
+            CommandReply::Configured { known: false, .. }
+        ));
+        driver
+    }
+
+    pub fn configure(&mut self, version: u64, document: ClusterConfiguration) -> CommandReply {
+        let command = Command::PutConfiguration {
+            version: ConfigurationVersion(version),
+            document,
+            at: self.at,
+        };
+        self.record.apply(&command).reply
+    }
+
+    pub fn submit(&mut self, spec: JobSpec) -> Applied {
+        let at = self.at;
+        self.record.apply(&Command::Submit { spec, at })
+    }
+
+    pub fn cancel(&mut self, selector: CancelSelector) -> Applied {
+        let at = self.at;
+        self.record.apply(&Command::Cancel { selector, at })
+    }
+
+    pub fn reserve_as(
+        &mut self,
+        run: RunId,
+        task: TaskRef,
+        on: &str,
+    ) -> Result<RunId, ReserveRefusal> {
+        let reservation = Reservation {
+            run,
+            task,
+            runner: runner(on),
+            incarnation: RunnerIncarnation(1),
+        };
+        let command = Command::Reserve {
+            reservations: vec![reservation],
+            at: self.at,
+        };
+        match self.record.apply(&command).reply {
+            CommandReply::Reserved { refused, .. } if !refused.is_empty() => Err(refused[0].1),
+            CommandReply::Reserved { .. } => Ok(run),
+            other => panic!("{other:?}"),
+        }
+    }
+
+    pub fn reserve(&mut self, task: TaskRef) -> Result<RunId, ReserveRefusal> {
+        self.last_run += 1;
+        self.reserve_as(run_id(self.last_run), task, "runner")
+    }
+
+    pub fn close(&mut self, run: RunId, close: RunClose) -> Vec<Change> {
+        let command = Command::CloseRuns {
+            runs: vec![ClosedRun { run, close }],
+            at: self.at,
+        };
+        self.record.apply(&command).changes
+    }
+
+    pub fn forget(&mut self, limit: u32) {
+        let command = Command::Forget {
+            ended_before: self.at,
+            limit,
+        };
+        self.record.apply(&command);
+    }
+
+    pub fn view(&self, name: &str) -> JobView {
+        self.record.job(&key("a", name)).unwrap()
+    }
+
+    pub fn states(&self, name: &str) -> Vec<TaskState> {
+        let standings = self.record.task_states(&key("a", name)).unwrap();
+        standings.iter().map(|standing| standing.state).collect()
+    }
+
+    pub fn ready(&self) -> Vec<TaskRef> {
+        let metas = self.record.ready_tasks(None, usize::MAX);
+        metas.iter().map(|meta| meta.task).collect()
+    }
+}
+
+/// Tasks told ready, ended, and runs told open at their end.
+pub fn ready_in(changes: &[Change]) -> Vec<TaskRef> {
+    let ready = changes.iter().filter_map(|change| match change {
+        Change::TaskReady(meta) => Some(meta.task),
+        _ => None,
+    });
+    ready.collect()
+}
+
+pub fn ended_in(changes: &[Change]) -> Vec<(TaskRef, Vec<RunId>)> {
+    let ended = changes.iter().filter_map(|change| match change {
+        Change::TaskEnded { task, open_runs } => {
+            Some((*task, open_runs.iter().map(|run| run.run).collect()))
+        }
+        _ => None,
+    });
+    ended.collect()
+}
