Keep tasks of a freed step among the ready ones

Cause: completing a step made its dependents startable and told so, but the index of jobs with startable tasks was brought up to date only before that. A job whose next step had just been freed was missing from ready_tasks, so a leader elected then would not have published it until its audit.

--- a/crates/record/src/command.rs
+++ b/crates/record/src/command.rs
@@ -239,7 +239,9 @@
 /// A change of state that the leader acts on.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Change {
-    /// A task may start from now on, or from its `not_before`.
+    /// A task may start from now on, or from its `not_before`. It may go on
+    /// doing so until its open runs reach its copies; told once, not again at
+    /// each opened run.
     TaskReady(TaskMeta),
     /// A task will never start again: done, failed or cancelled. Its open
     /// runs, if any, are to be stopped.
@@ -257,7 +259,7 @@
         run: OpenRun,
         /// Why.
         close: RunClose,
-        /// The task, if it may run again.
+        /// The task, if it may have another run now or from its `not_before`.
         again: Option<TaskMeta>,
     },
     /// A job reached a final state.
--- a/crates/record/src/state/jobs.rs
+++ b/crates/record/src/state/jobs.rs
@@ -151,6 +151,7 @@
         for freed in job.complete_step(step) {
             changes.extend(startable_changes(job, job.step_tasks(number, freed)));
         }
+        self.indexes.refresh(number, job);
         if job.all_done() {
             self.end_job(number, JobState::Done, None, at, changes);
         }
--- a/crates/record/tests/runs.rs
+++ b/crates/record/tests/runs.rs
@@ -28,6 +28,7 @@
     assert!(ready_in(&driver.close(left, DONE)).is_empty());
     let right = driver.reserve(task(1, 2, 0)).unwrap();
     assert_eq!(ready_in(&driver.close(right, DONE)), [task(1, 0, 0)]);
+    assert_eq!(driver.ready(), [task(1, 0, 0)]);
     let late = driver.reserve(task(1, 0, 0)).unwrap();
     let changes = driver.close(late, DONE);
     let waited = Some(Milliseconds(500));
--- /dev/null
+++ b/crates/record/tests/snapshot.rs
@@ -0,0 +1,154 @@
+//! Snapshots, and bytes that are none.
+
+mod support;
+
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+use record::{CancelSelector, Command, Record, RecordError};
+use support::*;
+use types::*;
+
+/// A record that holds something of every kind.
+fn full_record() -> Driver {
+    let mut driver = Driver::new();
+    let mut copied = step("s", 3, &[]);
+    copied.max_copies = 2;
+    driver.submit(job("done", vec![step("s", 1, &[])]));
+    driver.submit(job("running", vec![copied, step("t", 1, &["s"])]));
+    driver.submit(job("cancelled", vec![step("s", 1, &[])]));
+    let done = driver.reserve(task(1, 0, 0)).unwrap();
+    driver.close(done, DONE);
+    driver.forget(1);
+    let run = driver.reserve(task(2, 0, 0)).unwrap();
+    driver.close(run, failed());
+    driver.reserve(task(2, 0, 1)).unwrap();
+    let run = driver.reserve(task(2, 0, 2)).unwrap();
+    driver.close(run, DONE);
+    driver.reserve(task(3, 0, 0)).unwrap();
+    driver.cancel(CancelSelector::Jobs(vec![key("a", "cancelled")]));
+    driver.record.apply(&Command::SetRunnerDraining {
+        runner: runner("leaving"),
+        draining: true,
+        at: driver.at,
+    });
+    driver
+}
+
+#[test]
+fn a_snapshot_restores_the_same_record() {
+    let driver = full_record();
+    let bytes = driver.record.snapshot().unwrap();
+    let restored = Record::restore(&bytes).unwrap();
+    assert_eq!(restored, driver.record);
+    assert_eq!(restored.snapshot().unwrap(), bytes);
+    assert_eq!(restored.draining_runners(), [runner("leaving")]);
+    let empty = Record::new().snapshot().unwrap();
+    assert_eq!(Record::restore(&empty).unwrap(), Record::new());
+}
+
+#[test]
+fn other_versions_and_damaged_bytes_are_refused() {
+    let bytes = full_record().record.snapshot().unwrap();
+    let mut newer = bytes.clone();
+    newer[0] += 1;
+    assert!(matches!(
+        Record::restore(&newer),
+        Err(RecordError::Version { found: 2, .. })
+    ));
+    let mut longer = bytes.clone();
+    longer.push(0);
+    assert!(Record::restore(&longer).is_err());
+    for length in 0..bytes.len() {
+        assert!(Record::restore(&bytes[..length]).is_err(), "{length}");
+    }
+}
+
+fn runner_of(cases: u32) -> TestRunner {
+    let config = Config {
+        cases,
+        failure_persistence: None,
+        ..Config::default()
+    };
+    TestRunner::new_with_rng(config, TestRng::deterministic_rng(RngAlgorithm::ChaCha))
+}
+
+/// Bytes at random, and good bytes with a few places overwritten.
+fn hostile(good: Vec<u8>) -> impl Strategy<Value = Vec<u8>> {
+    let places = prop::collection::vec((any::<prop::sample::Index>(), any::<u8>()), 1..4);
+    let damaged = places.prop_map(move |places| {
+        let mut bytes = good.clone();
+        for (place, value) in places {
+            let place = place.index(bytes.len());
+            bytes[place] = value;
+        }
+        bytes
+    });
+    prop_oneof![damaged, prop::collection::vec(any::<u8>(), 0..200)]
+}
+
+/// Exercises a record that strange bytes gave: nothing in it may panic.
+fn use_record(mut record: Record) {
+    record.snapshot().unwrap();
+    let open = record.open_runs();
+    let runs = open.iter().map(|open| record::ClosedRun {
+        run: open.run,
+        close: DONE,
+    });
+    let close = Command::CloseRuns {
+        runs: runs.collect(),
+        at: WallTime(1),
+    };
+    record.apply(&close);
+    record.ready_tasks(None, usize::MAX);
+    let selector = CancelSelector::Tenant {
+        tenant: tenant("a"),
+        queue: None,
+    };
+    let at = WallTime(u64::MAX);
+    record.apply(&Command::Cancel { selector, at });
+    record.apply(&Command::Submit {
+        spec: job("new", vec![step("s", 1, &[])]),
+        at,
+    });
+    record.apply(&Command::Forget {
+        ended_before: at,
+        limit: u32::MAX,
+    });
+}
+
+#[test]
+fn hostile_snapshots_never_panic() {
+    let bytes = full_record().record.snapshot().unwrap();
+    let headed = hostile(bytes).prop_map(|mut bytes| {
+        let version = 1_u32.to_le_bytes();
+        let head = bytes.len().min(version.len());
+        bytes[..head].copy_from_slice(&version[..head]);
+        bytes
+    });
+    let check = |bytes: Vec<u8>| {
+        if let Ok(record) = Record::restore(&bytes) {
+            use_record(record);
+        }
+        Ok(())
+    };
+    runner_of(4_000).run(&headed, check).unwrap();
+}
+
+#[test]
+fn hostile_commands_never_panic() {
+    let command = Command::Submit {
+        spec: job("j", vec![step("s", 1, &[]), step("t", 2, &["s"])]),
+        at: WallTime(1),
+    };
+    let bytes = command.encode().unwrap();
+    assert_eq!(Command::decode(&bytes).unwrap(), command);
+    let check = |bytes: Vec<u8>| {
+        if let Ok(command) = Command::decode(&bytes) {
+            let mut driver = Driver::new();
+            driver.record.apply(&command);
+            driver.record.snapshot().unwrap();
+        }
+        Ok(())
+    };
+    runner_of(4_000).run(&hostile(bytes), check).unwrap();
+}
