--- /dev/null
+++ b/crates/dispatch/examples/reserve_rate.rs
@@ -0,0 +1,163 @@
+//! Measures how the cost of a reserve grows with the number of waiting jobs.
+//!
+//! 200 tenants with equal backlogs, jobs in turn, 64 runners of 16 slots. One
+//! thread reserves, lets the run end, and removes it. Arguments: numbers of
+//! waiting jobs (200000 and 2000000 unless given). Prints one line a trial.
+
+use configuration::{
+    ClusterConfiguration, ErrorBudget, PoolSettings, QueueMode, QueueSettings, TenantSettings,
+};
+use dispatch::{DecisionKind, Dispatcher, DispatcherOptions};
+use std::error::Error;
+use std::time::Instant;
+use types::{
+    HeartbeatSequence, InvalidName, JobNumber, Labels, Milliseconds, Now, PoolName, QueueName,
+    RackName, Resources, RunId, RunnerId, RunnerIncarnation, RunnerReport, TaskMeta, TaskRef,
+    TenantId, Term, Urgency,
+};
+
+const TENANTS: u64 = 200;
+const RUNNERS: usize = 64;
+const CYCLES: u64 = 150_000;
+const TRIALS: usize = 5;
+
+const RUNNER: Resources = Resources {
+    slots: 16,
+    cpu_milli: 16_000,
+    memory_mib: 65_536,
+    gpus: 0,
+};
+
+const TASK: Resources = Resources {
+    slots: 1,
+    cpu_milli: 1_000,
+    memory_mib: 2_048,
+    gpus: 0,
+};
+
+fn document() -> Result<ClusterConfiguration, InvalidName> {
+    let mut document = ClusterConfiguration::default();
+    let pool = PoolName::new("pool")?;
+    let largest_runner = RUNNER;
+    let settings = PoolSettings { largest_runner };
+    document.pools.insert(pool.clone(), settings);
+    let settings = QueueSettings {
+        pool,
+        mode: QueueMode::Active,
+        max_unfinished_jobs: u64::MAX,
+    };
+    document.queues.insert(QueueName::new("queue")?, settings);
+    for tenant in 0..TENANTS {
+        let settings = TenantSettings {
+            share_percent: 1,
+            ceiling: Resources::UNLIMITED,
+            error_budget: ErrorBudget {
+                late_after: Milliseconds(1_000),
+                late_per_thousand: 1,
+                failed_per_thousand: 1,
+            },
+            submits_per_second: 1,
+            submit_burst: 1,
+            max_unfinished_jobs: u64::MAX,
+        };
+        document.tenants.insert(tenant_name(tenant)?, settings);
+    }
+    Ok(document)
+}
+
+fn tenant_name(tenant: u64) -> Result<TenantId, InvalidName> {
+    TenantId::new(format!("tenant-{tenant}"))
+}
+
+fn runner_name(runner: usize) -> Result<RunnerId, InvalidName> {
+    RunnerId::new(format!("runner-{runner}"))
+}
+
+fn heartbeat(runner: RunnerId) -> Result<RunnerReport, InvalidName> {
+    Ok(RunnerReport {
+        runner,
+        incarnation: RunnerIncarnation(1),
+        sequence: HeartbeatSequence(1),
+        pool: PoolName::new("pool")?,
+        rack: RackName::new("rack")?,
+        labels: Labels::new(),
+        capacity: RUNNER,
+        free: RUNNER,
+        draining: false,
+        self_stop: true,
+        held: Vec::new(),
+        ended: Vec::new(),
+    })
+}
+
+fn filled(jobs: u64, seed: u64) -> Result<Dispatcher, Box<dyn Error>> {
+    let now = Now::default();
+    let mut dispatcher = Dispatcher::new(DispatcherOptions::default(), Term(1), seed);
+    dispatcher.configure(&document()?);
+    let queue = QueueName::new("queue")?;
+    let tenants: Vec<TenantId> = (0..TENANTS).map(tenant_name).collect::<Result<_, _>>()?;
+    for (job, tenant) in (0..jobs).zip(tenants.iter().cycle()) {
+        let task = TaskRef {
+            job: JobNumber(job + 1),
+            step: 0,
+            task: 0,
+        };
+        let meta = TaskMeta {
+            task,
+            tenant: tenant.clone(),
+            queue: queue.clone(),
+            urgency: Urgency::Normal,
+            resources: TASK,
+            labels: Labels::new(),
+            max_copies: 1,
+            not_before: None,
+        };
+        dispatcher.publish(meta, now);
+    }
+    for runner in 0..RUNNERS {
+        dispatcher.heartbeat(&heartbeat(runner_name(runner)?)?, now);
+    }
+    Ok(dispatcher)
+}
+
+/// Reserves a second over `CYCLES` cycles of reserve and remove.
+fn measure(dispatcher: &mut Dispatcher) -> Result<f64, Box<dyn Error>> {
+    let runners: Vec<RunnerId> = (0..RUNNERS).map(runner_name).collect::<Result<_, _>>()?;
+    let mut open: Vec<Option<RunId>> = vec![None; RUNNERS * 8];
+    let places = open.len();
+    let begun = Instant::now();
+    for cycle in 0..CYCLES as usize {
+        if let Some(run) = open[cycle % places].take() {
+            dispatcher.remove_run(run);
+        }
+        let decision = dispatcher.reserve(&runners[cycle % RUNNERS], Now::default());
+        let kind = decision.map(|decision| decision.kind);
+        let Some(DecisionKind::Placed { reservation, .. }) = kind else {
+            return Err("a reserve found nothing to start".into());
+        };
+        open[cycle % places] = Some(reservation.run);
+    }
+    Ok(CYCLES as f64 / begun.elapsed().as_secs_f64())
+}
+
+fn main() -> Result<(), Box<dyn Error>> {
+    let mut sizes: Vec<u64> = std::env::args()
+        .skip(1)
+        .map(|argument| argument.parse())
+        .collect::<Result<_, _>>()?;
+    if sizes.is_empty() {
+        sizes = vec![200_000, 2_000_000];
+    }
+    for trial in 0..TRIALS {
+        for jobs in &sizes {
+            let begun = Instant::now();
+            let mut dispatcher = filled(*jobs, trial as u64)?;
+            let publishes = *jobs as f64 / begun.elapsed().as_secs_f64();
+            let reserves = measure(&mut dispatcher)?;
+            println!(
+                "trial {trial}: {jobs} jobs, {publishes:.0} publishes/s, {reserves:.0} reserves/s"
+            );
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/dispatch/src/audit.rs
@@ -0,0 +1,84 @@
+//! Comparison of the view with the record, a slice of jobs at a time.
+
+use crate::task::{Standing, Task};
+use crate::{AuditReport, Dispatcher, Published};
+use std::collections::BTreeSet;
+use types::{JobNumber, Now, TaskMeta, TaskRef};
+
+impl Dispatcher {
+    pub(crate) fn audit_slice(
+        &mut self,
+        from: JobNumber,
+        to: JobNumber,
+        ready: &[TaskMeta],
+        now: Now,
+    ) -> AuditReport {
+        let mut report = AuditReport::default();
+        let named: BTreeSet<TaskRef> = ready.iter().map(|meta| meta.task).collect();
+        for task in self.waiting_between(from, to) {
+            report.compared += 1;
+            if !named.contains(&task) {
+                self.remove_task(task);
+                report.removed += 1;
+            }
+        }
+        for meta in ready {
+            if self.differs(meta) {
+                self.remove_task(meta.task);
+            }
+            if !self.tasks.contains_key(&meta.task) {
+                report.compared += 1;
+            }
+            if self.add_task(meta.clone(), now) == Published::New {
+                report.republished += 1;
+            }
+        }
+        report
+    }
+
+    // A task that has all its runs is not ready in the record either, or its
+    // reservation is on its way there; its runs decide what becomes of it.
+    fn waiting_between(&self, from: JobNumber, to: JobNumber) -> Vec<TaskRef> {
+        if from > to {
+            return Vec::new();
+        }
+        let first = TaskRef {
+            job: from,
+            step: 0,
+            task: 0,
+        };
+        let last = TaskRef {
+            job: to,
+            step: u16::MAX,
+            task: u32::MAX,
+        };
+        let tasks = self.tasks.range(first..=last);
+        let waiting = tasks.filter(|(task, entry)| {
+            entry.standing != Standing::Bound || !self.runs_of.contains_key(task)
+        });
+        waiting.map(|(task, _)| *task).collect()
+    }
+
+    fn differs(&self, meta: &TaskMeta) -> bool {
+        let Some(entry) = self.tasks.get(&meta.task) else {
+            return false;
+        };
+        let is_lost = entry.standing == Standing::Bound && !self.runs_of.contains_key(&meta.task);
+        let is_waiting = entry.standing != Standing::Bound;
+        is_lost || (is_waiting && !self.holds_content(entry, meta))
+    }
+
+    fn holds_content(&self, entry: &Task, meta: &TaskMeta) -> bool {
+        let list = &self.lists[entry.list];
+        let same_shape = self
+            .shapes
+            .get(entry.shape)
+            .is_some_and(|shape| shape.resources == meta.resources && shape.labels == meta.labels);
+        same_shape
+            && self.queues.name(list.queue) == Some(&meta.queue)
+            && self.tenants.name(list.tenant) == Some(&meta.tenant)
+            && entry.urgency == meta.urgency
+            && entry.max_copies == meta.max_copies.max(1)
+            && entry.not_before == meta.not_before.unwrap_or_default()
+    }
+}
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -1,200 +1,196 @@
-//! The dispatcher.
-
+//! The dispatcher's public steps; each module beside this one has one part.
+
+use crate::options::{AuditReport, DispatcherOptions, Published, RunnerView};
+use crate::queue::{ListIndex, Pool, Queue, Tenant, TenantList};
+use crate::run::Run;
+use crate::runner::Runner;
+use crate::shape::ShapeTable;
+use crate::table::Table;
+use crate::task::Task;
 use crate::{Decision, NotPlacedReason};
 use configuration::ClusterConfiguration;
-use serde::{Deserialize, Serialize};
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use std::collections::{BTreeMap, BTreeSet};
 use types::{
-    Labels, Milliseconds, Now, OpenRun, PoolName, RackName, Resources, RunId, RunnerId,
-    RunnerIncarnation, RunnerReport, TaskMeta, TaskRef, Term, WallTime,
+    JobNumber, Monotonic, Now, OpenRun, PoolName, QueueName, Resources, RunId, RunnerId,
+    RunnerReport, TaskMeta, TaskRef, TenantId, Term, WallTime,
 };
 
-/// Limits of the dispatcher.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct DispatcherOptions {
-    /// Tasks of one tenant looked at past one that does not fit.
-    pub look_ahead: usize,
-    /// A task that has waited this long without fitting gets a runner kept free.
-    pub hold_after: Milliseconds,
-    /// Failed runs of different jobs on one runner, without a done one in
-    /// between, that put it on probation.
-    pub probation_failures: u32,
-    /// How long probation lasts.
-    pub probation: Milliseconds,
-    /// A runner silent for this long gets no pulls.
-    pub silent_after: Milliseconds,
-}
-
-impl Default for DispatcherOptions {
-    fn default() -> Self {
-        Self {
-            look_ahead: 16,
-            hold_after: Milliseconds(5_000),
-            probation_failures: 8,
-            probation: Milliseconds(10_000),
-            silent_after: Milliseconds(1_500),
-        }
-    }
-}
-
-/// What publish found.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Published {
-    /// The task is new to the view.
-    New,
-    /// It was there already; nothing changed.
-    Present,
-}
-
-/// A runner as the dispatcher sees it.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct RunnerView {
-    /// The runner.
-    pub runner: RunnerId,
-    /// Its current life.
-    pub incarnation: RunnerIncarnation,
-    /// Its pool.
-    pub pool: PoolName,
-    /// Its rack.
-    pub rack: RackName,
-    /// Its labels.
-    pub labels: Labels,
-    /// All it has.
-    pub capacity: Resources,
-    /// Reported room less orders in flight.
-    pub room: Resources,
-    /// Open runs bound to it.
-    pub open_runs: u32,
-    /// True when it or an operator says so.
-    pub draining: bool,
-    /// True when on probation.
-    pub on_probation: bool,
-    /// Time since its last heartbeat.
-    pub silence: Milliseconds,
-}
-
-/// What one slice of the audit found.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
-pub struct AuditReport {
-    /// Tasks compared.
-    pub compared: u64,
-    /// Tasks in the record that the view had lost; published again.
-    pub republished: u64,
-    /// Tasks in the view that the record does not hold ready; removed.
-    pub removed: u64,
-}
-
 /// The leader's view of waiting and running work.
-#[derive(Debug)]
+///
+/// Every step is idempotent, and equal calls with an equal seed lead to equal
+/// decisions. The cost of a reserve grows with the tenants drawn and with the
+/// logarithm of the tasks waiting.
+#[derive(Debug, Clone)]
 pub struct Dispatcher {
-    _options: DispatcherOptions,
+    pub(crate) options: DispatcherOptions,
+    pub(crate) term: Term,
+    pub(crate) last_sequence: u64,
+    pub(crate) random: ChaCha8Rng,
+    pub(crate) pools: Table<PoolName, Pool>,
+    pub(crate) queues: Table<QueueName, Queue>,
+    pub(crate) tenants: Table<TenantId, Tenant>,
+    pub(crate) runners: Table<RunnerId, Runner>,
+    pub(crate) lists: Vec<TenantList>,
+    pub(crate) list_of: BTreeMap<(usize, usize), ListIndex>,
+    pub(crate) shapes: ShapeTable,
+    pub(crate) tasks: BTreeMap<TaskRef, Task>,
+    pub(crate) delayed: BTreeSet<(WallTime, TaskRef)>,
+    pub(crate) runs: BTreeMap<RunId, Run>,
+    pub(crate) runs_of: BTreeMap<TaskRef, Vec<RunId>>,
+    pub(crate) reason_cursor: usize,
+    pub(crate) search_holds_after: Monotonic,
 }
 
 impl Dispatcher {
     /// An empty view of the leader of `term`; run identifiers carry the term.
     pub fn new(options: DispatcherOptions, term: Term, seed: u64) -> Self {
-        let _ = (term, seed);
-        Self { _options: options }
+        Self {
+            options,
+            term,
+            last_sequence: 0,
+            random: ChaCha8Rng::seed_from_u64(seed),
+            pools: Table::default(),
+            queues: Table::default(),
+            tenants: Table::default(),
+            runners: Table::default(),
+            lists: Vec::new(),
+            list_of: BTreeMap::new(),
+            shapes: ShapeTable::default(),
+            tasks: BTreeMap::new(),
+            delayed: BTreeSet::new(),
+            runs: BTreeMap::new(),
+            runs_of: BTreeMap::new(),
+            reason_cursor: 0,
+            search_holds_after: Monotonic::default(),
+        }
     }
 
     /// Takes queues, pools and tenant contracts; tenants at a new limit become
-    /// runnable or stop being so.
+    /// runnable or stop being so. Work of a queue or tenant that is left out
+    /// stays in the view and starts no more runs.
     pub fn configure(&mut self, document: &ClusterConfiguration) {
-        let _ = document;
-        todo!()
+        self.take_configuration(document);
     }
 
     /// Atomic step: adds a task unless it is present, pending or running.
     pub fn publish(&mut self, meta: TaskMeta, now: Now) -> Published {
-        let _ = (meta, now);
-        todo!()
+        self.add_task(meta, now)
     }
 
     /// Enters a run that the record holds open (after an election, before its
     /// task is published). Idempotent.
     pub fn adopt_run(&mut self, run: OpenRun) {
-        let _ = run;
-        todo!()
+        self.enter_open_run(run);
     }
 
     /// Atomic step: one pull for one runner. Draws uniformly among the
-    /// runnable tenants of the pool's queues, takes that tenant's oldest
-    /// startable task that fits, and binds it. None when nothing may start.
+    /// runnable tenants of the pool's queues (a tenant that waits in two
+    /// queues counts once in each), takes that tenant's oldest startable task
+    /// that fits, and binds it. None when nothing may start.
     pub fn reserve(&mut self, runner: &RunnerId, now: Now) -> Option<Decision> {
-        let _ = (runner, now);
-        todo!()
+        let runner = self.runners.find(runner)?;
+        self.admit_due(now);
+        self.pull(runner, now)
     }
 
     /// Derives pulls from all known room, at most `limit` placements, and
-    /// reports changed reasons of what stays.
+    /// reports changed reasons of what stays, a bounded number in each call.
     pub fn place(&mut self, now: Now, limit: usize) -> Vec<Decision> {
-        let _ = (now, limit);
-        todo!()
+        self.place_all(now, limit)
     }
 
-    /// Atomic step: the run is over and its task may run again.
+    /// Atomic step: the run is over and its task may run again. For a run
+    /// that is not open it publishes the task if it is absent.
     pub fn reschedule(&mut self, run: RunId, meta: TaskMeta, now: Now) {
-        let _ = (run, meta, now);
-        todo!()
+        if let Some(closed) = self.close_run(run) {
+            self.remove_task(closed.task);
+        }
+        self.add_task(meta, now);
     }
 
     /// Atomic step: the run is over, and its task with it. Idempotent.
     pub fn remove_run(&mut self, run: RunId) {
-        let _ = run;
-        todo!()
+        if let Some(closed) = self.close_run(run) {
+            self.remove_task(closed.task);
+        }
     }
 
     /// Atomic step: the task will never start again; its open runs go on
     /// counting until they are removed. Idempotent.
     pub fn remove(&mut self, task: TaskRef) {
-        let _ = task;
-        todo!()
+        self.remove_task(task);
     }
 
-    /// Takes a runner's heartbeat: room, labels, draining, what it holds.
+    /// Takes a runner's heartbeat: room, labels, draining, what it holds. One
+    /// that is older than the last taken is passed over.
     pub fn heartbeat(&mut self, report: &RunnerReport, now: Now) {
-        let _ = (report, now);
-        todo!()
+        self.take_heartbeat(report, now);
     }
 
     /// An operator's word on a runner.
     pub fn set_draining(&mut self, runner: &RunnerId, draining: bool) {
-        let _ = (runner, draining);
-        todo!()
+        let index = self.runner_index(runner);
+        self.runners[index].drained_by_operator = draining;
     }
 
     /// Notes how a run on a runner ended, for the runner's health.
     pub fn note_outcome(&mut self, runner: &RunnerId, task: TaskRef, failed: bool, now: Now) {
-        let _ = (runner, task, failed, now);
-        todo!()
+        self.take_outcome(runner, task, failed, now.monotonic);
     }
 
-    /// Why a ready task is not running.
+    /// Why a ready task is not running; None when the view does not hold it or
+    /// nothing stands against its start.
     pub fn explain(&self, task: TaskRef, now: Now) -> Option<NotPlacedReason> {
-        let _ = (task, now);
-        todo!()
+        self.reason_of(task, now)
     }
 
-    /// All runners known.
+    /// All runners that this leader has heard.
     pub fn runners(&self, now: Now) -> Vec<RunnerView> {
-        let _ = now;
-        todo!()
+        self.view_runners(now)
     }
 
     /// Compares the view with the record for the jobs numbered `from..=to`:
-    /// `ready` is everything the record holds ready there.
+    /// `ready` is everything the record holds ready there. A task that has
+    /// all the runs it may have is left alone; what waits in the view and is
+    /// not ready in the record is removed, what differs or is missing is
+    /// published again.
     pub fn audit(
         &mut self,
-        from: types::JobNumber,
-        to: types::JobNumber,
+        from: JobNumber,
+        to: JobNumber,
         ready: &[TaskMeta],
         now: Now,
     ) -> AuditReport {
-        let _ = (from, to, ready, now);
-        todo!()
+        self.audit_slice(from, to, ready, now)
     }
 
     /// When a task's time comes next, if one waits for it.
     pub fn next_start_time(&self) -> Option<WallTime> {
-        todo!()
+        self.delayed.first().map(|(time, _)| *time)
+    }
+
+    /// Tasks of a tenant in a queue that could start now but for room.
+    pub fn pending_count(&self, queue: &QueueName, tenant: &TenantId) -> usize {
+        let pair = self.queues.find(queue).zip(self.tenants.find(tenant));
+        let list = pair.and_then(|pair| self.list_of.get(&pair));
+        list.map_or(0, |list| self.lists[*list].pending.len())
+    }
+
+    /// What the tenant's open runs hold in all pools.
+    pub fn holdings(&self, tenant: &TenantId) -> Resources {
+        let index = self.tenants.find(tenant);
+        index.map_or(Resources::ZERO, |index| self.tenants[index].held)
+    }
+
+    /// Open runs of all tenants.
+    pub fn open_run_count(&self) -> usize {
+        self.runs.len()
+    }
+
+    /// Published tasks, waiting and running.
+    pub fn task_count(&self) -> usize {
+        self.tasks.len()
     }
 }
--- /dev/null
+++ b/crates/dispatch/src/draw.rs
@@ -0,0 +1,309 @@
+//! Reserve: the draw among runnable tenants and the choice of a task.
+
+use crate::pending::Order;
+use crate::queue::ListIndex;
+use crate::run::Run;
+use crate::runner::RunnerIndex;
+use crate::shape::ShapeIndex;
+use crate::task::Standing;
+use crate::{Decision, DecisionKind, Dispatcher};
+use configuration::QueueMode;
+use rand::Rng;
+use std::sync::Arc;
+use types::{Labels, Now, Reservation, Resources, RunnerIncarnation, TaskRef};
+
+/// What one runner offers for one pull.
+#[derive(Debug, Clone)]
+struct Offer {
+    runner: RunnerIndex,
+    incarnation: RunnerIncarnation,
+    pool: usize,
+    room: Resources,
+    capacity: Resources,
+    labels: Arc<Labels>,
+}
+
+/// A task that the pull may take.
+#[derive(Debug, Clone, Copy)]
+struct Choice {
+    task: TaskRef,
+    runnable_tenants: u32,
+}
+
+/// What a look into one tenant's list found.
+#[derive(Debug, Clone, Copy, Default)]
+struct Finding {
+    startable: Option<TaskRef>,
+    /// Waits longer than a task should and fits an empty runner like this one.
+    starving: Option<TaskRef>,
+    /// Every task looked at would exceed the tenant's ceiling.
+    above_ceiling: bool,
+}
+
+/// Which of a queue's sets is drawn from.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Kind {
+    Ordinary,
+    Copies,
+}
+
+impl Dispatcher {
+    /// One pull for a runner whose due tasks have been admitted.
+    pub(crate) fn pull(&mut self, runner: RunnerIndex, now: Now) -> Option<Decision> {
+        if self.pull_refusal(runner, now).is_some() {
+            return None;
+        }
+        let offer = self.offer(runner)?;
+        if offer.room == Resources::ZERO {
+            return None;
+        }
+        let choice = match self.held_task(runner, now) {
+            Some(task) => self.choose_held(task, &offer)?,
+            None => self
+                .choose(Kind::Ordinary, &offer, now)
+                .or_else(|| self.choose(Kind::Copies, &offer, now))?,
+        };
+        self.take(choice, &offer, now)
+    }
+
+    fn offer(&self, runner: RunnerIndex) -> Option<Offer> {
+        let state = &self.runners[runner];
+        let last = state.reported.as_ref()?;
+        Some(Offer {
+            runner,
+            incarnation: last.incarnation,
+            pool: last.pool,
+            room: state.room(),
+            capacity: last.capacity,
+            labels: Arc::clone(&last.labels),
+        })
+    }
+
+    fn choose_held(&self, task: TaskRef, offer: &Offer) -> Option<Choice> {
+        let needs = self.shapes.get(self.tasks.get(&task)?.shape)?;
+        needs.resources.fits_in(&offer.room).then_some(Choice {
+            task,
+            runnable_tenants: self.runnable_count(offer.pool, Kind::Ordinary),
+        })
+    }
+
+    /// Draws tenants, never one twice, until one below its share has a task
+    /// that fits; the first above its share is taken if none below has one.
+    fn choose(&mut self, kind: Kind, offer: &Offer, now: Now) -> Option<Choice> {
+        let runnable_tenants = self.runnable_count(offer.pool, kind);
+        let mut drawn = vec![0; self.pools[offer.pool].queues.len()];
+        let mut bursting = None;
+        let mut chosen = None;
+        let mut starving = None;
+        let mut above_ceiling = Vec::new();
+        while let Some(index) = self.draw_list(kind, offer.pool, &mut drawn) {
+            let finding = match kind {
+                Kind::Ordinary => self.look_for_task(index, offer, now),
+                Kind::Copies => self.look_for_copy(index, offer),
+            };
+            let above_share = self.is_above_share(index, offer.pool);
+            if !above_share {
+                starving = starving.or(finding.starving);
+            }
+            if finding.above_ceiling {
+                above_ceiling.push(index);
+            }
+            let Some(task) = finding.startable else {
+                continue;
+            };
+            if !above_share {
+                chosen = Some(task);
+                break;
+            }
+            bursting = bursting.or(Some(task));
+        }
+        for index in above_ceiling {
+            self.lists[index].above_ceiling = true;
+            self.refresh_list(index);
+        }
+        if let Some(task) = starving {
+            self.hold_runner_for(task, offer.pool, now);
+        }
+        self.unless_just_held(chosen.or(bursting), offer.runner)
+            .map(|task| Choice {
+                task,
+                runnable_tenants,
+            })
+    }
+
+    // The very runner of this pull may have been the one to keep free.
+    fn unless_just_held(&self, task: Option<TaskRef>, runner: RunnerIndex) -> Option<TaskRef> {
+        task.filter(|task| {
+            let hold = self.runners[runner].hold;
+            hold.is_none_or(|hold| hold.task == *task)
+        })
+    }
+
+    fn draw_list(&mut self, kind: Kind, pool: usize, drawn: &mut [usize]) -> Option<ListIndex> {
+        let queues = &self.pools[pool].queues;
+        let mut left = 0;
+        for (position, queue) in queues.iter().enumerate() {
+            left += self.drawable_count(*queue, kind) - drawn[position];
+        }
+        if left == 0 {
+            return None;
+        }
+        let mut place = self.random.random_range(0..left);
+        for (position, &queue) in queues.iter().enumerate() {
+            let here = self.drawable_count(queue, kind) - drawn[position];
+            if place >= here {
+                place -= here;
+                continue;
+            }
+            let set = match kind {
+                Kind::Ordinary => &mut self.queues[queue].runnable,
+                Kind::Copies => &mut self.queues[queue].copying,
+            };
+            let list = set.draw(drawn[position], &mut self.random);
+            drawn[position] += 1;
+            return list;
+        }
+        None
+    }
+
+    fn runnable_count(&self, pool: usize, kind: Kind) -> u32 {
+        let queues = self.pools[pool].queues.iter();
+        let count: usize = queues.map(|queue| self.drawable_count(*queue, kind)).sum();
+        u32::try_from(count).unwrap_or(u32::MAX)
+    }
+
+    fn drawable_count(&self, queue: usize, kind: Kind) -> usize {
+        let queue = &self.queues[queue];
+        match (queue.mode, kind) {
+            (QueueMode::Paused, _) | (QueueMode::Shadow, Kind::Copies) => 0,
+            (_, Kind::Ordinary) => queue.runnable.len(),
+            (_, Kind::Copies) => queue.copying.len(),
+        }
+    }
+
+    fn is_above_share(&self, list: ListIndex, pool: usize) -> bool {
+        let tenant = &self.tenants[self.lists[list].tenant];
+        tenant.is_above_share(pool, &self.pools[pool].capacity)
+    }
+
+    fn look_for_task(&self, index: ListIndex, offer: &Offer, now: Now) -> Finding {
+        let list = &self.lists[index];
+        let tenant = &self.tenants[list.tenant];
+        let in_shadow = self.queues[list.queue].mode == QueueMode::Shadow;
+        let mut finding = Finding {
+            above_ceiling: true,
+            ..Finding::default()
+        };
+        for ((_, task), shape) in self.look_ahead(list.pending.heads()) {
+            let Some(needs) = self.shapes.get(shape) else {
+                continue;
+            };
+            if !tenant.allows(&needs.resources) {
+                continue;
+            }
+            finding.above_ceiling = false;
+            if !needs.matches(&offer.labels) {
+                continue;
+            }
+            if needs.resources.fits_in(&offer.room) {
+                finding.startable = Some(task);
+                break;
+            }
+            let could_fit = needs.resources.fits_in(&offer.capacity);
+            if could_fit && !in_shadow && finding.starving.is_none() && self.starves(task, now) {
+                finding.starving = Some(task);
+            }
+        }
+        finding
+    }
+
+    fn look_for_copy(&self, index: ListIndex, offer: &Offer) -> Finding {
+        let list = &self.lists[index];
+        let tenant = &self.tenants[list.tenant];
+        let fits = |shape: ShapeIndex| {
+            self.shapes.get(shape).is_some_and(|needs| {
+                tenant.allows(&needs.resources)
+                    && needs.matches(&offer.labels)
+                    && needs.resources.fits_in(&offer.room)
+            })
+        };
+        let shapes = self.look_ahead(list.copies.heads());
+        let tasks = shapes
+            .filter(|(_, shape)| fits(*shape))
+            .flat_map(|(_, shape)| list.copies.of_shape(shape))
+            .take(self.options.look_ahead.saturating_add(1));
+        let startable = tasks
+            .map(|(_, task)| task)
+            .find(|task| !self.runs_on(*task, offer.runner));
+        Finding {
+            startable,
+            ..Finding::default()
+        }
+    }
+
+    fn look_ahead<'a>(
+        &self,
+        heads: impl Iterator<Item = (Order, ShapeIndex)> + 'a,
+    ) -> impl Iterator<Item = (Order, ShapeIndex)> + 'a {
+        heads.take(self.options.look_ahead.saturating_add(1))
+    }
+
+    fn starves(&self, task: TaskRef, now: Now) -> bool {
+        self.tasks.get(&task).is_some_and(|entry| {
+            now.monotonic.since(entry.waiting_since) >= self.options.hold_after
+        })
+    }
+
+    /// Binds the chosen task, or in a shadow queue only says so.
+    fn take(&mut self, choice: Choice, offer: &Offer, now: Now) -> Option<Decision> {
+        let entry = self.tasks.get(&choice.task)?;
+        let list = &self.lists[entry.list];
+        let (queue, tenant) = (list.queue, list.tenant);
+        let resources = self.shapes.get(entry.shape)?.resources;
+        let shadow = self.queues[queue].mode == QueueMode::Shadow;
+        let reservation = Reservation {
+            run: self.next_run(),
+            task: choice.task,
+            runner: self.runners.name(offer.runner)?.clone(),
+            incarnation: offer.incarnation,
+        };
+        let decision = Decision {
+            at: now.wall,
+            queue: self.queues.name(queue)?.clone(),
+            tenant: self.tenants.name(tenant)?.clone(),
+            kind: DecisionKind::Placed {
+                reservation: reservation.clone(),
+                runnable_tenants: choice.runnable_tenants,
+                shadow,
+            },
+        };
+        if shadow {
+            self.stand(choice.task, Standing::Shadowed);
+            return Some(decision);
+        }
+        self.open_run(
+            reservation.run,
+            Run {
+                task: choice.task,
+                tenant,
+                pool: Some(offer.pool),
+                runner: offer.runner,
+                incarnation: offer.incarnation,
+                resources,
+            },
+        );
+        self.release_hold_of(choice.task, offer.pool);
+        Some(decision)
+    }
+
+    fn release_hold_of(&mut self, task: TaskRef, pool: usize) {
+        let mut holds = self.pools[pool].holds.iter().copied();
+        let holder = holds.find(|runner| {
+            let hold = self.runners[*runner].hold;
+            hold.is_some_and(|hold| hold.task == task)
+        });
+        if let Some(runner) = holder {
+            self.release_hold(runner);
+        }
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/health.rs
@@ -0,0 +1,62 @@
+//! Health of a runner, judged by how runs of different jobs end on it.
+//!
+//! A runner on which many jobs fail is to blame; a job that fails on many
+//! runners is not the runners' fault and uses up its own allowed failures.
+
+use std::collections::VecDeque;
+use types::{JobNumber, Milliseconds, Monotonic};
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+enum Standing {
+    #[default]
+    Trusted,
+    OnProbation {
+        until: Monotonic,
+    },
+}
+
+/// Failures since the last success, and where that has put the runner.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Health {
+    /// Different jobs with a failed run since the last done one, oldest first.
+    failed_jobs: VecDeque<JobNumber>,
+    standing: Standing,
+}
+
+impl Health {
+    /// A run ended done: the runner is trusted again.
+    pub(crate) fn note_done(&mut self) {
+        self.failed_jobs.clear();
+        self.standing = Standing::Trusted;
+    }
+
+    /// A run of `job` failed. True when the runner should go on probation.
+    pub(crate) fn note_failed(&mut self, job: JobNumber, threshold: u32, now: Monotonic) -> bool {
+        if self.failed_jobs.contains(&job) {
+            return false;
+        }
+        self.failed_jobs.push_back(job);
+        let threshold = threshold.max(1) as usize;
+        while self.failed_jobs.len() > threshold {
+            self.failed_jobs.pop_front();
+        }
+        self.failed_jobs.len() == threshold && !self.on_probation(now)
+    }
+
+    /// Puts the runner on probation.
+    pub(crate) fn start_probation(&mut self, now: Monotonic, length: Milliseconds) {
+        self.standing = Standing::OnProbation {
+            until: now + length,
+        };
+    }
+
+    /// True while nothing may start on the runner.
+    pub(crate) fn on_probation(&self, now: Monotonic) -> bool {
+        matches!(self.standing, Standing::OnProbation { until } if now < until)
+    }
+
+    /// True from the end of probation to the first success: one run at a time.
+    pub(crate) fn on_trial(&self, now: Monotonic) -> bool {
+        matches!(self.standing, Standing::OnProbation { until } if now >= until)
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/heartbeat.rs
@@ -0,0 +1,125 @@
+//! What runners and operators say about runners, and when none may pull.
+
+use crate::runner::RunnerIndex;
+use crate::{Dispatcher, RunnerView};
+use types::{Monotonic, Now, Resources, RunnerId, RunnerReport, TaskRef};
+
+/// One runner in this many of a pool may be on probation at once.
+const RUNNERS_PER_PROBATION: usize = 3;
+
+/// Why a runner gets no pull.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum PullRefusal {
+    NotHeard,
+    Draining,
+    Silent,
+    OnProbation,
+}
+
+impl Dispatcher {
+    pub(crate) fn pull_refusal(&self, runner: RunnerIndex, now: Now) -> Option<PullRefusal> {
+        let state = &self.runners[runner];
+        let Some(last) = &state.reported else {
+            return Some(PullRefusal::NotHeard);
+        };
+        if state.is_draining() {
+            return Some(PullRefusal::Draining);
+        }
+        if now.monotonic.since(last.heard_at) > self.options.silent_after {
+            return Some(PullRefusal::Silent);
+        }
+        let at = now.monotonic;
+        let is_tried = state.health.on_trial(at) && state.has_run_of_this_life();
+        if state.health.on_probation(at) || is_tried {
+            return Some(PullRefusal::OnProbation);
+        }
+        None
+    }
+
+    pub(crate) fn take_heartbeat(&mut self, report: &RunnerReport, now: Now) {
+        let runner = self.runner_index(&report.runner);
+        if self.runners[runner].is_stale(report) {
+            return;
+        }
+        let pool = self.pool_index(&report.pool);
+        let before = self.runners[runner].reported.as_ref();
+        let before = before.map(|last| (last.pool, last.capacity));
+        self.runners[runner].take_report(report, pool, now.monotonic);
+        if before == Some((pool, report.capacity)) {
+            return;
+        }
+        if let Some((old_pool, _)) = before
+            && old_pool != pool
+        {
+            self.release_hold(runner);
+            self.pools[old_pool].runners.remove(&runner);
+            self.sum_capacity(old_pool);
+        }
+        self.pools[pool].runners.insert(runner);
+        self.sum_capacity(pool);
+    }
+
+    pub(crate) fn sum_capacity(&mut self, pool: usize) {
+        let runners = self.pools[pool].runners.iter();
+        let reported = runners.filter_map(|runner| self.runners[*runner].reported.as_ref());
+        let capacity = reported.fold(Resources::ZERO, |sum, last| sum.plus(&last.capacity));
+        self.pools[pool].capacity = capacity;
+    }
+
+    pub(crate) fn take_outcome(
+        &mut self,
+        runner: &RunnerId,
+        task: TaskRef,
+        failed: bool,
+        now: Monotonic,
+    ) {
+        let Some(index) = self.runners.find(runner) else {
+            return;
+        };
+        if !failed {
+            self.runners[index].health.note_done();
+            return;
+        }
+        let threshold = self.options.probation_failures;
+        let health = &mut self.runners[index].health;
+        if health.note_failed(task.job, threshold, now) && self.may_go_on_probation(index, now) {
+            let length = self.options.probation;
+            self.runners[index].health.start_probation(now, length);
+        }
+    }
+
+    // When everything fails, the runners are not to blame and must go on.
+    fn may_go_on_probation(&self, runner: RunnerIndex, now: Monotonic) -> bool {
+        let Some(last) = &self.runners[runner].reported else {
+            return false;
+        };
+        let runners = &self.pools[last.pool].runners;
+        let on_probation = runners
+            .iter()
+            .filter(|other| self.runners[**other].health.on_probation(now));
+        on_probation.count() < runners.len() / RUNNERS_PER_PROBATION
+    }
+
+    pub(crate) fn view_runners(&self, now: Now) -> Vec<RunnerView> {
+        let runners = self.runners.iter();
+        let heard =
+            runners.filter_map(|(name, state)| Some((name, state, state.reported.as_ref()?)));
+        heard
+            .filter_map(|(name, state, last)| {
+                Some(RunnerView {
+                    runner: name.clone(),
+                    incarnation: last.incarnation,
+                    pool: self.pools.name(last.pool)?.clone(),
+                    rack: last.rack.clone(),
+                    labels: last.labels.as_ref().clone(),
+                    capacity: last.capacity,
+                    room: state.room(),
+                    open_runs: u32::try_from(state.open_runs()).unwrap_or(u32::MAX),
+                    draining: state.is_draining(),
+                    on_probation: state.health.on_probation(now.monotonic),
+                    silence: now.monotonic.since(last.heard_at),
+                })
+            })
+            .collect()
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/hold.rs
@@ -0,0 +1,143 @@
+//! Runners kept free for a large task that small ones would starve.
+
+use crate::Dispatcher;
+use crate::runner::RunnerIndex;
+use crate::task::Standing;
+use configuration::QueueMode;
+use types::{Milliseconds, Monotonic, Now, Resources, TaskRef};
+
+/// One runner in this many may be kept free, and at least one in a pool.
+const RUNNERS_PER_HOLD: usize = 10;
+
+/// A runner is kept free for at most this many times `hold_after`; then the
+/// task waits as long as at first before another one is.
+const LONGEST_HOLD_FACTOR: u64 = 24;
+
+/// How long to wait after no runner was found that could be kept free.
+const SEARCH_AGAIN_AFTER: Milliseconds = Milliseconds(100);
+
+/// The task a runner is kept free for.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Hold {
+    pub(crate) task: TaskRef,
+    pub(crate) since: Monotonic,
+}
+
+impl Dispatcher {
+    /// The task that the runner is kept free for, while the hold stands; a
+    /// hold that lost its cause is released.
+    pub(crate) fn held_task(&mut self, runner: RunnerIndex, now: Now) -> Option<TaskRef> {
+        let hold = self.runners[runner].hold?;
+        if self.hold_stands(runner, hold, now) {
+            return Some(hold.task);
+        }
+        self.release_hold(runner);
+        if let Some(entry) = self.tasks.get_mut(&hold.task) {
+            entry.waiting_since = now.monotonic;
+        }
+        None
+    }
+
+    fn hold_stands(&self, runner: RunnerIndex, hold: Hold, now: Now) -> bool {
+        let Some(entry) = self.tasks.get(&hold.task) else {
+            return false;
+        };
+        let Some(shape) = self.shapes.get(entry.shape) else {
+            return false;
+        };
+        let list = &self.lists[entry.list];
+        let queue = &self.queues[list.queue];
+        let reported = self.runners[runner].reported.as_ref();
+        let longest = self
+            .options
+            .hold_after
+            .0
+            .saturating_mul(LONGEST_HOLD_FACTOR);
+        let starts_work = matches!(queue.mode, QueueMode::Active | QueueMode::Draining);
+        entry.standing == Standing::Pending
+            && starts_work
+            && now.monotonic.since(hold.since).0 <= longest
+            && self.tenants[list.tenant].allows(&shape.resources)
+            && self.pull_refusal(runner, now).is_none()
+            && reported.is_some_and(|last| {
+                Some(last.pool) == queue.pool
+                    && shape.resources.fits_in(&last.capacity)
+                    && shape.matches(&last.labels)
+            })
+    }
+
+    pub(crate) fn release_hold(&mut self, runner: RunnerIndex) {
+        self.runners[runner].hold = None;
+        for pool in 0..self.pools.len() {
+            self.pools[pool].holds.remove(&runner);
+        }
+    }
+
+    /// Releases what no longer has a cause, in the whole pool.
+    pub(crate) fn review_holds(&mut self, pool: usize, now: Now) {
+        let held: Vec<RunnerIndex> = self.pools[pool].holds.iter().copied().collect();
+        for runner in held {
+            self.held_task(runner, now);
+        }
+    }
+
+    /// Keeps the most suitable runner free for a task that waits too long.
+    pub(crate) fn hold_runner_for(&mut self, task: TaskRef, pool: usize, now: Now) {
+        if now.monotonic < self.search_holds_after {
+            return;
+        }
+        let allowed = (self.pools[pool].runners.len() / RUNNERS_PER_HOLD).max(1);
+        if self.pools[pool].holds.len() >= allowed {
+            self.review_holds(pool, now);
+        }
+        let mut holds = self.pools[pool].holds.iter();
+        let is_held = holds.any(|runner| {
+            let hold = self.runners[*runner].hold;
+            hold.is_some_and(|hold| hold.task == task)
+        });
+        if is_held || self.pools[pool].holds.len() >= allowed {
+            return;
+        }
+        let Some(runner) = self.most_suitable_runner(task, pool, now) else {
+            self.search_holds_after = now.monotonic + SEARCH_AGAIN_AFTER;
+            return;
+        };
+        self.pools[pool].holds.insert(runner);
+        self.runners[runner].hold = Some(Hold {
+            task,
+            since: now.monotonic,
+        });
+    }
+
+    // The runner that lacks least; among equals the first known.
+    fn most_suitable_runner(&self, task: TaskRef, pool: usize, now: Now) -> Option<RunnerIndex> {
+        let needs = self.shapes.get(self.tasks.get(&task)?.shape)?;
+        let suitable = |runner: &RunnerIndex| {
+            let runner = &self.runners[*runner];
+            let Some(last) = &runner.reported else {
+                return false;
+            };
+            runner.hold.is_none()
+                && needs.resources.fits_in(&last.capacity)
+                && needs.matches(&last.labels)
+        };
+        let runners = self.pools[pool].runners.iter().copied();
+        runners
+            .filter(suitable)
+            .filter(|runner| self.pull_refusal(*runner, now).is_none())
+            .min_by_key(|runner| lack(&needs.resources, &self.runners[*runner]))
+    }
+}
+
+// What is missing on a runner, in thousandths of its capacity over all kinds.
+fn lack(needs: &Resources, runner: &crate::runner::Runner) -> u64 {
+    let Some(last) = &runner.reported else {
+        return u64::MAX;
+    };
+    let missing = needs.minus(&runner.room());
+    let part = |missing: u32, all: u32| u64::from(missing) * 1_000 / u64::from(all.max(1));
+    part(missing.slots, last.capacity.slots)
+        + part(missing.cpu_milli, last.capacity.cpu_milli)
+        + part(missing.memory_mib, last.capacity.memory_mib)
+        + part(missing.gpus, last.capacity.gpus)
+}
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -6,8 +6,25 @@
 //! list and running set by queue and tenant, tenant limits, runnable tenants,
 //! and four atomic steps: publish, reserve, reschedule, remove.
 
+mod audit;
+mod configure;
 pub mod decision;
 pub mod dispatcher;
+mod draw;
+mod explain;
+mod health;
+mod heartbeat;
+mod hold;
+pub mod options;
+mod pending;
+mod place;
+mod queue;
+mod run;
+mod runner;
+mod shape;
+mod table;
+mod task;
 
 pub use decision::{Decision, DecisionKind, NotPlacedReason};
-pub use dispatcher::{AuditReport, Dispatcher, DispatcherOptions, Published, RunnerView};
+pub use dispatcher::Dispatcher;
+pub use options::{AuditReport, DispatcherOptions, Published, RunnerView};
--- /dev/null
+++ b/crates/dispatch/src/options.rs
@@ -0,0 +1,81 @@
+//! Limits of the dispatcher, and what it answers with.
+
+use serde::{Deserialize, Serialize};
+use types::{Labels, Milliseconds, PoolName, RackName, Resources, RunnerId, RunnerIncarnation};
+
+/// Limits of the dispatcher.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct DispatcherOptions {
+    /// Tasks of one tenant looked at past one that does not fit. Tasks with
+    /// equal needs count as one, since none fits where the first does not.
+    pub look_ahead: usize,
+    /// A task that has waited this long without fitting gets a runner kept free.
+    pub hold_after: Milliseconds,
+    /// Failed runs of different jobs on one runner, without a done one in
+    /// between, that put it on probation.
+    pub probation_failures: u32,
+    /// How long probation lasts.
+    pub probation: Milliseconds,
+    /// A runner silent for this long gets no pulls.
+    pub silent_after: Milliseconds,
+}
+
+impl Default for DispatcherOptions {
+    fn default() -> Self {
+        Self {
+            look_ahead: 16,
+            hold_after: Milliseconds(5_000),
+            probation_failures: 8,
+            probation: Milliseconds(10_000),
+            silent_after: Milliseconds(1_500),
+        }
+    }
+}
+
+/// What publish found.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Published {
+    /// The task is new to the view.
+    New,
+    /// It was there already; nothing changed.
+    Present,
+}
+
+/// A runner as the dispatcher sees it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RunnerView {
+    /// The runner.
+    pub runner: RunnerId,
+    /// Its current life.
+    pub incarnation: RunnerIncarnation,
+    /// Its pool.
+    pub pool: PoolName,
+    /// Its rack.
+    pub rack: RackName,
+    /// Its labels.
+    pub labels: Labels,
+    /// All it has.
+    pub capacity: Resources,
+    /// Reported room less orders in flight.
+    pub room: Resources,
+    /// Open runs bound to it, those of earlier lives among them.
+    pub open_runs: u32,
+    /// True when it or an operator says so.
+    pub draining: bool,
+    /// True when on probation.
+    pub on_probation: bool,
+    /// Time since its last heartbeat.
+    pub silence: Milliseconds,
+}
+
+/// What one slice of the audit found.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct AuditReport {
+    /// Tasks compared.
+    pub compared: u64,
+    /// Tasks in the record that the view had lost or held with other content;
+    /// published again.
+    pub republished: u64,
+    /// Tasks in the view that the record does not hold ready; removed.
+    pub removed: u64,
+}
--- /dev/null
+++ b/crates/dispatch/src/pending.rs
@@ -0,0 +1,83 @@
+//! Waiting tasks of one tenant in one queue, oldest first, grouped by what
+//! they need, so that looking past a task that does not fit also looks past
+//! every other one with the same needs.
+
+use crate::shape::ShapeIndex;
+use std::collections::{BTreeMap, BTreeSet};
+use types::{TaskRef, Urgency};
+
+/// Place of a task among its tenant's own: urgent first, then the oldest job.
+pub(crate) type Order = (Urgency, TaskRef);
+
+/// Tasks in order, and the first of each shape in order.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct PendingList {
+    by_shape: BTreeMap<ShapeIndex, BTreeSet<Order>>,
+    heads: BTreeSet<(Order, ShapeIndex)>,
+    length: usize,
+}
+
+impl PendingList {
+    /// Number of tasks.
+    pub(crate) fn len(&self) -> usize {
+        self.length
+    }
+
+    /// True when no task waits.
+    pub(crate) fn is_empty(&self) -> bool {
+        self.length == 0
+    }
+
+    /// Adds a task; false if it was there.
+    pub(crate) fn insert(&mut self, order: Order, shape: ShapeIndex) -> bool {
+        let lane = self.by_shape.entry(shape).or_default();
+        let old_head = lane.first().copied();
+        if !lane.insert(order) {
+            return false;
+        }
+        self.length += 1;
+        if old_head.is_none_or(|head| order < head) {
+            if let Some(head) = old_head {
+                self.heads.remove(&(head, shape));
+            }
+            self.heads.insert((order, shape));
+        }
+        true
+    }
+
+    /// Takes a task out; false if it was not there.
+    pub(crate) fn remove(&mut self, order: Order, shape: ShapeIndex) -> bool {
+        let Some(lane) = self.by_shape.get_mut(&shape) else {
+            return false;
+        };
+        if !lane.remove(&order) {
+            return false;
+        }
+        self.length -= 1;
+        let new_head = lane.first().copied();
+        if self.heads.remove(&(order, shape))
+            && let Some(head) = new_head
+        {
+            self.heads.insert((head, shape));
+        }
+        if new_head.is_none() {
+            self.by_shape.remove(&shape);
+        }
+        true
+    }
+
+    /// The oldest task of each shape, in order.
+    pub(crate) fn heads(&self) -> impl Iterator<Item = (Order, ShapeIndex)> + '_ {
+        self.heads.iter().copied()
+    }
+
+    /// The tasks of one shape, in order.
+    pub(crate) fn of_shape(&self, shape: ShapeIndex) -> impl Iterator<Item = Order> + '_ {
+        self.by_shape.get(&shape).into_iter().flatten().copied()
+    }
+
+    /// The first task of all.
+    pub(crate) fn first(&self) -> Option<Order> {
+        self.heads.first().map(|(order, _)| *order)
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/place.rs
@@ -0,0 +1,119 @@
+//! Placement over all runners, and the changed reasons of what stays.
+
+use crate::runner::RunnerIndex;
+use crate::{Decision, DecisionKind, Dispatcher};
+use rand::Rng;
+use std::collections::BinaryHeap;
+use types::{Milliseconds, Now, Resources};
+
+/// Lists whose reason is looked at in one call; the rest have their turn in
+/// the next ones.
+const REASONS_PER_CALL: usize = 16;
+
+/// A runner silent for this long with nothing bound to it no longer counts
+/// as part of its pool.
+const FORGET_AFTER: Milliseconds = Milliseconds(600_000);
+
+/// A runner with room: most free slots first, then most processor time, then
+/// by chance.
+type Turn = (u32, u32, u32, RunnerIndex);
+
+impl Dispatcher {
+    pub(crate) fn place_all(&mut self, now: Now, limit: usize) -> Vec<Decision> {
+        self.admit_due(now);
+        let mut decisions = Vec::new();
+        let mut turns = BinaryHeap::new();
+        for pool in 0..self.pools.len() {
+            self.review_holds(pool, now);
+            self.forget_silent(pool, now);
+            if self.has_waiting(pool) {
+                self.collect_turns(pool, now, &mut turns);
+            }
+        }
+        while decisions.len() < limit {
+            let Some((_, _, _, runner)) = turns.pop() else {
+                break;
+            };
+            if let Some(decision) = self.pull(runner, now) {
+                decisions.push(decision);
+                turns.extend(self.turn(runner));
+            }
+        }
+        self.report_reasons(now, &mut decisions);
+        decisions
+    }
+
+    fn has_waiting(&self, pool: usize) -> bool {
+        let mut queues = self.pools[pool].queues.iter();
+        queues.any(|queue| {
+            let queue = &self.queues[*queue];
+            queue.runnable.len() + queue.copying.len() > 0
+        })
+    }
+
+    fn collect_turns(&mut self, pool: usize, now: Now, turns: &mut BinaryHeap<Turn>) {
+        let runners = self.pools[pool].runners.iter().copied();
+        let usable: Vec<RunnerIndex> = runners
+            .filter(|runner| self.pull_refusal(*runner, now).is_none())
+            .collect();
+        for runner in usable {
+            turns.extend(self.turn(runner));
+        }
+    }
+
+    fn turn(&mut self, runner: RunnerIndex) -> Option<Turn> {
+        let room = self.runners[runner].room();
+        if room == Resources::ZERO {
+            return None;
+        }
+        Some((room.slots, room.cpu_milli, self.random.random(), runner))
+    }
+
+    fn forget_silent(&mut self, pool: usize, now: Now) {
+        let runners = self.pools[pool].runners.iter().copied();
+        let gone: Vec<RunnerIndex> = runners
+            .filter(|runner| {
+                let runner = &self.runners[*runner];
+                let silence = runner.reported.as_ref().map(|last| last.heard_at);
+                runner.open_runs() == 0
+                    && silence.is_none_or(|heard| now.monotonic.since(heard) >= FORGET_AFTER)
+            })
+            .collect();
+        if gone.is_empty() {
+            return;
+        }
+        for runner in gone {
+            self.release_hold(runner);
+            self.runners[runner].reported = None;
+            self.pools[pool].runners.remove(&runner);
+        }
+        self.sum_capacity(pool);
+    }
+
+    fn report_reasons(&mut self, now: Now, decisions: &mut Vec<Decision>) {
+        for _ in 0..REASONS_PER_CALL.min(self.lists.len()) {
+            self.reason_cursor = (self.reason_cursor + 1) % self.lists.len();
+            decisions.extend(self.changed_reason(self.reason_cursor, now));
+        }
+    }
+
+    fn changed_reason(&mut self, index: usize, now: Now) -> Option<Decision> {
+        let list = &self.lists[index];
+        let (queue, tenant) = (list.queue, list.tenant);
+        let head = list.pending.first().map(|(_, task)| task);
+        let reason = head.and_then(|task| self.reason_of(task, now));
+        if self.lists[index].last_reason == reason {
+            return None;
+        }
+        self.lists[index].last_reason = reason.clone();
+        Some(Decision {
+            at: now.wall,
+            queue: self.queues.name(queue)?.clone(),
+            tenant: self.tenants.name(tenant)?.clone(),
+            kind: DecisionKind::NotPlaced {
+                task: head?,
+                reason: reason?,
+            },
+        })
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/queue.rs
@@ -0,0 +1,140 @@
+//! Queues, pools, tenants, and the waiting work of a tenant in a queue.
+
+use crate::NotPlacedReason;
+use crate::pending::PendingList;
+use crate::runner::RunnerIndex;
+use configuration::QueueMode;
+use indexmap::IndexSet;
+use rand::Rng;
+use std::collections::{BTreeMap, BTreeSet};
+use types::{Resources, TaskRef};
+
+/// Index of a (queue, tenant) pair's waiting work.
+pub(crate) type ListIndex = usize;
+
+/// Waiting work of one tenant in one queue.
+#[derive(Debug, Clone)]
+pub(crate) struct TenantList {
+    pub(crate) queue: usize,
+    pub(crate) tenant: usize,
+    /// Tasks without a run that may start now.
+    pub(crate) pending: PendingList,
+    /// Running tasks that may have a further copy.
+    pub(crate) copies: PendingList,
+    /// Tasks that a shadow queue has decided on.
+    pub(crate) shadowed: BTreeSet<TaskRef>,
+    /// True when every task looked at would exceed the tenant's ceiling; until
+    /// the list, the ceiling or the holdings change, it need not be drawn.
+    pub(crate) above_ceiling: bool,
+    /// The reason last reported.
+    pub(crate) last_reason: Option<NotPlacedReason>,
+}
+
+/// Lists that may be drawn, with a uniform draw in constant time.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct RunnableSet {
+    members: IndexSet<ListIndex>,
+}
+
+impl RunnableSet {
+    /// Number of members.
+    pub(crate) fn len(&self) -> usize {
+        self.members.len()
+    }
+
+    /// Makes the list a member or not.
+    pub(crate) fn set(&mut self, list: ListIndex, member: bool) {
+        if member {
+            self.members.insert(list);
+        } else {
+            self.members.swap_remove(&list);
+        }
+    }
+
+    /// Draws one of the members that stand before the last `drawn`, and moves
+    /// it among those, so that repeated draws never meet one twice.
+    pub(crate) fn draw(&mut self, drawn: usize, random: &mut impl Rng) -> Option<ListIndex> {
+        let left = self.members.len().checked_sub(drawn)?;
+        if left == 0 {
+            return None;
+        }
+        let chosen = random.random_range(0..left);
+        self.members.swap_indices(chosen, left - 1);
+        self.members.get_index(left - 1).copied()
+    }
+}
+
+/// A queue.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Queue {
+    /// Its pool; None when the configuration does not know the queue.
+    pub(crate) pool: Option<usize>,
+    pub(crate) mode: QueueMode,
+    /// Lists with startable tasks of tenants below their ceiling.
+    pub(crate) runnable: RunnableSet,
+    /// Lists with startable copies of tenants below their ceiling.
+    pub(crate) copying: RunnableSet,
+    pub(crate) lists: Vec<ListIndex>,
+}
+
+/// A pool of runners.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Pool {
+    pub(crate) queues: Vec<usize>,
+    pub(crate) runners: BTreeSet<RunnerIndex>,
+    /// Sum over its runners.
+    pub(crate) capacity: Resources,
+    /// Runners kept free for a large task.
+    pub(crate) holds: BTreeSet<RunnerIndex>,
+}
+
+/// A tenant.
+#[derive(Debug, Clone)]
+pub(crate) struct Tenant {
+    pub(crate) share_percent: u32,
+    pub(crate) ceiling: Resources,
+    /// What its open runs hold in all pools.
+    pub(crate) held: Resources,
+    /// The same by pool.
+    pub(crate) held_in: BTreeMap<usize, Resources>,
+    pub(crate) lists: Vec<ListIndex>,
+}
+
+impl Default for Tenant {
+    // A tenant without a contract may hold nothing.
+    fn default() -> Self {
+        Self {
+            share_percent: 0,
+            ceiling: Resources::ZERO,
+            held: Resources::ZERO,
+            held_in: BTreeMap::new(),
+            lists: Vec::new(),
+        }
+    }
+}
+
+impl Tenant {
+    /// True when a run with these resources stays within the ceiling.
+    pub(crate) fn allows(&self, resources: &Resources) -> bool {
+        self.held.plus(resources).fits_in(&self.ceiling)
+    }
+
+    /// True when no kind of resource is left below the ceiling.
+    pub(crate) fn is_at_ceiling(&self) -> bool {
+        self.ceiling.fits_in(&self.held)
+    }
+
+    /// True when its runs in the pool hold more than its share of any kind.
+    pub(crate) fn is_above_share(&self, pool: usize, capacity: &Resources) -> bool {
+        let Some(held) = self.held_in.get(&pool) else {
+            return false;
+        };
+        let share = u64::from(self.share_percent);
+        let above =
+            |held: u32, all: u32| u64::from(held) * 100 > share.saturating_mul(u64::from(all));
+        above(held.slots, capacity.slots)
+            || above(held.cpu_milli, capacity.cpu_milli)
+            || above(held.memory_mib, capacity.memory_mib)
+            || above(held.gpus, capacity.gpus)
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/shape.rs
@@ -0,0 +1,93 @@
+//! What a task needs of a runner, stored once for all tasks that need the same.
+//!
+//! With millions of tasks waiting, each carries a small index in place of its
+//! resources and labels.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use types::{Labels, Resources};
+
+/// What a run of a task holds and which labels its runner must carry.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub(crate) struct Shape {
+    pub(crate) resources: Resources,
+    pub(crate) labels: Labels,
+}
+
+impl Shape {
+    /// True when a runner with these labels carries all that are asked for.
+    pub(crate) fn matches(&self, labels: &Labels) -> bool {
+        self.labels
+            .iter()
+            .all(|(name, value)| labels.get(name) == Some(value))
+    }
+}
+
+/// Index of a shape in the table.
+pub(crate) type ShapeIndex = u32;
+
+#[derive(Debug, Clone)]
+struct Slot {
+    shape: Arc<Shape>,
+    users: usize,
+}
+
+/// All shapes in use; a shape without users is dropped and its place used again.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct ShapeTable {
+    // Only looked up, never iterated: its order cannot reach a decision.
+    index: HashMap<Arc<Shape>, ShapeIndex>,
+    slots: Vec<Option<Slot>>,
+    free: Vec<ShapeIndex>,
+}
+
+impl ShapeTable {
+    /// Index of the shape, with one user more.
+    pub(crate) fn acquire(&mut self, shape: Shape) -> ShapeIndex {
+        if let Some(&index) = self.index.get(&shape) {
+            if let Some(Some(slot)) = self.slots.get_mut(index as usize) {
+                slot.users += 1;
+            }
+            return index;
+        }
+        let shape = Arc::new(shape);
+        let slot = Some(Slot {
+            shape: Arc::clone(&shape),
+            users: 1,
+        });
+        let index = match self.free.pop() {
+            Some(index) => {
+                self.slots[index as usize] = slot;
+                index
+            }
+            None => {
+                self.slots.push(slot);
+                (self.slots.len() - 1) as ShapeIndex
+            }
+        };
+        self.index.insert(shape, index);
+        index
+    }
+
+    /// Takes one user away.
+    pub(crate) fn release(&mut self, index: ShapeIndex) {
+        let Some(entry) = self.slots.get_mut(index as usize) else {
+            return;
+        };
+        let Some(slot) = entry else { return };
+        slot.users = slot.users.saturating_sub(1);
+        if slot.users == 0 {
+            self.index.remove(&slot.shape);
+            *entry = None;
+            self.free.push(index);
+        }
+    }
+
+    /// The shape, if the index is in use.
+    pub(crate) fn get(&self, index: ShapeIndex) -> Option<&Arc<Shape>> {
+        self.slots
+            .get(index as usize)?
+            .as_ref()
+            .map(|slot| &slot.shape)
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/task.rs
@@ -0,0 +1,186 @@
+//! Tasks: publish, remove, and the one place each task stands in.
+
+use crate::pending::Order;
+use crate::queue::{ListIndex, TenantList};
+use crate::shape::{Shape, ShapeIndex};
+use crate::{Dispatcher, Published};
+use types::{Monotonic, Now, QueueName, TaskMeta, TaskRef, TenantId, Urgency, WallTime};
+
+/// Where a published task stands.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Standing {
+    /// May start now.
+    Pending,
+    /// Runs, and may have a further copy.
+    Copies,
+    /// Its time has not come.
+    Delayed,
+    /// A shadow queue has decided on it.
+    Shadowed,
+    /// Has all the runs it may have.
+    Bound,
+}
+
+/// A published task (source: the `jobs:<id>` entry, here one for each task).
+#[derive(Debug, Clone)]
+pub(crate) struct Task {
+    pub(crate) list: ListIndex,
+    pub(crate) shape: ShapeIndex,
+    pub(crate) max_copies: u32,
+    pub(crate) urgency: Urgency,
+    pub(crate) standing: Standing,
+    /// Zero when it may start at once.
+    pub(crate) not_before: WallTime,
+    /// Since when it may start, on this leader's clock.
+    pub(crate) waiting_since: Monotonic,
+}
+
+impl Task {
+    fn order(&self, task: TaskRef) -> Order {
+        (self.urgency, task)
+    }
+}
+
+impl Dispatcher {
+    pub(crate) fn add_task(&mut self, meta: TaskMeta, now: Now) -> Published {
+        let open_runs = self.runs_of.get(&meta.task).map_or(0, Vec::len);
+        let is_bound = open_runs >= meta.max_copies.max(1) as usize;
+        if is_bound || self.tasks.contains_key(&meta.task) {
+            return Published::Present;
+        }
+        let list = self.list_index(&meta.queue, &meta.tenant);
+        let shape = self.shapes.acquire(Shape {
+            resources: meta.resources,
+            labels: meta.labels,
+        });
+        let task = Task {
+            list,
+            shape,
+            max_copies: meta.max_copies.max(1),
+            urgency: meta.urgency,
+            standing: Standing::Bound,
+            not_before: meta.not_before.unwrap_or_default(),
+            waiting_since: now.monotonic,
+        };
+        self.tasks.insert(meta.task, task);
+        self.settle(meta.task, now);
+        Published::New
+    }
+
+    pub(crate) fn remove_task(&mut self, task: TaskRef) -> bool {
+        if !self.tasks.contains_key(&task) {
+            return false;
+        }
+        self.stand(task, Standing::Bound);
+        if let Some(entry) = self.tasks.remove(&task) {
+            self.shapes.release(entry.shape);
+        }
+        true
+    }
+
+    /// Puts a task where its time and its open runs say.
+    pub(crate) fn settle(&mut self, task: TaskRef, now: Now) {
+        let Some(entry) = self.tasks.get_mut(&task) else {
+            return;
+        };
+        let open_runs = self.runs_of.get(&task).map_or(0, Vec::len);
+        let standing = if open_runs >= entry.max_copies as usize {
+            Standing::Bound
+        } else if entry.not_before > now.wall {
+            Standing::Delayed
+        } else if open_runs == 0 {
+            Standing::Pending
+        } else {
+            Standing::Copies
+        };
+        if standing != entry.standing {
+            entry.waiting_since = now.monotonic;
+        }
+        self.stand(task, standing);
+    }
+
+    /// Moves a task from where it stands to another standing.
+    pub(crate) fn stand(&mut self, task: TaskRef, standing: Standing) {
+        let Some(entry) = self.tasks.get_mut(&task) else {
+            return;
+        };
+        if entry.standing == standing {
+            return;
+        }
+        let order = entry.order(task);
+        let (index, shape, not_before) = (entry.list, entry.shape, entry.not_before);
+        let old = std::mem::replace(&mut entry.standing, standing);
+        let list = &mut self.lists[index];
+        match old {
+            Standing::Pending => drop(list.pending.remove(order, shape)),
+            Standing::Copies => drop(list.copies.remove(order, shape)),
+            Standing::Delayed => drop(self.delayed.remove(&(not_before, task))),
+            Standing::Shadowed => drop(list.shadowed.remove(&task)),
+            Standing::Bound => {}
+        }
+        match standing {
+            Standing::Pending => drop(list.pending.insert(order, shape)),
+            Standing::Copies => drop(list.copies.insert(order, shape)),
+            Standing::Delayed => drop(self.delayed.insert((not_before, task))),
+            Standing::Shadowed => drop(list.shadowed.insert(task)),
+            Standing::Bound => {}
+        }
+        list.above_ceiling = false;
+        self.refresh_list(index);
+    }
+
+    /// Lets tasks whose time has come into their pending lists.
+    pub(crate) fn admit_due(&mut self, now: Now) {
+        while let Some(&(time, task)) = self.delayed.first() {
+            if time > now.wall {
+                return;
+            }
+            // Taken out here as well, so that the loop ends whatever it meets.
+            self.delayed.pop_first();
+            self.settle(task, now);
+        }
+    }
+
+    /// Index of the waiting work of a tenant in a queue, made when new.
+    pub(crate) fn list_index(&mut self, queue: &QueueName, tenant: &TenantId) -> ListIndex {
+        let queue = self.queue_index(queue);
+        let tenant = self.tenant_index(tenant);
+        if let Some(&index) = self.list_of.get(&(queue, tenant)) {
+            return index;
+        }
+        let index = self.lists.len();
+        self.lists.push(TenantList {
+            queue,
+            tenant,
+            pending: Default::default(),
+            copies: Default::default(),
+            shadowed: Default::default(),
+            above_ceiling: false,
+            last_reason: None,
+        });
+        self.list_of.insert((queue, tenant), index);
+        self.queues[queue].lists.push(index);
+        self.tenants[tenant].lists.push(index);
+        index
+    }
+
+    /// Puts a list into its queue's runnable sets, or takes it out.
+    pub(crate) fn refresh_list(&mut self, index: ListIndex) {
+        let list = &self.lists[index];
+        let may_hold_more = !self.tenants[list.tenant].is_at_ceiling();
+        let runnable = may_hold_more && !list.above_ceiling && !list.pending.is_empty();
+        let copying = may_hold_more && !list.copies.is_empty();
+        let queue = &mut self.queues[list.queue];
+        queue.runnable.set(index, runnable);
+        queue.copying.set(index, copying);
+    }
+
+    /// The same for all lists of a tenant, after its holdings or ceiling moved.
+    pub(crate) fn refresh_tenant(&mut self, tenant: usize) {
+        for position in 0..self.tenants[tenant].lists.len() {
+            let index = self.tenants[tenant].lists[position];
+            self.lists[index].above_ceiling = false;
+            self.refresh_list(index);
+        }
+    }
+}
--- /dev/null
+++ b/crates/dispatch/tests/fairness.rs
@@ -0,0 +1,244 @@
+//! Draw, ceilings, shares, queue modes, holds and reasons.
+
+mod support;
+
+use configuration::QueueMode;
+use dispatch::{DecisionKind, Dispatcher, NotPlacedReason};
+use std::collections::VecDeque;
+use support::*;
+use types::RunId;
+
+#[test]
+fn the_draw_among_runnable_tenants_is_uniform() {
+    const TENANTS: usize = 10;
+    const DRAWS: u32 = 10_000;
+    let names: Vec<String> = (0..TENANTS).map(|number| format!("t{number}")).collect();
+    let pairs: Vec<(&str, u32)> = names.iter().map(|name| (name.as_str(), 1_000)).collect();
+    let mut dispatcher = dispatcher(&document(&pairs));
+    dispatcher.heartbeat(&report("r1", 1, 1, 1), at(0));
+    // Unequal backlogs must not matter.
+    let mut job = 0;
+    for (position, name) in names.iter().enumerate() {
+        for _ in 0..(2_000 + 500 * position) {
+            job += 1;
+            dispatcher.publish(meta(job, name, 1), at(0));
+        }
+    }
+    let mut counts = [0_u32; TENANTS];
+    for _ in 0..DRAWS {
+        let decision = dispatcher.reserve(&runner("r1"), at(0)).unwrap();
+        let position = names
+            .iter()
+            .position(|name| name == decision.tenant.as_str());
+        counts[position.unwrap()] += 1;
+        dispatcher.remove_run(placed(Some(decision)).unwrap().run);
+    }
+    let expected = f64::from(DRAWS) / TENANTS as f64;
+    let squares = counts
+        .iter()
+        .map(|count| (f64::from(*count) - expected).powi(2) / expected);
+    let chi_square: f64 = squares.sum();
+    // 9 degrees of freedom: 27.88 is passed by chance once in a thousand.
+    assert!(chi_square < 27.88, "{chi_square} {counts:?}");
+}
+
+#[test]
+fn a_lower_ceiling_holds_at_once_and_a_higher_one_frees_at_once() {
+    let mut dispatcher = dispatcher(&document(&[("a", 2)]));
+    dispatcher.heartbeat(&report("r1", 1, 8, 8), at(0));
+    for job in 1..=6 {
+        dispatcher.publish(meta(job, "a", 1), at(0));
+    }
+    assert_eq!(all_placed(dispatcher.place(at(0), 10)).len(), 2);
+    dispatcher.configure(&document(&[("a", 3)]));
+    assert_eq!(all_placed(dispatcher.place(at(0), 10)).len(), 1);
+    dispatcher.configure(&document(&[("a", 1)]));
+    assert_eq!(dispatcher.reserve(&runner("r1"), at(0)), None);
+    dispatcher.configure(&document(&[]));
+    assert_eq!(dispatcher.reserve(&runner("r1"), at(0)), None);
+    dispatcher.configure(&document(&[("a", 8)]));
+    assert_eq!(all_placed(dispatcher.place(at(0), 10)).len(), 3);
+}
+
+#[test]
+fn a_tenant_above_its_share_waits_for_one_below_and_bursts_otherwise() {
+    let mut document = document(&[("a", 100), ("b", 100)]);
+    document
+        .tenants
+        .insert(tenant("a"), contract(25, slots(100)));
+    document
+        .tenants
+        .insert(tenant("b"), contract(75, slots(100)));
+    let mut dispatcher = dispatcher(&document);
+    dispatcher.heartbeat(&report("r1", 1, 8, 8), at(0));
+    for job in 1..=4 {
+        dispatcher.publish(meta(job, "a", 1), at(0));
+    }
+    // Alone, tenant a bursts to half of the pool.
+    assert_eq!(all_placed(dispatcher.place(at(0), 4)).len(), 4);
+    for job in 5..=8 {
+        dispatcher.publish(meta(job, "a", 1), at(0));
+    }
+    for job in 11..=13 {
+        dispatcher.publish(meta(job, "b", 1), at(0));
+    }
+    assert_eq!(
+        dispatcher.explain(task(5), at(0)),
+        Some(NotPlacedReason::TenantAboveShare)
+    );
+    let next: Vec<u64> = all_placed(dispatcher.place(at(0), 10))
+        .iter()
+        .map(|reservation| reservation.task.job.0)
+        .collect();
+    assert_eq!(next, [11, 12, 13, 5]);
+}
+
+#[test]
+fn a_shadow_queue_decides_each_task_once_and_binds_nothing() {
+    let mut document = document(&[("a", 100)]);
+    add_queue(&mut document, "main", QueueMode::Shadow);
+    let mut dispatcher = dispatcher(&document);
+    dispatcher.heartbeat(&report("r1", 1, 2, 2), at(0));
+    for job in 1..=3 {
+        dispatcher.publish(meta(job, "a", 1), at(0));
+    }
+    let decisions = dispatcher.place(at(0), 10);
+    let shadows = decisions
+        .iter()
+        .filter(|one| matches!(one.kind, DecisionKind::Placed { shadow: true, .. }));
+    assert_eq!(shadows.count(), 3);
+    assert!(dispatcher.place(at(0), 10).is_empty());
+    assert_eq!(dispatcher.open_run_count(), 0);
+    assert_eq!(
+        dispatcher.explain(task(1), at(0)),
+        Some(NotPlacedReason::QueueShadow)
+    );
+    add_queue(&mut document, "main", QueueMode::Active);
+    dispatcher.configure(&document);
+    assert_eq!(all_placed(dispatcher.place(at(0), 10)).len(), 2);
+}
+
+#[test]
+fn paused_and_unknown_queues_start_nothing_and_draining_ones_finish() {
+    let mut document = document(&[("a", 100)]);
+    add_queue(&mut document, "main", QueueMode::Paused);
+    let mut dispatcher = dispatcher(&document);
+    dispatcher.heartbeat(&report("r1", 1, 8, 8), at(0));
+    dispatcher.publish(meta(1, "a", 1), at(0));
+    assert_eq!(dispatcher.reserve(&runner("r1"), at(0)), None);
+    document.queues.clear();
+    dispatcher.configure(&document);
+    assert_eq!(dispatcher.reserve(&runner("r1"), at(0)), None);
+    assert_eq!(
+        dispatcher.explain(task(1), at(0)),
+        Some(NotPlacedReason::QueuePaused)
+    );
+    add_queue(&mut document, "main", QueueMode::Draining);
+    dispatcher.configure(&document);
+    assert!(dispatcher.reserve(&runner("r1"), at(0)).is_some());
+}
+
+/// Small tasks end one after another; how many of them start before the task
+/// that needs the whole runner does.
+fn small_starts_before_the_large_one(
+    dispatcher: &mut Dispatcher,
+    mut running: VecDeque<RunId>,
+) -> Option<u64> {
+    let mut small_starts = 0;
+    for tick in 0..2_000_u64 {
+        let now = at(tick * 100);
+        let mut heartbeat = report("r1", tick + 2, 4, 4 - running.len() as u32);
+        heartbeat.held = running.iter().map(|run| held(*run)).collect();
+        dispatcher.heartbeat(&heartbeat, now);
+        for reservation in all_placed(dispatcher.place(now, 10)) {
+            if reservation.task == task(1_000_000) {
+                return Some(small_starts);
+            }
+            small_starts += 1;
+            running.push_back(reservation.run);
+        }
+        if let Some(run) = running.pop_front() {
+            dispatcher.remove_run(run);
+        }
+    }
+    None
+}
+
+#[test]
+fn a_large_task_does_not_starve_behind_small_ones() {
+    let mut dispatcher = dispatcher(&document(&[("large", 100), ("small", 100)]));
+    dispatcher.heartbeat(&report("r1", 1, 4, 4), at(0));
+    for job in 1..=5_000 {
+        dispatcher.publish(meta(job, "small", 1), at(0));
+    }
+    let full = all_placed(dispatcher.place(at(0), 10));
+    let running: VecDeque<RunId> = full.iter().map(|reservation| reservation.run).collect();
+    assert_eq!(running.len(), 4);
+    dispatcher.publish(meta(1_000_000, "large", 4), at(0));
+    let starts = small_starts_before_the_large_one(&mut dispatcher, running);
+    assert!(starts.is_some_and(|starts| starts < 200), "{starts:?}");
+}
+
+#[test]
+fn a_hold_ends_when_its_task_is_gone() {
+    let mut dispatcher = dispatcher(&document(&[("large", 100), ("small", 100)]));
+    dispatcher.heartbeat(&report("r1", 1, 4, 4), at(0));
+    dispatcher.publish(meta(1, "small", 1), at(0));
+    dispatcher.reserve(&runner("r1"), at(0)).unwrap();
+    dispatcher.publish(meta(2, "large", 4), at(0));
+    dispatcher.heartbeat(&report("r1", 2, 4, 4), at(6_000));
+    assert_eq!(dispatcher.reserve(&runner("r1"), at(6_000)), None);
+    dispatcher.publish(meta(3, "small", 1), at(6_000));
+    assert_eq!(dispatcher.reserve(&runner("r1"), at(6_000)), None);
+    assert_eq!(
+        dispatcher.explain(task(3), at(6_000)),
+        Some(NotPlacedReason::HeldForLargerTask {
+            runner: runner("r1")
+        })
+    );
+    dispatcher.remove(task(2));
+    assert!(dispatcher.reserve(&runner("r1"), at(6_000)).is_some());
+}
+
+#[test]
+fn a_reason_is_reported_when_it_changes_only() {
+    let mut dispatcher = dispatcher(&document(&[("a", 1)]));
+    dispatcher.publish(meta(1, "a", 1), at(0));
+    dispatcher.publish(meta(2, "a", 1), at(0));
+    let reasons = |decisions: Vec<dispatch::Decision>| -> Vec<NotPlacedReason> {
+        let kinds = decisions.into_iter().map(|decision| decision.kind);
+        kinds
+            .filter_map(|kind| match kind {
+                DecisionKind::NotPlaced { reason, .. } => Some(reason),
+                DecisionKind::Placed { .. } => None,
+            })
+            .collect()
+    };
+    assert_eq!(
+        reasons(dispatcher.place(at(0), 10)),
+        [NotPlacedReason::NoRunnerKnown]
+    );
+    assert!(reasons(dispatcher.place(at(0), 10)).is_empty());
+    dispatcher.heartbeat(&report("r1", 1, 4, 4), at(0));
+    assert_eq!(
+        reasons(dispatcher.place(at(0), 10)),
+        [NotPlacedReason::TenantAtCeiling]
+    );
+    assert!(reasons(dispatcher.place(at(0), 10)).is_empty());
+}
+
+#[test]
+fn placement_spreads_over_runners() {
+    let mut dispatcher = dispatcher(&document(&[("a", 100)]));
+    for name in ["r1", "r2", "r3", "r4"] {
+        dispatcher.heartbeat(&report(name, 1, 4, 4), at(0));
+    }
+    for job in 1..=8 {
+        dispatcher.publish(meta(job, "a", 1), at(0));
+    }
+    let mut counts = std::collections::BTreeMap::new();
+    for reservation in all_placed(dispatcher.place(at(0), 100)) {
+        *counts.entry(reservation.runner).or_insert(0) += 1;
+    }
+    assert_eq!(counts.into_values().collect::<Vec<i32>>(), [2, 2, 2, 2]);
+}
--- /dev/null
+++ b/crates/dispatch/tests/model.rs
@@ -0,0 +1,306 @@
+//! Random histories against a naive reference that only keeps the books.
+
+mod support;
+
+use dispatch::{Decision, Dispatcher, NotPlacedReason};
+use proptest::prelude::*;
+use std::collections::{BTreeMap, BTreeSet};
+use support::*;
+use types::*;
+
+const TENANTS: [(&str, u32); 3] = [("a", 3), ("b", 5), ("c", 100)];
+const RUNNERS: [&str; 3] = ["r1", "r2", "r3"];
+const CAPACITY: u32 = 4;
+
+#[derive(Debug, Clone)]
+enum Step {
+    Publish {
+        job: u64,
+        needs: u32,
+        copies: u32,
+        delay: u64,
+    },
+    Reserve {
+        runner: usize,
+    },
+    Place {
+        limit: usize,
+    },
+    Reschedule {
+        pick: usize,
+        delay: u64,
+    },
+    RemoveRun {
+        pick: usize,
+    },
+    RemoveTask {
+        job: u64,
+    },
+    Heartbeat {
+        runner: usize,
+        draining: bool,
+    },
+    Drain {
+        runner: usize,
+        draining: bool,
+    },
+    Wait {
+        length: u64,
+    },
+}
+
+fn any_step() -> impl Strategy<Value = Step> {
+    let job = 1..40_u64;
+    let runner = 0..RUNNERS.len();
+    prop_oneof![
+        4 => (job.clone(), 1..4_u32, 1..3_u32, prop_oneof![Just(0), 1..400_u64])
+            .prop_map(|(job, needs, copies, delay)| Step::Publish { job, needs, copies, delay }),
+        4 => runner.clone().prop_map(|runner| Step::Reserve { runner }),
+        1 => (0..6_usize).prop_map(|limit| Step::Place { limit }),
+        1 => (any::<usize>(), 0..300_u64)
+            .prop_map(|(pick, delay)| Step::Reschedule { pick, delay }),
+        2 => any::<usize>().prop_map(|pick| Step::RemoveRun { pick }),
+        1 => job.prop_map(|job| Step::RemoveTask { job }),
+        3 => (runner.clone(), prop::bool::weighted(0.1))
+            .prop_map(|(runner, draining)| Step::Heartbeat { runner, draining }),
+        1 => (runner, any::<bool>()).prop_map(|(runner, draining)| Step::Drain { runner, draining }),
+        1 => (0..700_u64).prop_map(|length| Step::Wait { length }),
+    ]
+}
+
+/// The books: what is open where, and what may never start.
+#[derive(Default)]
+struct Reference {
+    now: u64,
+    sequence: u64,
+    metas: BTreeMap<TaskRef, TaskMeta>,
+    open: BTreeMap<RunId, (Reservation, u32)>,
+    known_runs: BTreeSet<RunId>,
+    draining: BTreeMap<usize, (bool, bool)>,
+    heard_at: BTreeMap<usize, u64>,
+}
+
+impl Reference {
+    fn owner(job: u64) -> (&'static str, u32) {
+        TENANTS[job as usize % TENANTS.len()]
+    }
+
+    fn runs_of(&self, task: TaskRef) -> usize {
+        let open = self.open.values();
+        open.filter(|(reservation, _)| reservation.task == task)
+            .count()
+    }
+
+    fn held_by_tenant(&self, name: &str) -> u32 {
+        let open = self.open.values();
+        let own = open.filter(|(reservation, _)| Self::owner(reservation.task.job.0).0 == name);
+        own.map(|(_, needs)| needs).sum()
+    }
+
+    fn held_by_runner(&self, name: &str) -> u32 {
+        let open = self.open.values();
+        let here = open.filter(|(reservation, _)| reservation.runner.as_str() == name);
+        here.map(|(_, needs)| needs).sum()
+    }
+
+    fn take(&mut self, reservation: Reservation) {
+        let meta = self.metas.get(&reservation.task).expect("a published task");
+        let needs = meta.resources.slots;
+        let (owner, ceiling) = Self::owner(reservation.task.job.0);
+        let name = reservation.runner.as_str().to_owned();
+        let runner = RUNNERS.iter().position(|known| *known == name).unwrap();
+        assert!(self.known_runs.insert(reservation.run), "run used twice");
+        assert!(meta.not_before.is_none_or(|time| time <= at(self.now).wall));
+        assert_eq!(
+            self.draining.get(&runner).copied().unwrap_or_default(),
+            (false, false)
+        );
+        assert!(self.now - self.heard_at[&runner] <= 1_500, "silent runner");
+        let copies = meta.max_copies as usize;
+        let task = reservation.task;
+        let twice_here = self
+            .open
+            .values()
+            .any(|(other, _)| other.task == task && other.runner == reservation.runner);
+        assert!(!twice_here, "two copies on one runner");
+        self.open.insert(reservation.run, (reservation, needs));
+        assert!(self.runs_of(task) <= copies, "more runs than copies");
+        assert!(self.held_by_tenant(owner) <= ceiling, "above the ceiling");
+        assert!(self.held_by_runner(&name) <= CAPACITY, "more than the room");
+    }
+
+    fn heartbeat(&mut self, runner: usize, draining: bool) -> RunnerReport {
+        self.sequence += 1;
+        self.heard_at.insert(runner, self.now);
+        self.draining.entry(runner).or_default().0 = draining;
+        let name = RUNNERS[runner];
+        let used = self.held_by_runner(name);
+        let mut heartbeat = report(name, self.sequence, CAPACITY, CAPACITY - used);
+        heartbeat.draining = draining;
+        let open = self.open.values();
+        let here = open.filter(|(reservation, _)| reservation.runner.as_str() == name);
+        heartbeat.held = here.map(|(reservation, _)| held(reservation.run)).collect();
+        heartbeat
+    }
+
+    fn pick(&self, pick: usize) -> Option<(RunId, TaskRef)> {
+        let count = self.open.len();
+        let chosen = self.open.values().nth(pick.checked_rem(count)?)?;
+        Some((chosen.0.run, chosen.0.task))
+    }
+}
+
+fn start() -> Dispatcher {
+    dispatcher(&document(&TENANTS))
+}
+
+fn apply(dispatcher: &mut Dispatcher, books: &mut Reference, step: Step) -> Vec<Decision> {
+    let now = at(books.now);
+    match step {
+        Step::Publish {
+            job,
+            needs,
+            copies,
+            delay,
+        } => {
+            let mut new = meta(job, Reference::owner(job).0, needs);
+            new.max_copies = copies;
+            new.not_before = (delay > 0).then(|| at(books.now + delay).wall);
+            let known = books.metas.contains_key(&new.task) || books.runs_of(new.task) > 0;
+            if !known {
+                books.metas.insert(new.task, new.clone());
+                dispatcher.publish(new, now);
+            } else if let Some(known) = books.metas.get(&new.task) {
+                dispatcher.publish(known.clone(), now);
+            }
+            Vec::new()
+        }
+        Step::Reserve { runner: index } => {
+            let decision = dispatcher.reserve(&runner(RUNNERS[index]), now);
+            decision.into_iter().collect()
+        }
+        Step::Place { limit } => dispatcher.place(now, limit),
+        Step::Reschedule { pick, delay } => {
+            let Some((run, task)) = books.pick(pick) else {
+                return Vec::new();
+            };
+            books.open.remove(&run);
+            let Some(known) = books.metas.get_mut(&task) else {
+                dispatcher.remove_run(run);
+                return Vec::new();
+            };
+            known.not_before = (delay > 0).then(|| at(books.now + delay).wall);
+            dispatcher.reschedule(run, known.clone(), now);
+            dispatcher.reschedule(run, known.clone(), now);
+            Vec::new()
+        }
+        Step::RemoveRun { pick } => {
+            let Some((run, task)) = books.pick(pick) else {
+                return Vec::new();
+            };
+            books.open.remove(&run);
+            books.metas.remove(&task);
+            dispatcher.remove_run(run);
+            dispatcher.remove_run(run);
+            Vec::new()
+        }
+        Step::RemoveTask { job } => {
+            books.metas.remove(&task(job));
+            dispatcher.remove(task(job));
+            dispatcher.remove(task(job));
+            Vec::new()
+        }
+        Step::Heartbeat { runner, draining } => {
+            let heartbeat = books.heartbeat(runner, draining);
+            dispatcher.heartbeat(&heartbeat, now);
+            Vec::new()
+        }
+        Step::Drain {
+            runner: index,
+            draining,
+        } => {
+            books.draining.entry(index).or_default().1 = draining;
+            dispatcher.set_draining(&runner(RUNNERS[index]), draining);
+            Vec::new()
+        }
+        Step::Wait { length } => {
+            books.now += length;
+            Vec::new()
+        }
+    }
+}
+
+fn check_books(dispatcher: &Dispatcher, books: &Reference) {
+    for (name, _) in TENANTS {
+        let held = dispatcher.holdings(&tenant(name));
+        assert_eq!(held, slots(books.held_by_tenant(name)));
+    }
+    assert_eq!(dispatcher.open_run_count(), books.open.len());
+}
+
+fn run_history(steps: Vec<Step>) -> Vec<Decision> {
+    let mut dispatcher = start();
+    let mut books = Reference::default();
+    let mut all = Vec::new();
+    for step in steps {
+        for decision in apply(&mut dispatcher, &mut books, step) {
+            all.push(decision.clone());
+            if let Some(reservation) = placed(Some(decision)) {
+                books.take(reservation);
+            }
+        }
+        check_books(&dispatcher, &books);
+    }
+    all
+}
+
+fn settled(dispatcher: &Dispatcher) -> Vec<(usize, Resources, Option<NotPlacedReason>)> {
+    let tenants = TENANTS.iter().map(|(name, _)| tenant(name));
+    let counts = tenants.map(|tenant| {
+        let pending = dispatcher.pending_count(&queue("main"), &tenant);
+        (pending, dispatcher.holdings(&tenant), None)
+    });
+    let reasons = (1..40).map(|job| (0, Resources::ZERO, dispatcher.explain(task(job), at(0))));
+    counts.chain(reasons).collect()
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 300,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(20_261_202),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn invariants_hold_and_equal_histories_decide_equally(
+        steps in prop::collection::vec(any_step(), 1..250),
+    ) {
+        let first = run_history(steps.clone());
+        let second = run_history(steps);
+        prop_assert_eq!(first, second);
+    }
+
+    #[test]
+    fn the_order_of_publishing_does_not_matter(
+        jobs in prop::collection::btree_map(1..40_u64, (1..4_u32, 1..3_u32, 0..2_u64), 1..30)
+            .prop_flat_map(|jobs| {
+                let jobs: Vec<_> = jobs.into_iter().collect();
+                (Just(jobs.clone()), Just(jobs).prop_shuffle())
+            }),
+    ) {
+        let publish = |jobs: &[(u64, (u32, u32, u64))]| {
+            let mut dispatcher = start();
+            dispatcher.heartbeat(&report("r1", 1, CAPACITY, CAPACITY), at(0));
+            for (job, (needs, copies, delay)) in jobs {
+                let mut new = meta(*job, Reference::owner(*job).0, *needs);
+                new.max_copies = *copies;
+                new.not_before = (*delay > 0).then(|| at(*delay).wall);
+                dispatcher.publish(new.clone(), at(0));
+                dispatcher.publish(new, at(0));
+            }
+            dispatcher
+        };
+        prop_assert_eq!(settled(&publish(&jobs.0)), settled(&publish(&jobs.1)));
+    }
+}
--- /dev/null
+++ b/crates/dispatch/tests/steps.rs
@@ -0,0 +1,157 @@
+//! The four atomic steps, one behaviour at a time.
+
+mod support;
+
+use dispatch::{NotPlacedReason, Published};
+use support::*;
+use types::*;
+
+#[test]
+fn publish_is_idempotent_while_pending_delayed_and_running() {
+    let mut dispatcher = dispatcher(&document(&[("a", 10)]));
+    dispatcher.heartbeat(&report("r1", 1, 4, 4), at(0));
+    assert_eq!(dispatcher.publish(meta(1, "a", 1), at(0)), Published::New);
+    assert_eq!(
+        dispatcher.publish(meta(1, "a", 1), at(0)),
+        Published::Present
+    );
+    let mut late = meta(2, "a", 1);
+    late.not_before = Some(at(500).wall);
+    assert_eq!(dispatcher.publish(late.clone(), at(0)), Published::New);
+    assert_eq!(dispatcher.publish(late, at(0)), Published::Present);
+    let reservation = placed(dispatcher.reserve(&runner("r1"), at(0))).unwrap();
+    assert_eq!(reservation.task, task(1));
+    assert_eq!(
+        dispatcher.publish(meta(1, "a", 1), at(0)),
+        Published::Present
+    );
+    assert_eq!(placed(dispatcher.reserve(&runner("r1"), at(0))), None);
+}
+
+#[test]
+fn adopted_run_makes_its_task_present() {
+    let mut dispatcher = dispatcher(&document(&[("a", 10)]));
+    let run = RunId {
+        term: Term(2),
+        sequence: 9,
+    };
+    let open = OpenRun {
+        run,
+        task: task(1),
+        tenant: tenant("a"),
+        queue: queue("main"),
+        runner: runner("r1"),
+        incarnation: RunnerIncarnation(1),
+        resources: slots(2),
+        time_limit: Milliseconds(1_000),
+        reserved_at: at(0).wall,
+    };
+    dispatcher.adopt_run(open.clone());
+    dispatcher.adopt_run(open);
+    assert_eq!(dispatcher.holdings(&tenant("a")), slots(2));
+    assert_eq!(
+        dispatcher.publish(meta(1, "a", 2), at(0)),
+        Published::Present
+    );
+    assert_eq!(
+        dispatcher.explain(task(1), at(0)),
+        Some(NotPlacedReason::AlreadyRunning)
+    );
+    dispatcher.reschedule(run, meta(1, "a", 2), at(0));
+    dispatcher.reschedule(run, meta(1, "a", 2), at(0));
+    assert_eq!(dispatcher.holdings(&tenant("a")), Resources::ZERO);
+    assert_eq!(dispatcher.pending_count(&queue("main"), &tenant("a")), 1);
+}
+
+#[test]
+fn urgent_tasks_go_first_then_the_oldest() {
+    let mut dispatcher = dispatcher(&document(&[("a", 10)]));
+    dispatcher.heartbeat(&report("r1", 1, 4, 4), at(0));
+    dispatcher.publish(meta(2, "a", 1), at(0));
+    dispatcher.publish(meta(1, "a", 1), at(0));
+    let mut urgent = meta(3, "a", 1);
+    urgent.urgency = Urgency::Urgent;
+    dispatcher.publish(urgent, at(0));
+    let mut order = Vec::new();
+    while let Some(reservation) = placed(dispatcher.reserve(&runner("r1"), at(0))) {
+        order.push(reservation.task.job.0);
+    }
+    assert_eq!(order, [3, 1, 2]);
+}
+
+#[test]
+fn a_task_waits_for_its_time_and_next_start_time_names_it() {
+    let mut dispatcher = dispatcher(&document(&[("a", 10)]));
+    dispatcher.heartbeat(&report("r1", 1, 4, 4), at(0));
+    let mut late = meta(1, "a", 1);
+    late.not_before = Some(at(500).wall);
+    dispatcher.publish(late, at(0));
+    assert_eq!(dispatcher.next_start_time(), Some(at(500).wall));
+    assert_eq!(
+        dispatcher.explain(task(1), at(0)),
+        Some(NotPlacedReason::BeforeItsTime {
+            not_before: at(500).wall
+        })
+    );
+    assert_eq!(dispatcher.reserve(&runner("r1"), at(499)), None);
+    assert!(dispatcher.reserve(&runner("r1"), at(500)).is_some());
+    assert_eq!(dispatcher.next_start_time(), None);
+}
+
+#[test]
+fn a_removed_task_keeps_its_holdings_until_its_run_is_removed() {
+    let mut dispatcher = dispatcher(&document(&[("a", 10)]));
+    dispatcher.heartbeat(&report("r1", 1, 4, 4), at(0));
+    dispatcher.publish(meta(1, "a", 2), at(0));
+    let run = placed(dispatcher.reserve(&runner("r1"), at(0)))
+        .unwrap()
+        .run;
+    dispatcher.remove(task(1));
+    dispatcher.remove(task(1));
+    assert_eq!(dispatcher.holdings(&tenant("a")), slots(2));
+    assert_eq!(
+        dispatcher.publish(meta(1, "a", 2), at(0)),
+        Published::Present
+    );
+    dispatcher.remove_run(run);
+    dispatcher.remove_run(run);
+    assert_eq!(dispatcher.holdings(&tenant("a")), Resources::ZERO);
+    assert_eq!(dispatcher.task_count(), 0);
+}
+
+#[test]
+fn run_identifiers_carry_the_term_and_rise() {
+    let mut dispatcher = dispatcher(&document(&[("a", 10)]));
+    dispatcher.heartbeat(&report("r1", 1, 4, 4), at(0));
+    for job in 1..=3 {
+        dispatcher.publish(meta(job, "a", 1), at(0));
+    }
+    let mut last = 0;
+    while let Some(reservation) = placed(dispatcher.reserve(&runner("r1"), at(0))) {
+        assert_eq!(reservation.run.term, Term(3));
+        assert!(reservation.run.sequence > last);
+        last = reservation.run.sequence;
+    }
+    assert_eq!(last, 3);
+}
+
+#[test]
+fn a_copy_starts_only_elsewhere_and_after_ordinary_work() {
+    let mut dispatcher = dispatcher(&document(&[("a", 10)]));
+    dispatcher.heartbeat(&report("r1", 1, 4, 4), at(0));
+    dispatcher.heartbeat(&report("r2", 1, 4, 4), at(0));
+    let mut doubled = meta(1, "a", 1);
+    doubled.max_copies = 2;
+    dispatcher.publish(doubled, at(0));
+    let first = placed(dispatcher.reserve(&runner("r1"), at(0))).unwrap();
+    assert_eq!(dispatcher.reserve(&runner("r1"), at(0)), None);
+    dispatcher.publish(meta(2, "a", 1), at(0));
+    let ordinary = placed(dispatcher.reserve(&runner("r2"), at(0))).unwrap();
+    assert_eq!(ordinary.task, task(2));
+    let copy = placed(dispatcher.reserve(&runner("r2"), at(0))).unwrap();
+    assert_eq!(copy.task, task(1));
+    assert_eq!(dispatcher.reserve(&runner("r2"), at(0)), None);
+    dispatcher.remove_run(first.run);
+    assert_eq!(dispatcher.holdings(&tenant("a")), slots(2));
+    assert_eq!(dispatcher.reserve(&runner("r1"), at(0)), None);
+}
--- /dev/null
+++ b/crates/dispatch/tests/support/mod.rs
@@ -0,0 +1,146 @@
+//! Builders shared by the dispatcher's tests.
+
+#![allow(dead_code)]
+
+use configuration::{
+    ClusterConfiguration, ErrorBudget, PoolSettings, QueueMode, QueueSettings, TenantSettings,
+};
+use dispatch::{Decision, DecisionKind, Dispatcher, DispatcherOptions};
+use types::*;
+
+pub fn queue(name: &str) -> QueueName {
+    QueueName::new(name).unwrap()
+}
+
+pub fn tenant(name: &str) -> TenantId {
+    TenantId::new(name).unwrap()
+}
+
+pub fn runner(name: &str) -> RunnerId {
+    RunnerId::new(name).unwrap()
+}
+
+pub fn at(milliseconds: u64) -> Now {
+    Now {
+        monotonic: Monotonic(milliseconds),
+        wall: WallTime(1_000_000 + milliseconds),
+    }
+}
+
+pub fn slots(slots: u32) -> Resources {
+    Resources {
+        slots,
+        ..Resources::ZERO
+    }
+}
+
+pub fn task(job: u64) -> TaskRef {
+    TaskRef {
+        job: JobNumber(job),
+        step: 0,
+        task: 0,
+    }
+}
+
+pub fn meta(job: u64, owner: &str, needs: u32) -> TaskMeta {
+    TaskMeta {
+        task: task(job),
+        tenant: tenant(owner),
+        queue: queue("main"),
+        urgency: Urgency::Normal,
+        resources: slots(needs),
+        labels: Labels::new(),
+        max_copies: 1,
+        not_before: None,
+    }
+}
+
+pub fn contract(share_percent: u32, ceiling: Resources) -> TenantSettings {
+    TenantSettings {
+        share_percent,
+        ceiling,
+        error_budget: ErrorBudget {
+            late_after: Milliseconds(1_000),
+            late_per_thousand: 1,
+            failed_per_thousand: 1,
+        },
+        submits_per_second: 1_000,
+        submit_burst: 1_000,
+        max_unfinished_jobs: 1_000_000,
+    }
+}
+
+/// Pool `pool` with queue `main`, and these tenants with a share of 100 %.
+pub fn document(tenants: &[(&str, u32)]) -> ClusterConfiguration {
+    let mut document = ClusterConfiguration::default();
+    let pool = PoolName::new("pool").unwrap();
+    document.pools.insert(
+        pool.clone(),
+        PoolSettings {
+            largest_runner: slots(64),
+        },
+    );
+    add_queue(&mut document, "main", QueueMode::Active);
+    for (name, ceiling) in tenants {
+        let settings = contract(100, slots(*ceiling));
+        document.tenants.insert(tenant(name), settings);
+    }
+    document
+}
+
+pub fn add_queue(document: &mut ClusterConfiguration, name: &str, mode: QueueMode) {
+    let settings = QueueSettings {
+        pool: PoolName::new("pool").unwrap(),
+        mode,
+        max_unfinished_jobs: 1_000_000,
+    };
+    document.queues.insert(queue(name), settings);
+}
+
+pub fn report(name: &str, sequence: u64, capacity: u32, free: u32) -> RunnerReport {
+    RunnerReport {
+        runner: runner(name),
+        incarnation: RunnerIncarnation(1),
+        sequence: HeartbeatSequence(sequence),
+        pool: PoolName::new("pool").unwrap(),
+        rack: RackName::new("rack").unwrap(),
+        labels: Labels::new(),
+        capacity: slots(capacity),
+        free: slots(free),
+        draining: false,
+        self_stop: true,
+        held: Vec::new(),
+        ended: Vec::new(),
+    }
+}
+
+pub fn held(run: RunId) -> HeldRun {
+    HeldRun {
+        run,
+        age: Milliseconds(10),
+    }
+}
+
+pub fn dispatcher(document: &ClusterConfiguration) -> Dispatcher {
+    let mut dispatcher = Dispatcher::new(DispatcherOptions::default(), Term(3), 7);
+    dispatcher.configure(document);
+    dispatcher
+}
+
+/// The reservation of a decision that binds.
+pub fn placed(decision: Option<Decision>) -> Option<Reservation> {
+    match decision?.kind {
+        DecisionKind::Placed {
+            reservation,
+            shadow: false,
+            ..
+        } => Some(reservation),
+        _ => None,
+    }
+}
+
+/// Reservations among decisions that bind.
+pub fn all_placed(decisions: Vec<Decision>) -> Vec<Reservation> {
+    let decisions = decisions.into_iter();
+    decisions.filter_map(|one| placed(Some(one))).collect()
+}
