Keep a runner free for a starving task without a lucky draw

A large task of a tenant that is seldom drawn got a runner kept free only when a draw met it, so with many tenants it waited far past the limit. Ruled out: a search of all lists at each pull, whose cost grows with the tenants. Placement now looks at one list in each call. It also passes over runners on which no needed shape fits, in place of a vain walk through all tenants.

--- a/crates/dispatch/src/draw.rs
+++ b/crates/dispatch/src/draw.rs
@@ -10,7 +10,11 @@
 use configuration::QueueMode;
 use rand::Rng;
 use std::sync::Arc;
-use types::{Labels, Now, Reservation, Resources, RunnerIncarnation, TaskRef};
+use types::{Labels, Milliseconds, Now, Reservation, Resources, RunnerIncarnation, TaskRef};
+
+/// How long pulls do without a search for a runner that could be kept free,
+/// after one found none.
+const SEARCH_AGAIN_AFTER: Milliseconds = Milliseconds(100);
 
 /// What one runner offers for one pull.
 #[derive(Debug, Clone)]
@@ -121,8 +125,11 @@
             self.lists[index].above_ceiling = true;
             self.refresh_list(index);
         }
-        if let Some(task) = starving {
-            self.hold_runner_for(task, offer.pool, now);
+        if let Some(task) = starving
+            && now.monotonic >= self.search_holds_after
+            && !self.hold_runner_for(task, offer.pool, now)
+        {
+            self.search_holds_after = now.monotonic + SEARCH_AGAIN_AFTER;
         }
         self.unless_just_held(chosen.or(bursting), offer.runner)
             .map(|task| Choice {
@@ -241,14 +248,14 @@
         }
     }
 
-    fn look_ahead<'a>(
+    pub(crate) fn look_ahead<'a>(
         &self,
         heads: impl Iterator<Item = (Order, ShapeIndex)> + 'a,
     ) -> impl Iterator<Item = (Order, ShapeIndex)> + 'a {
         heads.take(self.options.look_ahead.saturating_add(1))
     }
 
-    fn starves(&self, task: TaskRef, now: Now) -> bool {
+    pub(crate) fn starves(&self, task: TaskRef, now: Now) -> bool {
         self.tasks.get(&task).is_some_and(|entry| {
             now.monotonic.since(entry.waiting_since) >= self.options.hold_after
         })
@@ -292,18 +299,9 @@
                 resources,
             },
         );
-        self.release_hold_of(choice.task, offer.pool);
-        Some(decision)
-    }
-
-    fn release_hold_of(&mut self, task: TaskRef, pool: usize) {
-        let mut holds = self.pools[pool].holds.iter().copied();
-        let holder = holds.find(|runner| {
-            let hold = self.runners[*runner].hold;
-            hold.is_some_and(|hold| hold.task == task)
-        });
-        if let Some(runner) = holder {
-            self.release_hold(runner);
+        if let Some(holder) = self.holder_of(choice.task, offer.pool) {
+            self.release_hold(holder);
         }
+        Some(decision)
     }
 }
--- a/crates/dispatch/src/hold.rs
+++ b/crates/dispatch/src/hold.rs
@@ -1,10 +1,11 @@
 //! Runners kept free for a large task that small ones would starve.
 
 use crate::Dispatcher;
+use crate::queue::ListIndex;
 use crate::runner::RunnerIndex;
 use crate::task::Standing;
 use configuration::QueueMode;
-use types::{Milliseconds, Monotonic, Now, Resources, TaskRef};
+use types::{Monotonic, Now, Resources, TaskRef};
 
 /// One runner in this many may be kept free, and at least one in a pool.
 const RUNNERS_PER_HOLD: usize = 10;
@@ -13,9 +14,6 @@
 /// task waits as long as at first before another one is.
 const LONGEST_HOLD_FACTOR: u64 = 24;
 
-/// How long to wait after no runner was found that could be kept free.
-const SEARCH_AGAIN_AFTER: Milliseconds = Milliseconds(100);
-
 /// The task a runner is kept free for.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Hold {
@@ -81,32 +79,63 @@
         }
     }
 
-    /// Keeps the most suitable runner free for a task that waits too long.
-    pub(crate) fn hold_runner_for(&mut self, task: TaskRef, pool: usize, now: Now) {
-        if now.monotonic < self.search_holds_after {
-            return;
-        }
+    /// Keeps the most suitable runner free for a task that waits too long;
+    /// false when the task found none.
+    pub(crate) fn hold_runner_for(&mut self, task: TaskRef, pool: usize, now: Now) -> bool {
         let allowed = (self.pools[pool].runners.len() / RUNNERS_PER_HOLD).max(1);
         if self.pools[pool].holds.len() >= allowed {
             self.review_holds(pool, now);
         }
-        let mut holds = self.pools[pool].holds.iter();
-        let is_held = holds.any(|runner| {
-            let hold = self.runners[*runner].hold;
-            hold.is_some_and(|hold| hold.task == task)
-        });
-        if is_held || self.pools[pool].holds.len() >= allowed {
-            return;
+        if self.holder_of(task, pool).is_some() || self.pools[pool].holds.len() >= allowed {
+            return true;
         }
         let Some(runner) = self.most_suitable_runner(task, pool, now) else {
-            self.search_holds_after = now.monotonic + SEARCH_AGAIN_AFTER;
-            return;
+            return false;
         };
         self.pools[pool].holds.insert(runner);
         self.runners[runner].hold = Some(Hold {
             task,
             since: now.monotonic,
         });
+        true
+    }
+
+    /// The runner that is kept free for the task.
+    pub(crate) fn holder_of(&self, task: TaskRef, pool: usize) -> Option<RunnerIndex> {
+        let mut holds = self.pools[pool].holds.iter().copied();
+        holds.find(|runner| {
+            let hold = self.runners[*runner].hold;
+            hold.is_some_and(|hold| hold.task == task)
+        })
+    }
+
+    /// Keeps a runner free for the first task of a list that waits too long,
+    /// so that a tenant seldom drawn does not depend on the draw for it.
+    pub(crate) fn relieve_list(&mut self, index: ListIndex, now: Now) {
+        let list = &self.lists[index];
+        let queue = &self.queues[list.queue];
+        let starts_work = matches!(queue.mode, QueueMode::Active | QueueMode::Draining);
+        let Some(pool) = queue.pool.filter(|_| starts_work) else {
+            return;
+        };
+        let tenant = &self.tenants[list.tenant];
+        if tenant.is_above_share(pool, &self.pools[pool].capacity) {
+            return;
+        }
+        let heads = self.look_ahead(list.pending.heads());
+        let starving: Vec<TaskRef> = heads
+            .filter(|((_, task), shape)| {
+                let needs = self.shapes.get(*shape);
+                let allowed = needs.is_some_and(|needs| tenant.allows(&needs.resources));
+                allowed && self.starves(*task, now)
+            })
+            .map(|((_, task), _)| task)
+            .collect();
+        for task in starving {
+            if self.hold_runner_for(task, pool, now) {
+                return;
+            }
+        }
     }
 
     // The runner that lacks least; among equals the first known.
--- a/crates/dispatch/src/place.rs
+++ b/crates/dispatch/src/place.rs
@@ -4,7 +4,7 @@
 use crate::{Decision, DecisionKind, Dispatcher};
 use rand::Rng;
 use std::collections::BinaryHeap;
-use types::{Milliseconds, Now, Resources};
+use types::{Milliseconds, Now};
 
 /// Lists whose reason is looked at in one call; the rest have their turn in
 /// the next ones.
@@ -62,8 +62,10 @@
     }
 
     fn turn(&mut self, runner: RunnerIndex) -> Option<Turn> {
-        let room = self.runners[runner].room();
-        if room == Resources::ZERO {
+        let state = &self.runners[runner];
+        let room = state.room();
+        let labels = &state.reported.as_ref()?.labels;
+        if !self.shapes.may_fit(&room, labels) {
             return None;
         }
         Some((room.slots, room.cpu_milli, self.random.random(), runner))
@@ -91,6 +93,9 @@
     }
 
     fn report_reasons(&mut self, now: Now, decisions: &mut Vec<Decision>) {
+        if let Some(next) = (self.reason_cursor + 1).checked_rem(self.lists.len()) {
+            self.relieve_list(next, now);
+        }
         for _ in 0..REASONS_PER_CALL.min(self.lists.len()) {
             self.reason_cursor = (self.reason_cursor + 1) % self.lists.len();
             decisions.extend(self.changed_reason(self.reason_cursor, now));
--- a/crates/dispatch/src/shape.rs
+++ b/crates/dispatch/src/shape.rs
@@ -23,6 +23,9 @@
     }
 }
 
+/// With more shapes than this, looking at each costs more than a vain pull.
+const MOST_SHAPES_LOOKED_AT: usize = 256;
+
 /// Index of a shape in the table.
 pub(crate) type ShapeIndex = u32;
 
@@ -83,6 +86,16 @@
         }
     }
 
+    /// False only when nothing in use fits: then a runner needs no pull. With
+    /// very many shapes it does not look at all of them and says true.
+    pub(crate) fn may_fit(&self, room: &Resources, labels: &Labels) -> bool {
+        let used = self.slots.iter().flatten();
+        self.slots.len() > MOST_SHAPES_LOOKED_AT
+            || used
+                .map(|slot| &slot.shape)
+                .any(|shape| shape.resources.fits_in(room) && shape.matches(labels))
+    }
+
     /// The shape, if the index is in use.
     pub(crate) fn get(&self, index: ShapeIndex) -> Option<&Arc<Shape>> {
         self.slots
--- a/crates/dispatch/tests/fairness.rs
+++ b/crates/dispatch/tests/fairness.rs
@@ -179,6 +179,21 @@
     assert!(starts.is_some_and(|starts| starts < 200), "{starts:?}");
 }
 
+#[test]
+fn placement_keeps_a_runner_free_without_a_lucky_draw() {
+    let mut dispatcher = dispatcher(&document(&[("large", 100), ("small", 100)]));
+    dispatcher.heartbeat(&report("r1", 1, 4, 4), at(0));
+    dispatcher.publish(meta(1, "small", 1), at(0));
+    dispatcher.reserve(&runner("r1"), at(0)).unwrap();
+    dispatcher.publish(meta(2, "large", 4), at(0));
+    dispatcher.heartbeat(&report("r1", 2, 4, 3), at(6_000));
+    // The lists take turns, so two calls look at both.
+    dispatcher.place(at(6_000), 10);
+    dispatcher.place(at(6_000), 10);
+    dispatcher.publish(meta(3, "small", 1), at(6_000));
+    assert!(all_placed(dispatcher.place(at(6_000), 10)).is_empty());
+}
+
 #[test]
 fn a_hold_ends_when_its_task_is_gone() {
     let mut dispatcher = dispatcher(&document(&[("large", 100), ("small", 100)]));
