Check histories against every promise

The checker had its types and no rules. Each rule now takes the events in order beside a shared picture of jobs and runs, and allows for what was asked and never answered. Added to the events, all readable from older histories: a step's time limit, a ceiling that was sent, a drain that was lifted; to the limits: the retention. Ruled out: counting every stopped run as a possible failure, which would hide a lost run that used up a failure. Before: the check panicked.

--- a/crates/checker/src/check.rs
+++ b/crates/checker/src/check.rs
@@ -1,8 +1,26 @@
 //! The rules.
 
-use crate::Observation;
+mod cancel;
+mod ceiling;
+mod configuration;
+mod dependency;
+mod drain;
+mod end;
+mod lost;
+mod order;
+mod reopened;
+mod repeat;
+mod retry;
+mod rule;
+mod service;
+mod start_time;
+mod world;
+
+use crate::{Event, Observation, ReadState};
+use rule::{Findings, Rule};
 use serde::{Deserialize, Serialize};
-use types::Milliseconds;
+use types::{JobState, Milliseconds};
+use world::World;
 
 /// Times and margins of the promises, from the brief.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -19,6 +37,8 @@
     pub service_after: Milliseconds,
     /// A ceiling may be exceeded by this part, in percent.
     pub ceiling_margin_percent: u32,
+    /// An acknowledged job may be forgotten this long after it was taken.
+    pub retention: Milliseconds,
 }
 
 impl Default for Limits {
@@ -30,6 +50,7 @@
             configuration_after: Milliseconds(2_000),
             service_after: Milliseconds(12_000),
             ceiling_margin_percent: 5,
+            retention: Milliseconds::from_seconds(3_600),
         }
     }
 }
@@ -40,7 +61,7 @@
 pub enum ViolationKind {
     /// An acknowledged job was unknown later, or never finished.
     LostJob,
-    /// A job was marked failed or cancelled without cause.
+    /// A job was marked failed, cancelled or done without cause.
     FalseEnd,
     /// A final state changed.
     Reopened,
@@ -102,8 +123,69 @@
     pub started_runs: u64,
 }
 
-/// Checks a whole history, in order of time.
+/// Checks a whole history, in order of time. What was asked and not answered
+/// may or may not have been taken; the rules allow for both.
 pub fn check(history: &[Observation], limits: &Limits) -> Report {
-    let _ = (history, limits);
-    todo!()
+    let mut rules = all_rules();
+    let mut world = World::default();
+    let mut findings = Findings::default();
+    let mut report = Report::default();
+    for observation in history {
+        for rule in &mut rules {
+            rule.observe(observation, &world, limits, &mut findings);
+        }
+        count(observation, &world, &mut report);
+        world.observe(observation);
+    }
+    report.violations = findings.into_violations();
+    report
+}
+
+fn all_rules() -> Vec<Box<dyn Rule>> {
+    vec![
+        Box::new(lost::LostJob),
+        Box::new(end::FalseEnd),
+        Box::new(reopened::Reopened::default()),
+        Box::new(repeat::OverlappingRuns),
+        Box::new(repeat::RepeatedTask),
+        Box::new(repeat::DoubleStart),
+        Box::new(dependency::StartBeforeDependency),
+        Box::new(start_time::StartBeforeTime),
+        Box::new(ceiling::CeilingExceeded::default()),
+        Box::new(retry::RetriedPastAllowed),
+        Box::new(cancel::StartAfterCancel),
+        Box::new(drain::StartOnDrainingRunner::default()),
+        Box::new(configuration::ConfigurationLate::default()),
+        Box::new(configuration::ConfigurationSlidBack::default()),
+        Box::new(configuration::TwoWinners::default()),
+        Box::new(order::StaleOrderAccepted::default()),
+        Box::new(service::ServiceNotBack::default()),
+    ]
+}
+
+fn count(observation: &Observation, world: &World, report: &mut Report) {
+    match &observation.event {
+        Event::RunStarted { .. } => report.started_runs += 1,
+        Event::SubmitAcknowledged { job } => {
+            let known = world.job(job).and_then(|facts| facts.acknowledged_at);
+            report.acknowledged_jobs += u64::from(known.is_none());
+        }
+        Event::StateRead {
+            job,
+            state: ReadState::Known(state),
+            ..
+        } => {
+            let first = world
+                .job(job)
+                .is_none_or(|facts| facts.final_state.is_none());
+            let counter = match state {
+                JobState::Done => &mut report.done_jobs,
+                JobState::Failed => &mut report.failed_jobs,
+                JobState::Cancelled => &mut report.cancelled_jobs,
+                JobState::Waiting | JobState::Running => return,
+            };
+            *counter += u64::from(first);
+        }
+        _ => {}
+    }
 }
--- /dev/null
+++ b/crates/checker/src/check/dependency.rs
@@ -0,0 +1,37 @@
+//! No start before the steps it depends on are done.
+
+use super::rule::{Findings, Rule};
+use super::world::World;
+use super::{Limits, ViolationKind};
+use crate::{Event, Observation};
+
+#[derive(Debug)]
+pub(super) struct StartBeforeDependency;
+
+impl Rule for StartBeforeDependency {
+    fn observe(
+        &mut self,
+        observation: &Observation,
+        world: &World,
+        _limits: &Limits,
+        findings: &mut Findings,
+    ) {
+        let Event::RunStarted { run, job, step, .. } = &observation.event else {
+            return;
+        };
+        let Some(facts) = world.job(job) else { return };
+        let Some(expected) = facts.step(step) else {
+            return;
+        };
+        for earlier in &expected.after {
+            let tasks = facts.step(earlier).map_or(0, |step| step.tasks);
+            let done = facts.done_in(earlier);
+            if done < tasks {
+                let detail = format!(
+                    "run {run} of {job} {step} began with {done} of {tasks} tasks of {earlier} done"
+                );
+                findings.add(ViolationKind::StartBeforeDependency, observation.at, detail);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/checker/src/check/end.rs
@@ -0,0 +1,53 @@
+//! A job ends only for a cause that was seen before.
+
+use super::rule::{Findings, Rule};
+use super::world::{JobFacts, World};
+use super::{Limits, ViolationKind};
+use crate::{Event, Observation, ReadState};
+use types::{JobState, Milliseconds};
+
+#[derive(Debug)]
+pub(super) struct FalseEnd;
+
+impl Rule for FalseEnd {
+    fn observe(
+        &mut self,
+        observation: &Observation,
+        world: &World,
+        _limits: &Limits,
+        findings: &mut Findings,
+    ) {
+        let Event::StateRead {
+            job,
+            state: ReadState::Known(state),
+            ..
+        } = &observation.event
+        else {
+            return;
+        };
+        let Some(facts) = world.job(job) else { return };
+        if facts.final_state.is_some() {
+            return;
+        }
+        if let Some(lacking) = missing_cause(*state, facts, world, observation.at) {
+            let detail = format!("job {job} was read as {state:?}, but {lacking}");
+            findings.add(ViolationKind::FalseEnd, observation.at, detail);
+        }
+    }
+}
+
+fn missing_cause(
+    state: JobState,
+    facts: &JobFacts,
+    world: &World,
+    at: Milliseconds,
+) -> Option<&'static str> {
+    match state {
+        JobState::Failed if !facts.may_have_failed(world, at) => {
+            Some("no task had used up its allowed failures")
+        }
+        JobState::Cancelled if !facts.cancel_sent => Some("no cancel had been sent"),
+        JobState::Done if facts.is_done() == Some(false) => Some("not all its tasks were done"),
+        _ => None,
+    }
+}
--- /dev/null
+++ b/crates/checker/src/check/order.rs
@@ -0,0 +1,43 @@
+//! A runner refuses orders of a superseded leader.
+
+use super::rule::{Findings, Rule};
+use super::world::World;
+use super::{Limits, ViolationKind};
+use crate::{Event, Observation};
+use std::collections::BTreeMap;
+use types::{RunnerId, Term};
+
+#[derive(Debug, Default)]
+pub(super) struct StaleOrderAccepted {
+    /// Highest term of an order that each runner took in its current life.
+    highest: BTreeMap<RunnerId, Term>,
+}
+
+impl Rule for StaleOrderAccepted {
+    fn observe(
+        &mut self,
+        observation: &Observation,
+        _world: &World,
+        _limits: &Limits,
+        findings: &mut Findings,
+    ) {
+        match &observation.event {
+            Event::RunnerStopped { runner } => {
+                self.highest.remove(runner);
+            }
+            Event::OrderAccepted {
+                runner,
+                term,
+                stale,
+            } => {
+                let highest = self.highest.entry(runner.clone()).or_insert(*term);
+                if *stale || term < highest {
+                    let detail = format!("{runner} took an order of superseded term {term}");
+                    findings.add(ViolationKind::StaleOrderAccepted, observation.at, detail);
+                }
+                *highest = (*highest).max(*term);
+            }
+            _ => {}
+        }
+    }
+}
--- a/crates/checker/src/event.rs
+++ b/crates/checker/src/event.rs
@@ -114,6 +114,11 @@
         /// The runner.
         runner: RunnerId,
     },
+    /// An operator sent word that the runner need not drain any more.
+    RunnerDrainLifted {
+        /// The runner.
+        runner: RunnerId,
+    },
     /// A runner process ended; its runs with it.
     RunnerStopped {
         /// The runner.
@@ -153,6 +158,14 @@
         /// Digest of the document.
         digest: String,
     },
+    /// A configuration with this ceiling was sent: it may be in force from now
+    /// on, also when its acknowledgement is lost.
+    CeilingSent {
+        /// The tenant.
+        tenant: types::TenantId,
+        /// Its ceiling.
+        ceiling: types::Resources,
+    },
     /// A tenant's ceiling was acknowledged in a configuration.
     CeilingInForce {
         /// The tenant.
@@ -185,6 +198,10 @@
     pub max_copies: u32,
     /// Failed runs allowed for a task.
     pub allowed_failures: u32,
+    /// A run that was stopped after this time may count as failed; when it is
+    /// not known, any stopped run may.
+    #[serde(default)]
+    pub time_limit: Option<Milliseconds>,
 }
 
 /// What a caller was told of a job.
--- a/crates/checker/src/lib.rs
+++ b/crates/checker/src/lib.rs
@@ -6,6 +6,8 @@
 
 pub mod check;
 pub mod event;
+pub mod history;
 
 pub use check::{Limits, Report, Violation, ViolationKind, check};
-pub use event::{Event, Observation, ReadState};
+pub use event::{Event, ExpectedStep, Observation, ReadState};
+pub use history::{HistoryError, read_history, write_history};
