Serve livez, readyz and metrics from the admin crate

Cause: the seam had an empty router. Ruled out: a listener inside the exporter library, which would add a second HTTP stack and port. Change: routes over Readiness, one process-wide recorder, and a listener that ends politely with a bound. Before: no route answered.

--- a/crates/admin/src/lib.rs
+++ b/crates/admin/src/lib.rs
@@ -1,50 +1,11 @@
 //! The admin listener of every daemon: `/livez`, `/readyz`, `/metrics`.
+//!
+//! A shell sets [`Readiness`]; the platform and the operators read it here.
 
-use std::sync::{Arc, RwLock};
+pub mod readiness;
+pub mod recorder;
+pub mod server;
 
-/// Whether the daemon should get traffic, set by its shell.
-#[derive(Debug, Clone, Default)]
-pub struct Readiness {
-    reason_not_ready: Arc<RwLock<Option<String>>>,
-}
-
-impl Readiness {
-    /// Starts as not ready.
-    pub fn starting() -> Self {
-        let readiness = Self::default();
-        readiness.set_not_ready("starting");
-        readiness
-    }
-
-    /// Ready from now on.
-    pub fn set_ready(&self) {
-        self.store(None);
-    }
-
-    /// Not ready, for this reason.
-    pub fn set_not_ready(&self, reason: &str) {
-        self.store(Some(reason.to_owned()));
-    }
-
-    /// Why it is not ready; none when it is.
-    pub fn reason_not_ready(&self) -> Option<String> {
-        match self.reason_not_ready.read() {
-            Ok(reason) => reason.clone(),
-            Err(poisoned) => poisoned.into_inner().clone(),
-        }
-    }
-
-    fn store(&self, reason: Option<String>) {
-        match self.reason_not_ready.write() {
-            Ok(mut slot) => *slot = reason,
-            Err(poisoned) => *poisoned.into_inner() = reason,
-        }
-    }
-}
-
-/// Routes of the admin listener, to be merged into a daemon's own router or
-/// served alone.
-pub fn routes(readiness: Readiness) -> axum::Router {
-    let _ = readiness;
-    axum::Router::new()
-}
+pub use readiness::Readiness;
+pub use recorder::{MetricsError, install_metrics};
+pub use server::{ServeError, bind, routes, serve, serve_on};
