Read local settings from file and flags, with every problem at once

Cause: daemons had no way to learn their place. Ruled out: plain serde structs, which stop at the first problem and cannot name its place. Before: no settings.

--- /dev/null
+++ b/crates/settings/src/coordinator.rs
@@ -0,0 +1,181 @@
+//! Settings of a coordinator.
+
+use crate::node::read_listener;
+use crate::reader::Reader;
+use crate::{LogLevel, NodeSettings, RoleSettings};
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+/// Settings of a coordinator.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct CoordinatorSettings {
+    /// What all roles have.
+    pub node: NodeSettings,
+    /// Key `admin_listen`: socket for livez, readyz and metrics.
+    pub admin_listen: SocketAddr,
+    /// Key `data`: the one folder it keeps files in.
+    pub data: PathBuf,
+    /// Key `initial_coordinators`: coordinators that must meet, all empty, to
+    /// start a new cluster. Odd, at least 3. Default 3.
+    pub initial_coordinators: u32,
+    /// Table `timings`.
+    pub timings: CoordinatorTimings,
+    /// Table `limits`.
+    pub limits: CoordinatorLimits,
+    /// Table `dispatcher`.
+    pub dispatcher: DispatcherSettings,
+}
+
+impl RoleSettings for CoordinatorSettings {
+    fn read(reader: &mut Reader) -> Option<Self> {
+        let node = NodeSettings::read(reader);
+        let admin_listen = read_listener(reader, "admin_listen", node.as_ref());
+        let data = reader.required("data");
+        let initial_coordinators = read_initial_coordinators(reader);
+        let timings = CoordinatorTimings::read(reader);
+        let limits = CoordinatorLimits::read(reader);
+        let dispatcher = DispatcherSettings::read(reader);
+        Some(Self {
+            node: node?,
+            admin_listen: admin_listen?,
+            data: data?,
+            initial_coordinators,
+            timings,
+            limits,
+            dispatcher,
+        })
+    }
+
+    fn node(&self) -> &NodeSettings {
+        &self.node
+    }
+
+    fn with_log_level(mut self, level: LogLevel) -> Self {
+        self.node.log.level = level;
+        self
+    }
+}
+
+fn read_initial_coordinators(reader: &mut Reader) -> u32 {
+    let key = "initial_coordinators";
+    let count = reader.ranged(key, 3_u32, 3..=9);
+    if count.is_multiple_of(2) {
+        reader.problem(
+            key,
+            format!("{count} is even; a majority needs an odd number"),
+        );
+    }
+    count
+}
+
+/// Table `timings` of a coordinator.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct CoordinatorTimings {
+    /// Shortest silence before an election; drawn between this and twice it.
+    /// Default 1000.
+    pub election_timeout_ms: u64,
+    /// Time between the leader's heartbeats. Default 150.
+    pub heartbeat_interval_ms: u64,
+    /// How long a leader acts after the start of the last round that a quorum
+    /// answered; below `election_timeout_ms`. Default 800.
+    pub leader_lease_ms: u64,
+    /// Length of the sessions of gateways and agents. Default 2000.
+    pub session_lease_ms: u64,
+    /// A voter silent for this long is replaced by a learner that is ready.
+    /// Default 1500.
+    pub replace_voter_after_ms: u64,
+    /// Longest wait of a fresh leader for the runners' lists. Default 2000.
+    pub runner_wait_ms: u64,
+}
+
+impl CoordinatorTimings {
+    fn read(reader: &mut Reader) -> Self {
+        let timings = Self {
+            election_timeout_ms: reader.ranged("timings.election_timeout_ms", 1_000, 50..=60_000),
+            heartbeat_interval_ms: reader.ranged("timings.heartbeat_interval_ms", 150, 10..=10_000),
+            leader_lease_ms: reader.ranged("timings.leader_lease_ms", 800, 40..=59_000),
+            session_lease_ms: reader.ranged("timings.session_lease_ms", 2_000, 100..=60_000),
+            replace_voter_after_ms: reader.ranged(
+                "timings.replace_voter_after_ms",
+                1_500,
+                100..=3_600_000,
+            ),
+            runner_wait_ms: reader.ranged("timings.runner_wait_ms", 2_000, 0..=60_000),
+        };
+        timings.check(reader);
+        timings
+    }
+
+    fn check(&self, reader: &mut Reader) {
+        if self.leader_lease_ms >= self.election_timeout_ms {
+            reader.problem(
+                "timings.leader_lease_ms",
+                "must be less than timings.election_timeout_ms, or two leaders could act at once",
+            );
+        }
+        if self.heartbeat_interval_ms.saturating_mul(2) > self.leader_lease_ms {
+            reader.problem(
+                "timings.heartbeat_interval_ms",
+                "must be at most half of timings.leader_lease_ms, or one lost heartbeat ends it",
+            );
+        }
+    }
+}
+
+/// Table `limits` of a coordinator.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct CoordinatorLimits {
+    /// Log entries between two snapshots. Default 10000.
+    pub snapshot_every_entries: u64,
+    /// Requests that may wait for the log at once. Default 4096.
+    pub max_waiting_requests: usize,
+    /// Lines of the decision log kept in memory. Default 50000.
+    pub decisions_kept: usize,
+}
+
+impl CoordinatorLimits {
+    fn read(reader: &mut Reader) -> Self {
+        Self {
+            snapshot_every_entries: reader.ranged(
+                "limits.snapshot_every_entries",
+                10_000,
+                16..=10_000_000,
+            ),
+            max_waiting_requests: reader.ranged(
+                "limits.max_waiting_requests",
+                4_096,
+                1..=1_000_000,
+            ),
+            decisions_kept: reader.ranged("limits.decisions_kept", 50_000, 0..=10_000_000),
+        }
+    }
+}
+
+/// Table `dispatcher`.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct DispatcherSettings {
+    /// Tasks of one tenant looked at past one that does not fit. Default 16.
+    pub look_ahead_tasks: usize,
+    /// A task that has waited this long without fitting gets a runner kept
+    /// free. Default 5000.
+    pub hold_after_ms: u64,
+    /// Failed runs of different jobs in a row that put a runner on probation.
+    /// Default 8.
+    pub probation_failures: u32,
+    /// Length of probation. Default 10000.
+    pub probation_ms: u64,
+    /// A runner silent for this long gets nothing new. Default 1500.
+    pub silent_after_ms: u64,
+}
+
+impl DispatcherSettings {
+    fn read(reader: &mut Reader) -> Self {
+        Self {
+            look_ahead_tasks: reader.ranged("dispatcher.look_ahead_tasks", 16, 0..=100_000),
+            hold_after_ms: reader.ranged("dispatcher.hold_after_ms", 5_000, 0..=3_600_000),
+            probation_failures: reader.ranged("dispatcher.probation_failures", 8, 1..=100_000),
+            probation_ms: reader.ranged("dispatcher.probation_ms", 10_000, 0..=86_400_000),
+            silent_after_ms: reader.ranged("dispatcher.silent_after_ms", 1_500, 100..=60_000),
+        }
+    }
+}
