Keep a session with the leader

Gateways and agents need one way to find the leader and to know how long they may act under it. The client finds coordinators through seeds of any role, follows hints within a bound, dates each lease from the sending of its hello, ignores lower terms and other clusters, and goes through a follower while the leader's direct answers stay away.

Ruled out: dating leases from their arrival (a frozen process would take an old lease for a new one); following every hint (two coordinators that point at each other would keep it busy); relays of relays.

--- a/crates/session/src/client.rs
+++ b/crates/session/src/client.rs
@@ -1,9 +1,19 @@
 //! The session client, without I/O.
 
+use crate::directory::Directory;
+use crate::hello::{HelloLog, Path, SentHello};
+use crate::leader::LeaderContact;
+use crate::replica::Replica;
+use crate::round::HINTS_EACH_ROUND;
+use crate::route::{self, Opened};
 use configuration::ClusterConfiguration;
-use peer::{Envelope, PeerMessage};
+use peer::{Envelope, Members, PeerMessage, SessionLease};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
 use std::net::SocketAddr;
-use types::{Address, ConfigurationVersion, Milliseconds, Monotonic, Now, RunnerId, Term};
+use types::{
+    Address, ClusterId, ConfigurationVersion, Milliseconds, Monotonic, Now, RunnerId, Term,
+};
 
 /// Settings of a session client.
 #[derive(Debug, Clone)]
@@ -35,71 +45,322 @@
     Configuration(ConfigurationVersion),
 }
 
+/// The right to act under a leader, until it ends.
+#[derive(Debug, Clone, Copy)]
+struct Lease {
+    term: Term,
+    ends: Monotonic,
+}
+
+/// Messages to send, with the sockets they go to.
+pub(crate) type Outbox = Vec<(SocketAddr, PeerMessage)>;
+
 /// The session client.
 #[derive(Debug)]
 pub struct SessionClient {
-    _options: SessionOptions,
+    pub(crate) options: SessionOptions,
+    pub(crate) directory: Directory,
+    pub(crate) hellos: HelloLog,
+    pub(crate) leader: Option<LeaderContact>,
+    lease: Option<Lease>,
+    highest_term: Term,
+    pub(crate) cluster: Option<ClusterId>,
+    pub(crate) replica: Replica,
+    pub(crate) runners: Vec<RunnerId>,
+    pub(crate) round: u64,
+    pub(crate) next_round: Monotonic,
+    pub(crate) hints_left: u32,
+    pub(crate) random: ChaCha8Rng,
 }
 
 impl SessionClient {
     /// A client that knows its seeds only.
     pub fn new(options: SessionOptions, now: Now) -> Self {
-        let _ = now;
-        Self { _options: options }
+        let mut random = ChaCha8Rng::seed_from_u64(options.seed ^ options.address.node.0);
+        let first_sequence = u64::from(random.random::<u32>()) << 16;
+        Self {
+            directory: Directory::new(options.address.clone()),
+            hellos: HelloLog::new(first_sequence),
+            leader: None,
+            lease: None,
+            highest_term: Term::default(),
+            cluster: None,
+            replica: Replica::new(options.replica_valid),
+            runners: Vec::new(),
+            round: 0,
+            next_round: now.monotonic,
+            hints_left: HINTS_EACH_ROUND,
+            random,
+            options,
+        }
     }
 
     /// Sends hellos and discovery, ends leases that ran out. `out` receives
     /// messages to send.
-    pub fn tick(
-        &mut self,
-        now: Now,
-        runners: &[RunnerId],
-        out: &mut Vec<(SocketAddr, PeerMessage)>,
-    ) -> Vec<SessionEvent> {
-        let _ = (now, runners, out);
-        todo!()
+    pub fn tick(&mut self, now: Now, runners: &[RunnerId], out: &mut Outbox) -> Vec<SessionEvent> {
+        if self.runners != runners {
+            self.runners = runners.to_vec();
+        }
+        let events = self.end_lease_if_over(now.monotonic);
+        self.send_round_if_due(now.monotonic, out);
+        events
     }
 
     /// Takes a message if it belongs to the session (discovery, members,
     /// lease, not-leader, configuration, relays to others); gives it back
     /// otherwise, relays to this process opened.
+    ///
+    /// A lease that ran out unnoticed, as in a freeze, is reported as lost
+    /// before the message counts for anything.
     pub fn handle(
         &mut self,
         now: Now,
         envelope: Envelope,
-        out: &mut Vec<(SocketAddr, PeerMessage)>,
+        out: &mut Outbox,
     ) -> (Vec<SessionEvent>, Option<Envelope>) {
-        let _ = (now, envelope, out);
-        todo!()
+        let mut events = self.end_lease_if_over(now.monotonic);
+        if !events.is_empty() {
+            self.send_round_if_due(now.monotonic, out);
+        }
+        let envelope = match route::open(&self.options.address, envelope) {
+            Opened::Own(envelope) => envelope,
+            Opened::Forward(to, message) => {
+                out.push((to, message));
+                return (events, None);
+            }
+            Opened::Dropped => return (events, None),
+        };
+        self.directory.learn(&envelope.from);
+        let rest = self.take(now.monotonic, envelope, out, &mut events);
+        (events, rest)
     }
 
     /// Says goodbye to the leader.
-    pub fn leave(&mut self, now: Now, out: &mut Vec<(SocketAddr, PeerMessage)>) {
-        let _ = (now, out);
-        todo!()
+    pub fn leave(&mut self, now: Now, out: &mut Outbox) {
+        let sequence = self.hellos.note(now.monotonic, Path::Direct);
+        let goodbye = self.hello(sequence, true);
+        out.extend(self.to_leader(now, goodbye));
     }
 
     /// Addresses a message to the leader, directly or (when its direct answers
     /// have stopped) through a follower. None when no leader is known.
     pub fn to_leader(&self, now: Now, message: PeerMessage) -> Option<(SocketAddr, PeerMessage)> {
-        let _ = (now, message);
-        todo!()
+        let leader = self.leader.as_ref()?;
+        let socket = leader.address().socket;
+        match leader.relay(now.monotonic) {
+            Some(follower) => Some(route::through(
+                &self.options.address,
+                follower,
+                socket,
+                message,
+            )),
+            None => Some((socket, message)),
+        }
     }
 
     /// Term of the session; none when it has no valid lease.
     pub fn term(&self, now: Now) -> Option<Term> {
-        let _ = now;
-        todo!()
+        self.lease
+            .filter(|lease| now.monotonic < lease.ends)
+            .map(|lease| lease.term)
+    }
+
+    /// Highest term under which a leader ever answered this process.
+    pub fn highest_term(&self) -> Term {
+        self.highest_term
     }
 
     /// The replica, while the leader's last word is fresh enough.
     pub fn configuration(&self, now: Now) -> Option<(ConfigurationVersion, &ClusterConfiguration)> {
-        let _ = now;
-        todo!()
+        self.replica.valid(now.monotonic)
     }
 
     /// When it wants [`SessionClient::tick`] next.
     pub fn next_wakeup(&self) -> Monotonic {
-        todo!()
+        match self.lease {
+            Some(lease) => self.next_round.min(lease.ends),
+            None => self.next_round,
+        }
+    }
+
+    fn end_lease_if_over(&mut self, now: Monotonic) -> Vec<SessionEvent> {
+        if self.lease.is_none_or(|lease| now < lease.ends) {
+            return Vec::new();
+        }
+        self.lease = None;
+        self.next_round = now;
+        vec![SessionEvent::Lost]
+    }
+
+    /// Takes one opened message, or gives it back.
+    fn take(
+        &mut self,
+        now: Monotonic,
+        envelope: Envelope,
+        out: &mut Outbox,
+        events: &mut Vec<SessionEvent>,
+    ) -> Option<Envelope> {
+        match &envelope.body {
+            PeerMessage::Discover => {
+                let members = PeerMessage::Members(self.members());
+                out.push(route::answer_to(&self.options.address, &envelope, members));
+            }
+            PeerMessage::Members(members) => self.take_members(now, members, out),
+            PeerMessage::Lease(lease) => self.take_lease(now, &envelope, lease, events),
+            PeerMessage::NotLeader { leader } => {
+                self.take_not_leader(now, &envelope.from, leader.as_ref(), out);
+            }
+            PeerMessage::Configuration { .. } => self.take_configuration(envelope, events),
+            _ => return Some(envelope),
+        }
+        None
+    }
+
+    fn take_members(&mut self, now: Monotonic, members: &Members, out: &mut Outbox) {
+        if self.is_other_cluster(members.cluster) {
+            return;
+        }
+        let knew_no_coordinator = self.directory.has_no_coordinator();
+        for member in &members.members {
+            self.directory.learn(member);
+        }
+        match &members.leader {
+            Some(leader) if members.term >= self.highest_term => {
+                self.directory.learn(leader);
+                self.follow_hint(now, leader, out);
+            }
+            _ if knew_no_coordinator && self.leader.is_none() => self.try_next(now, out),
+            _ => {}
+        }
+    }
+
+    fn take_lease(
+        &mut self,
+        now: Monotonic,
+        envelope: &Envelope,
+        lease: &SessionLease,
+        events: &mut Vec<SessionEvent>,
+    ) {
+        let Some(hello) = self.hellos.find(lease.sequence) else {
+            return;
+        };
+        if lease.term < self.highest_term || self.is_other_cluster(Some(lease.cluster)) {
+            return;
+        }
+        self.highest_term = lease.term;
+        self.cluster = Some(lease.cluster);
+        self.directory
+            .replace(&lease.leader, &lease.coordinators, &lease.others);
+        self.note_answer(now, &lease.leader, hello, envelope.via);
+        self.replica.leader_said(hello.sent_at, lease.configuration);
+        self.extend_lease(now, lease.term, hello.sent_at + lease.lease, events);
+    }
+
+    /// A lease that is over on arrival opens nothing: it answers a hello from
+    /// before a freeze or a long delay.
+    fn extend_lease(
+        &mut self,
+        now: Monotonic,
+        term: Term,
+        ends: Monotonic,
+        events: &mut Vec<SessionEvent>,
+    ) {
+        if ends <= now {
+            return;
+        }
+        match &mut self.lease {
+            Some(held) if held.term == term => held.ends = held.ends.max(ends),
+            _ => {
+                self.lease = Some(Lease { term, ends });
+                events.push(SessionEvent::Opened { term });
+            }
+        }
+    }
+
+    fn note_answer(
+        &mut self,
+        now: Monotonic,
+        leader: &Address,
+        hello: SentHello,
+        via: Option<SocketAddr>,
+    ) {
+        let known = self.leader.as_ref().map(LeaderContact::address);
+        if known != Some(leader) {
+            let contact = LeaderContact::new(leader.clone(), self.options.interval, now);
+            self.leader = Some(contact);
+        }
+        let Some(contact) = &mut self.leader else {
+            return;
+        };
+        // A direct hello answered through a relay proves neither way whole.
+        let whole_way = matches!(hello.path, Path::Relayed(_)) || via.is_none();
+        contact.heard(whole_way.then_some(hello.path), now);
+    }
+
+    fn take_not_leader(
+        &mut self,
+        now: Monotonic,
+        from: &Address,
+        leader: Option<&Address>,
+        out: &mut Outbox,
+    ) {
+        let spoken_by_leader = self
+            .leader
+            .as_ref()
+            .is_some_and(|contact| contact.address().node == from.node);
+        if spoken_by_leader {
+            self.leader = None;
+        }
+        if let Some(leader) = leader {
+            self.directory.learn(leader);
+            self.follow_hint(now, leader, out);
+        }
+    }
+
+    /// Turns to the coordinator that another member takes for the leader,
+    /// unless the one followed now still answers: hints may be old.
+    fn follow_hint(&mut self, now: Monotonic, hint: &Address, out: &mut Outbox) {
+        let is_own = hint.node == self.options.address.node;
+        let answers = self
+            .leader
+            .as_ref()
+            .is_some_and(|contact| contact.address() == hint || !contact.is_silent(now));
+        if is_own || answers || self.hints_left == 0 {
+            return;
+        }
+        self.hints_left -= 1;
+        let contact = LeaderContact::new(hint.clone(), self.options.interval, now);
+        self.leader = Some(contact);
+        self.send_hello(now, hint.socket, out);
+    }
+
+    fn take_configuration(&mut self, envelope: Envelope, events: &mut Vec<SessionEvent>) {
+        let from_leader = self
+            .leader
+            .as_ref()
+            .is_some_and(|contact| contact.address().node == envelope.from.node);
+        // Before the first lease nobody is known to lead this cluster.
+        if !from_leader || self.cluster.is_none() {
+            return;
+        }
+        if let PeerMessage::Configuration { version, document } = envelope.body
+            && self.replica.take(version, document)
+        {
+            events.push(SessionEvent::Configuration(version));
+        }
+    }
+
+    fn members(&self) -> Members {
+        let leader = self.lease.and(self.leader.as_ref());
+        Members {
+            members: self.directory.members_to_tell(),
+            leader: leader.map(|contact| contact.address().clone()),
+            term: self.highest_term,
+            cluster: self.cluster,
+        }
+    }
+
+    fn is_other_cluster(&self, cluster: Option<ClusterId>) -> bool {
+        matches!((self.cluster, cluster), (Some(own), Some(other)) if own != other)
     }
 }
--- /dev/null
+++ b/crates/session/src/directory.rs
@@ -0,0 +1,94 @@
+//! The members a process knows, in bounded lists.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use types::{Address, Role};
+
+/// Coordinators kept at most.
+pub const MAX_COORDINATORS: usize = 16;
+/// Gateways and agents kept at most. A process needs a few of them only, to
+/// find coordinators again when all it knew are gone.
+pub const MAX_OTHERS: usize = 64;
+/// Members named at most in one answer to a discovery.
+pub const MAX_MEMBERS_TOLD: usize = 32;
+
+/// Known members by peer socket, without the process itself.
+#[derive(Debug)]
+pub struct Directory {
+    own: Address,
+    coordinators: BTreeMap<SocketAddr, Address>,
+    others: BTreeMap<SocketAddr, Address>,
+    last_in_turn: Option<SocketAddr>,
+}
+
+impl Directory {
+    /// An empty directory of the process at `own`.
+    pub fn new(own: Address) -> Self {
+        Self {
+            own,
+            coordinators: BTreeMap::new(),
+            others: BTreeMap::new(),
+            last_in_turn: None,
+        }
+    }
+
+    /// Adds a member, or takes its new identity; ignored when the list of its
+    /// role is full.
+    pub fn learn(&mut self, member: &Address) {
+        if member.node == self.own.node || member.socket == self.own.socket {
+            return;
+        }
+        let (list, limit, elsewhere) = match member.role {
+            Role::Coordinator => (&mut self.coordinators, MAX_COORDINATORS, &mut self.others),
+            Role::Gateway | Role::Agent => (&mut self.others, MAX_OTHERS, &mut self.coordinators),
+        };
+        elsewhere.remove(&member.socket);
+        if list.len() < limit || list.contains_key(&member.socket) {
+            list.insert(member.socket, member.clone());
+        }
+    }
+
+    /// Takes the leader's list of live members in place of what was known.
+    pub fn replace(&mut self, leader: &Address, coordinators: &[Address], others: &[Address]) {
+        self.coordinators.clear();
+        self.others.clear();
+        self.learn(leader);
+        for member in coordinators.iter().chain(others) {
+            self.learn(member);
+        }
+    }
+
+    /// The coordinator after the one given last, leaving out `except`.
+    pub fn next_coordinator(&mut self, except: Option<SocketAddr>) -> Option<SocketAddr> {
+        let candidates = || {
+            self.coordinators
+                .keys()
+                .copied()
+                .filter(|socket| Some(*socket) != except)
+        };
+        let after_last = candidates().find(|socket| Some(*socket) > self.last_in_turn);
+        let next = after_last.or_else(|| candidates().next());
+        self.last_in_turn = next.or(self.last_in_turn);
+        next
+    }
+
+    /// True while no coordinator is known.
+    pub fn has_no_coordinator(&self) -> bool {
+        self.coordinators.is_empty()
+    }
+
+    /// Sockets of known gateways and agents, in order.
+    pub fn other_sockets(&self) -> Vec<SocketAddr> {
+        self.others.keys().copied().collect()
+    }
+
+    /// The process itself and the members it knows, coordinators first.
+    pub fn members_to_tell(&self) -> Vec<Address> {
+        std::iter::once(&self.own)
+            .chain(self.coordinators.values())
+            .chain(self.others.values())
+            .take(MAX_MEMBERS_TOLD)
+            .cloned()
+            .collect()
+    }
+}
--- a/crates/session/src/lib.rs
+++ b/crates/session/src/lib.rs
@@ -3,5 +3,12 @@
 //! leases, the configuration replica, relays through followers, freezes.
 
 pub mod client;
+pub mod directory;
+pub mod hello;
+pub mod leader;
+pub mod replica;
+mod round;
+pub mod route;
 
 pub use client::{SessionClient, SessionEvent, SessionOptions};
+pub use route::answer_to;
--- /dev/null
+++ b/crates/session/src/route.rs
@@ -0,0 +1,68 @@
+//! Addressing of answers and relays.
+
+use peer::{Envelope, PeerMessage, Relay};
+use std::net::SocketAddr;
+use types::Address;
+
+/// Addresses an answer to the sender of `envelope`, by the member that relayed
+/// it if it came by one.
+pub fn answer_to(
+    own: &Address,
+    envelope: &Envelope,
+    body: PeerMessage,
+) -> (SocketAddr, PeerMessage) {
+    match envelope.via {
+        None => (envelope.from.socket, body),
+        Some(relay) => through(own, relay, envelope.from.socket, body),
+    }
+}
+
+/// Addresses a message to `destination` through `relay`.
+pub fn through(
+    own: &Address,
+    relay: SocketAddr,
+    destination: SocketAddr,
+    body: PeerMessage,
+) -> (SocketAddr, PeerMessage) {
+    let message = PeerMessage::Relay(Relay {
+        origin: own.clone(),
+        destination,
+        body: Box::new(body),
+    });
+    (relay, message)
+}
+
+/// What a receiver does with an envelope that may hold a relay.
+#[derive(Debug)]
+pub enum Opened {
+    /// Meant for this process.
+    Own(Envelope),
+    /// To be sent on to this socket.
+    Forward(SocketAddr, PeerMessage),
+    /// Neither: dropped.
+    Dropped,
+}
+
+/// Opens a relay meant for `own`. A relay for another process is sent on only
+/// if it comes from its origin, and a relay inside a relay never: so a message
+/// takes two hops at most and cannot go round.
+pub fn open(own: &Address, envelope: Envelope) -> Opened {
+    let Envelope { from, via, body } = envelope;
+    let PeerMessage::Relay(relay) = body else {
+        return Opened::Own(Envelope { from, via, body });
+    };
+    if via.is_some() || matches!(*relay.body, PeerMessage::Relay(_)) {
+        return Opened::Dropped;
+    }
+    if relay.destination == own.socket {
+        return Opened::Own(Envelope {
+            from: relay.origin,
+            via: Some(from.socket),
+            body: *relay.body,
+        });
+    }
+    if from.node == relay.origin.node {
+        return Opened::Forward(relay.destination, PeerMessage::Relay(relay));
+    }
+    Opened::Dropped
+}
--- /dev/null
+++ b/crates/session/tests/session/main.rs
@@ -0,0 +1,5 @@
+//! Tests of the session client.
+
+mod bench;
+mod membership;
+mod relay;
