Give the stand-in runner its side of the protocol

Refused, voided and recorded runs leave tombstones that are kept until every start still on its way would fail on its basis; that argument needs no clock. Each guard can be left out, for proofs.

Ruled out: tombstones kept for a length of time (the lease is a setting that may change); letting a refused start go without a tombstone (the same order delivered again after room came back would start a run that was closed).

Before: signatures only.

--- a/crates/standin/src/runner.rs
+++ b/crates/standin/src/runner.rs
@@ -1,51 +1,23 @@
 //! A stand-in runner: it keeps tombstones, leases and ended runs as the
 //! runner's side of the protocol asks, and can be told to misbehave.
 
-use types::{
-    Labels, Milliseconds, Monotonic, OrderAnswer, PoolName, RackName, Resources, RunId, RunSpec,
-    RunnerId, RunnerIncarnation, RunnerOrder, RunnerReport,
-};
+pub mod heartbeats;
+pub mod options;
+pub mod tombstones;
+pub mod work;
 
-/// Settings of a stand-in runner.
-#[derive(Debug, Clone)]
-pub struct RunnerOptions {
-    /// Its name.
-    pub runner: RunnerId,
-    /// This life.
-    pub incarnation: RunnerIncarnation,
-    /// Its pool.
-    pub pool: PoolName,
-    /// Its rack.
-    pub rack: RackName,
-    /// Its labels.
-    pub labels: Labels,
-    /// All it has.
-    pub capacity: Resources,
-    /// How it behaves.
-    pub behaviour: Behaviour,
-    /// Seed of draws.
-    pub seed: u64,
-}
+pub use options::{Behaviour, RunnerMutation, RunnerOptions};
 
-/// How a stand-in runner behaves.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
-pub enum Behaviour {
-    /// Does its work.
-    #[default]
-    Healthy,
-    /// Fails this many runs in a thousand, and looks healthy.
-    Failing {
-        /// Failed runs in a thousand.
-        per_thousand: u32,
-    },
-    /// Takes this many times as long.
-    Slow {
-        /// Factor.
-        times: u32,
-    },
-    /// Lets every run stand still until it is stopped.
-    Stuck,
-}
+use heartbeats::{HeartbeatLog, RunLease};
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use std::collections::BTreeMap;
+use tombstones::Tombstones;
+use types::{
+    EndedRun, HeartbeatSequence, HeldRun, Milliseconds, Monotonic, OrderAnswer, OrderKind, Outcome,
+    RefusalReason, Resources, RunId, RunSpec, RunnerIncarnation, RunnerOrder, RunnerReport, Term,
+};
+use work::Work;
 
 /// What happened inside a runner, for the history.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -57,95 +29,334 @@
         /// The run.
         run: RunId,
         /// How.
-        outcome: types::Outcome,
+        outcome: Outcome,
     },
     /// An order was taken although a higher term had been seen before. Never
     /// happens unless fencing is off.
     AcceptedStale(RunnerOrder),
 }
 
+/// What a heartbeat's answer tells a runner.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct RunnerInstruction {
+    /// Highest term the agent has seen.
+    pub term: Term,
+    /// Newest heartbeat of this life the leader confirmed.
+    pub confirmed: Option<HeartbeatSequence>,
+    /// The life the confirmation is for.
+    pub incarnation: RunnerIncarnation,
+    /// Run lease, from when the confirmed heartbeat was sent.
+    pub lease: Milliseconds,
+    /// Ended runs the record has.
+    pub recorded: Vec<RunId>,
+    /// Held runs the record closed.
+    pub stop: Vec<RunId>,
+}
+
 /// A stand-in runner. The payload of a run is JSON with `duration_ms` and,
 /// where wanted, `fail: true`.
+///
+/// Every entry point looks at the run lease first, so that a runner that was
+/// frozen ends what it held before it takes or says anything.
 #[derive(Debug)]
 pub struct Runner {
-    _options: RunnerOptions,
+    options: RunnerOptions,
+    draining: bool,
+    highest_term: Term,
+    heartbeats: HeartbeatLog,
+    lease: Option<RunLease>,
+    held: BTreeMap<RunId, Work>,
+    ended: BTreeMap<RunId, Outcome>,
+    tombstones: Tombstones,
+    /// Events of a heartbeat, which has no way to give them back.
+    waiting_events: Vec<RunnerEvent>,
+    random: ChaCha8Rng,
 }
 
 impl Runner {
     /// A fresh runner that holds nothing.
     pub fn new(options: RunnerOptions, now: Monotonic) -> Self {
         let _ = now;
-        Self { _options: options }
+        Self {
+            draining: false,
+            highest_term: Term::default(),
+            heartbeats: HeartbeatLog::default(),
+            lease: None,
+            held: BTreeMap::new(),
+            ended: BTreeMap::new(),
+            tombstones: Tombstones::default(),
+            waiting_events: Vec::new(),
+            random: ChaCha8Rng::seed_from_u64(options.seed ^ options.incarnation.0),
+            options,
+        }
     }
 
     /// Ends runs whose time has come, and all runs whose lease is over.
     pub fn tick(&mut self, now: Monotonic) -> Vec<RunnerEvent> {
-        let _ = now;
-        todo!()
+        let mut events = std::mem::take(&mut self.waiting_events);
+        self.end_unleased(now, &mut events);
+        self.end_due(now, &mut events);
+        events
     }
 
     /// The next heartbeat.
     pub fn heartbeat(&mut self, now: Monotonic) -> RunnerReport {
-        let _ = now;
-        todo!()
+        self.waiting_events = self.tick(now);
+        let sequence = self.heartbeats.note(now);
+        self.tombstones.forget_before(self.heartbeats.oldest());
+        let options = &self.options;
+        RunnerReport {
+            runner: options.runner.clone(),
+            incarnation: options.incarnation,
+            sequence,
+            pool: options.pool.clone(),
+            rack: options.rack.clone(),
+            labels: options.labels.clone(),
+            capacity: options.capacity,
+            free: self.free(),
+            draining: self.draining,
+            self_stop: true,
+            held: self.held_runs(now),
+            ended: self.ended_runs(),
+        }
     }
 
     /// Takes the agent's answer to a heartbeat. `confirmed` is the newest
-    /// heartbeat of this life that the leader confirmed.
+    /// heartbeat of this life that the leader confirmed. An answer for another
+    /// life, or under a lower term than one seen, changes nothing.
     pub fn heartbeat_answered(
         &mut self,
         now: Monotonic,
         answer: &RunnerInstruction,
     ) -> Vec<RunnerEvent> {
-        let _ = (now, answer);
-        todo!()
+        let mut events = self.tick(now);
+        if answer.incarnation != self.options.incarnation || answer.term < self.highest_term {
+            return events;
+        }
+        self.highest_term = answer.term;
+        if let Some(sequence) = answer.confirmed {
+            self.renew_lease(sequence, answer.lease);
+        }
+        for run in &answer.recorded {
+            if self.ended.remove(run).is_some() {
+                self.bury(*run);
+            }
+        }
+        for run in &answer.stop {
+            self.end(*run, Outcome::Stopped, &mut events);
+        }
+        self.end_unleased(now, &mut events);
+        events
     }
 
-    /// Takes an order.
+    /// Takes an order. Refusals are looked for in this order: other life,
+    /// lower term, and for a start: known run, draining, no room, stale basis.
     pub fn order(
         &mut self,
         now: Monotonic,
         order: &RunnerOrder,
     ) -> (OrderAnswer, Vec<RunnerEvent>) {
-        let _ = (now, order);
-        todo!()
+        let mut events = self.tick(now);
+        if order.incarnation != self.options.incarnation {
+            return refused(RefusalReason::OtherIncarnation, events);
+        }
+        if order.term < self.highest_term {
+            if !self.mutated(RunnerMutation::NoTermFence) {
+                return refused(RefusalReason::StaleTerm, events);
+            }
+            events.push(RunnerEvent::AcceptedStale(order.clone()));
+        }
+        self.highest_term = self.highest_term.max(order.term);
+        let answer = match &order.kind {
+            OrderKind::Start { run, basis, lease } => {
+                self.start(now, run, *basis, *lease, &mut events)
+            }
+            OrderKind::Stop { run } => self.stop(*run, &mut events),
+            OrderKind::Void { run } => self.void(*run),
+        };
+        (answer, events)
     }
 
     /// Says in heartbeats that it leaves, from now on.
     pub fn drain(&mut self) {
-        todo!()
+        self.draining = true;
     }
 
-    /// Changes how it behaves.
+    /// Changes how it behaves towards runs that start from now on.
     pub fn behave(&mut self, behaviour: Behaviour) {
-        let _ = behaviour;
-        todo!()
+        self.options.behaviour = behaviour;
     }
 
     /// Runs it holds.
     pub fn held(&self) -> Vec<RunId> {
-        todo!()
+        self.held.keys().copied().collect()
     }
 
     /// When [`Runner::tick`] wants to be called next; none when idle.
     pub fn next_wakeup(&self) -> Option<Monotonic> {
-        todo!()
+        let due = self.held.values().filter_map(Work::ends_at).min();
+        if self.held.is_empty() || self.mutated(RunnerMutation::NoSelfStop) {
+            return due;
+        }
+        let lease_end = self.lease.map(|lease| lease.ends());
+        lease_end.into_iter().chain(due).min()
+    }
+
+    fn start(
+        &mut self,
+        now: Monotonic,
+        run: &RunSpec,
+        basis: HeartbeatSequence,
+        lease: Milliseconds,
+        events: &mut Vec<RunnerEvent>,
+    ) -> OrderAnswer {
+        if let Some(reason) = self.reason_against(now, run, basis, lease) {
+            // The leader closes a refused run. The same order delivered again
+            // must not start it after all, when room has come back.
+            if reason != RefusalReason::KnownRun {
+                self.bury(run.run);
+            }
+            return OrderAnswer::Refused(reason);
+        }
+        // The leader received the basis, so it counts as confirmed: every held
+        // run stands under a lease from its first moment.
+        self.renew_lease(basis, lease);
+        let work = Work::begin(run, now, self.options.behaviour, &mut self.random);
+        self.held.insert(run.run, work);
+        events.push(RunnerEvent::Started(run.clone()));
+        OrderAnswer::Started
+    }
+
+    fn reason_against(
+        &self,
+        now: Monotonic,
+        run: &RunSpec,
+        basis: HeartbeatSequence,
+        lease: Milliseconds,
+    ) -> Option<RefusalReason> {
+        if self.is_known(run.run) {
+            return Some(RefusalReason::KnownRun);
+        }
+        if self.draining {
+            return Some(RefusalReason::Draining);
+        }
+        if !run.resources.fits_in(&self.free()) {
+            return Some(RefusalReason::NoRoom);
+        }
+        let sent_at = self.heartbeats.sent_at(basis);
+        let fresh = sent_at.is_some_and(|sent_at| now < sent_at + lease);
+        if !fresh && !self.mutated(RunnerMutation::NoBasisCheck) {
+            return Some(RefusalReason::StaleBasis);
+        }
+        None
+    }
+
+    fn stop(&mut self, run: RunId, events: &mut Vec<RunnerEvent>) -> OrderAnswer {
+        if self.end(run, Outcome::Stopped, events) {
+            return OrderAnswer::Stopping;
+        }
+        self.void(run)
+    }
+
+    fn void(&mut self, run: RunId) -> OrderAnswer {
+        if self.held.contains_key(&run) {
+            return OrderAnswer::Held;
+        }
+        if self.ended.contains_key(&run) {
+            return OrderAnswer::Ended;
+        }
+        self.bury(run);
+        OrderAnswer::Voided
+    }
+
+    fn is_known(&self, run: RunId) -> bool {
+        self.held.contains_key(&run)
+            || self.ended.contains_key(&run)
+            || self.tombstones.contains(run)
+    }
+
+    /// From now on no start of this run is taken.
+    fn bury(&mut self, run: RunId) {
+        if !self.mutated(RunnerMutation::NoTombstones) {
+            self.tombstones.add(run, self.heartbeats.newest());
+        }
+    }
+
+    fn renew_lease(&mut self, confirmed: HeartbeatSequence, length: Milliseconds) {
+        let Some(sent_at) = self.heartbeats.sent_at(confirmed) else {
+            return;
+        };
+        if self.lease.is_none_or(|held| confirmed >= held.confirmed) {
+            self.lease = Some(RunLease {
+                confirmed,
+                sent_at,
+                length,
+            });
+        }
+    }
+
+    fn end_unleased(&mut self, now: Monotonic, events: &mut Vec<RunnerEvent>) {
+        let over = self.lease.is_none_or(|lease| now >= lease.ends());
+        if !over || self.mutated(RunnerMutation::NoSelfStop) {
+            return;
+        }
+        for run in self.held() {
+            self.end(run, Outcome::Stopped, events);
+        }
+    }
+
+    fn end_due(&mut self, now: Monotonic, events: &mut Vec<RunnerEvent>) {
+        let due: Vec<(RunId, Outcome)> = self
+            .held
+            .iter()
+            .filter_map(|(run, work)| Some((*run, work.outcome(now)?)))
+            .collect();
+        for (run, outcome) in due {
+            self.end(run, outcome, events);
+        }
+    }
+
+    fn end(&mut self, run: RunId, outcome: Outcome, events: &mut Vec<RunnerEvent>) -> bool {
+        if self.held.remove(&run).is_none() {
+            return false;
+        }
+        self.ended.insert(run, outcome.clone());
+        events.push(RunnerEvent::Ended { run, outcome });
+        true
+    }
+
+    fn free(&self) -> Resources {
+        let used = self
+            .held
+            .values()
+            .fold(Resources::ZERO, |sum, work| sum.plus(&work.resources()));
+        self.options.capacity.minus(&used)
+    }
+
+    fn held_runs(&self, now: Monotonic) -> Vec<HeldRun> {
+        let held = self.held.iter();
+        held.map(|(run, work)| HeldRun {
+            run: *run,
+            age: work.age(now),
+        })
+        .collect()
+    }
+
+    fn ended_runs(&self) -> Vec<EndedRun> {
+        let ended = self.ended.iter();
+        ended
+            .map(|(run, outcome)| EndedRun {
+                run: *run,
+                outcome: outcome.clone(),
+            })
+            .collect()
+    }
+
+    fn mutated(&self, mutation: RunnerMutation) -> bool {
+        self.options.mutation == Some(mutation)
     }
 }
 
-/// What a heartbeat's answer tells a runner.
-#[derive(Debug, Clone, PartialEq, Eq, Default)]
-pub struct RunnerInstruction {
-    /// Highest term the agent has seen.
-    pub term: types::Term,
-    /// Newest heartbeat of this life the leader confirmed.
-    pub confirmed: Option<types::HeartbeatSequence>,
-    /// The life the confirmation is for.
-    pub incarnation: RunnerIncarnation,
-    /// Run lease, from when the confirmed heartbeat was sent.
-    pub lease: Milliseconds,
-    /// Ended runs the record has.
-    pub recorded: Vec<RunId>,
-    /// Held runs the record closed.
-    pub stop: Vec<RunId>,
+fn refused(reason: RefusalReason, events: Vec<RunnerEvent>) -> (OrderAnswer, Vec<RunnerEvent>) {
+    (OrderAnswer::Refused(reason), events)
 }
--- /dev/null
+++ b/crates/standin/src/runner/heartbeats.rs
@@ -0,0 +1,64 @@
+//! When heartbeats were sent, and the run lease that counts from there.
+
+use std::collections::VecDeque;
+use types::{HeartbeatSequence, Milliseconds, Monotonic};
+
+/// Heartbeats remembered. At 50 a second this is 20 s, twice the run lease; a
+/// basis that is forgotten is refused as stale, which is always safe.
+const MAX_REMEMBERED: usize = 1_024;
+
+/// When the last heartbeats of this life were sent.
+#[derive(Debug, Default)]
+pub struct HeartbeatLog {
+    /// Of the newest; 0 before the first.
+    newest: u64,
+    /// The last of them is the newest's.
+    sent_at: VecDeque<Monotonic>,
+}
+
+impl HeartbeatLog {
+    /// Notes a heartbeat sent now, and gives its number.
+    pub fn note(&mut self, now: Monotonic) -> HeartbeatSequence {
+        if self.sent_at.len() == MAX_REMEMBERED {
+            self.sent_at.pop_front();
+        }
+        self.sent_at.push_back(now);
+        self.newest += 1;
+        self.newest()
+    }
+
+    /// Number of the newest heartbeat.
+    pub fn newest(&self) -> HeartbeatSequence {
+        HeartbeatSequence(self.newest)
+    }
+
+    /// Number of the oldest heartbeat remembered.
+    pub fn oldest(&self) -> HeartbeatSequence {
+        HeartbeatSequence(self.newest + 1 - self.sent_at.len() as u64)
+    }
+
+    /// When a heartbeat was sent, while that is remembered.
+    pub fn sent_at(&self, sequence: HeartbeatSequence) -> Option<Monotonic> {
+        let place = sequence.0.checked_sub(self.oldest().0)?;
+        let place = usize::try_from(place).ok()?;
+        self.sent_at.get(place).copied()
+    }
+}
+
+/// How long held runs may go on without another word from the leader.
+#[derive(Debug, Clone, Copy)]
+pub struct RunLease {
+    /// The newest heartbeat known to have reached the leader.
+    pub confirmed: HeartbeatSequence,
+    /// When it was sent.
+    pub sent_at: Monotonic,
+    /// Length of the lease.
+    pub length: Milliseconds,
+}
+
+impl RunLease {
+    /// When held runs must stop.
+    pub fn ends(&self) -> Monotonic {
+        self.sent_at + self.length
+    }
+}
--- /dev/null
+++ b/crates/standin/tests/runner/bench.rs
@@ -0,0 +1,117 @@
+//! A runner with two slots and the orders it is given.
+
+use standin::runner::{Behaviour, Runner, RunnerInstruction, RunnerMutation, RunnerOptions};
+use types::{
+    HeartbeatSequence, JobId, JobKey, Labels, Milliseconds, Monotonic, OrderKind, OrderSequence,
+    PoolName, RackName, Resources, RunId, RunSpec, RunnerId, RunnerIncarnation, RunnerOrder,
+    StepName, TenantId, Term,
+};
+
+pub const LEASE: u64 = 10_000;
+pub const LIFE: RunnerIncarnation = RunnerIncarnation(4);
+
+pub fn options() -> RunnerOptions {
+    RunnerOptions {
+        runner: RunnerId::new("runner-1").unwrap(),
+        incarnation: LIFE,
+        pool: PoolName::new("stills").unwrap(),
+        rack: RackName::new("rack-1").unwrap(),
+        labels: Labels::new(),
+        capacity: slots(2),
+        behaviour: Behaviour::Healthy,
+        mutation: None,
+        seed: 3,
+    }
+}
+
+pub fn slots(slots: u32) -> Resources {
+    Resources {
+        slots,
+        ..Resources::ZERO
+    }
+}
+
+/// A runner that has sent heartbeat 1 at time 0.
+pub fn runner_with(options: RunnerOptions) -> Runner {
+    let mut runner = Runner::new(options, Monotonic(0));
+    runner.heartbeat(Monotonic(0));
+    runner
+}
+
+pub fn runner() -> Runner {
+    runner_with(options())
+}
+
+pub fn mutated(mutation: RunnerMutation) -> Runner {
+    runner_with(RunnerOptions {
+        mutation: Some(mutation),
+        ..options()
+    })
+}
+
+pub fn run_id(sequence: u64) -> RunId {
+    RunId {
+        term: Term(2),
+        sequence,
+    }
+}
+
+pub fn run(sequence: u64, payload: &str) -> RunSpec {
+    RunSpec {
+        run: run_id(sequence),
+        job: JobKey {
+            tenant: TenantId::new("tenant").unwrap(),
+            job: JobId::new("job").unwrap(),
+        },
+        step: StepName::new("step").unwrap(),
+        task: 0,
+        resources: slots(1),
+        time_limit: Milliseconds(20_000),
+        payload: payload.to_owned(),
+    }
+}
+
+pub fn order(term: u64, kind: OrderKind) -> RunnerOrder {
+    RunnerOrder {
+        term: Term(term),
+        sequence: OrderSequence(1),
+        runner: RunnerId::new("runner-1").unwrap(),
+        incarnation: LIFE,
+        kind,
+    }
+}
+
+/// A start of term 2 from heartbeat 1, of half an hour's work.
+pub fn start(sequence: u64) -> RunnerOrder {
+    start_of(run(sequence, r#"{"duration_ms": 1800000}"#), 1)
+}
+
+pub fn start_of(mut run: RunSpec, basis: u64) -> RunnerOrder {
+    run.time_limit = Milliseconds(run.time_limit.0.max(20_000));
+    let kind = OrderKind::Start {
+        run,
+        basis: HeartbeatSequence(basis),
+        lease: Milliseconds(LEASE),
+    };
+    order(2, kind)
+}
+
+pub fn void(sequence: u64) -> RunnerOrder {
+    let run = run_id(sequence);
+    order(2, OrderKind::Void { run })
+}
+
+pub fn stop(sequence: u64) -> RunnerOrder {
+    let run = run_id(sequence);
+    order(2, OrderKind::Stop { run })
+}
+
+pub fn confirm(sequence: u64) -> RunnerInstruction {
+    RunnerInstruction {
+        term: Term(2),
+        confirmed: Some(HeartbeatSequence(sequence)),
+        incarnation: LIFE,
+        lease: Milliseconds(LEASE),
+        ..RunnerInstruction::default()
+    }
+}
--- /dev/null
+++ b/crates/standin/tests/runner/main.rs
@@ -0,0 +1,6 @@
+//! Tests of the stand-in runner's core.
+
+mod bench;
+mod lease;
+mod orders;
+mod work;
