Widen the random faults of consensus and measure its commit rate

Cause: runs began with three voters only and never lost all power at once; what a commit costs the processor was not known.

Ruled out: a wall-clock bar in a test, which a busy machine would fail.

Change: a quarter of the seeds begin with five voters, all machines may lose power together, messages are split by who takes them, and an example measures commits with disks and network left out.

--- /dev/null
+++ b/crates/consensus/examples/commit_rate.rs
@@ -0,0 +1,98 @@
+//! Measures how many commands a second one group of three nodes proposes,
+//! replicates and commits on one core, with disks and network left out.
+//!
+//! `cargo run --release -p consensus --example commit_rate -- 200000 10`:
+//! the number of commands, and how many are proposed between two batches.
+
+use consensus::{Membership, Node, Options, Outgoing, Recovered};
+use std::collections::{BTreeMap, VecDeque};
+use std::net::SocketAddr;
+use std::time::Instant;
+use types::{Monotonic, NodeId};
+
+/// Bytes of one command, about those of a reservation.
+const COMMAND_BYTES: usize = 200;
+
+struct Group {
+    nodes: BTreeMap<NodeId, Node>,
+    wire: VecDeque<(NodeId, Outgoing)>,
+    committed: u64,
+    messages: u64,
+}
+
+impl Group {
+    fn new() -> Self {
+        let member = |id| (NodeId(id), SocketAddr::from(([127, 0, 0, 1], 0)));
+        let membership = Membership {
+            voters: (1..=3).map(member).collect(),
+            learners: BTreeMap::new(),
+        };
+        let node = |id| {
+            let options = Options::default();
+            let recovered = Recovered::default();
+            let membership = membership.clone();
+            Node::new(NodeId(id), options, membership, recovered, id, Monotonic(0))
+        };
+        Self {
+            nodes: (1..=3).map(|id| (NodeId(id), node(id))).collect(),
+            wire: VecDeque::new(),
+            committed: 0,
+            messages: 0,
+        }
+    }
+
+    /// Carries all messages until none is left; every write is synced at once.
+    fn settle(&mut self, now: Monotonic) {
+        loop {
+            for (id, node) in &mut self.nodes {
+                while let Some(ready) = node.ready() {
+                    node.persisted(now, ready.number);
+                    self.committed += ready.committed.len() as u64;
+                    let all = ready.messages.into_iter();
+                    let all = all.chain(ready.messages_after_persist);
+                    self.wire.extend(all.map(|outgoing| (*id, outgoing)));
+                }
+            }
+            if self.wire.is_empty() {
+                return;
+            }
+            for (from, outgoing) in std::mem::take(&mut self.wire) {
+                self.messages += 1;
+                if let Some(node) = self.nodes.get_mut(&outgoing.to) {
+                    node.step(now, from, outgoing.message);
+                }
+            }
+        }
+    }
+}
+
+fn argument(position: usize, default: u64) -> u64 {
+    let text = std::env::args().nth(position);
+    text.and_then(|text| text.parse().ok()).unwrap_or(default)
+}
+
+fn main() {
+    let commands = argument(1, 200_000);
+    let burst = argument(2, 10).max(1);
+    let mut group = Group::new();
+    let leader = NodeId(1);
+    let now = group.nodes[&leader].next_wakeup();
+    if let Some(node) = group.nodes.get_mut(&leader) {
+        node.tick(now);
+    }
+    group.settle(now);
+    let begun = Instant::now();
+    for first in (0..commands).step_by(burst as usize) {
+        for _ in first..commands.min(first + burst) {
+            if let Some(node) = group.nodes.get_mut(&leader) {
+                node.propose(now, vec![7; COMMAND_BYTES]).ok();
+            }
+        }
+        group.settle(now);
+    }
+    let seconds = begun.elapsed().as_secs_f64();
+    println!("commands {commands}, burst {burst}, seconds {seconds:.3}");
+    println!("commits a second {:.0}", commands as f64 / seconds);
+    println!("entries applied by the three nodes {}", group.committed);
+    println!("messages {}", group.messages);
+}
--- a/crates/consensus/src/election.rs
+++ b/crates/consensus/src/election.rs
@@ -14,6 +14,26 @@
 const SHORTEST_RETRY_DIVISOR: u64 = 4;
 
 impl Node {
+    /// Takes a message of an election.
+    pub(crate) fn step_election(&mut self, from: NodeId, message: Message) {
+        match message {
+            Message::PreVote {
+                term,
+                last_index,
+                last_term,
+            } => self.on_pre_vote(from, term, (last_term, last_index)),
+            Message::PreVoteReply { term, granted } => self.on_pre_vote_reply(from, term, granted),
+            Message::Vote {
+                term,
+                last_index,
+                last_term,
+                transfer,
+            } => self.on_vote(from, term, (last_term, last_index), transfer),
+            Message::VoteReply { term, granted } => self.on_vote_reply(from, term, granted),
+            _ => {}
+        }
+    }
+
     pub(crate) fn reset_election_deadline(&mut self) {
         let shortest = self.options.election_timeout.0;
         let extra = self.random.random_range(0..shortest.max(1));
@@ -142,7 +162,7 @@
         self.begin_round();
     }
 
-    pub(crate) fn on_pre_vote(&mut self, from: NodeId, term: Term, end: LogEnd) {
+    fn on_pre_vote(&mut self, from: NodeId, term: Term, end: LogEnd) {
         let granted = term > self.term && !self.is_bound_to_leader() && end >= self.log_end();
         let reply = Message::PreVoteReply {
             term: if granted { term } else { self.term },
@@ -151,7 +171,7 @@
         self.send(from, reply);
     }
 
-    pub(crate) fn on_pre_vote_reply(&mut self, from: NodeId, term: Term, granted: bool) {
+    fn on_pre_vote_reply(&mut self, from: NodeId, term: Term, granted: bool) {
         if !granted {
             self.step_down_for(term);
             return;
@@ -173,7 +193,7 @@
         }
     }
 
-    pub(crate) fn on_vote(&mut self, from: NodeId, term: Term, end: LogEnd, transfer: bool) {
+    fn on_vote(&mut self, from: NodeId, term: Term, end: LogEnd, transfer: bool) {
         // The promise comes before the term: a bound voter does not even take
         // the higher term, or the leader would fall with it.
         if term >= self.term && !transfer && self.is_bound_to_leader() {
@@ -196,7 +216,7 @@
         self.send_after_persist(from, reply);
     }
 
-    pub(crate) fn on_vote_reply(&mut self, from: NodeId, term: Term, granted: bool) {
+    fn on_vote_reply(&mut self, from: NodeId, term: Term, granted: bool) {
         self.step_down_for(term);
         if !granted || term != self.term {
             return;
--- a/crates/consensus/src/follower.rs
+++ b/crates/consensus/src/follower.rs
@@ -2,10 +2,45 @@
 
 use crate::log::{after, before};
 use crate::node::Role;
+use crate::snapshot::Piece;
 use crate::{Entry, Message, Node, Payload};
 use types::{LogIndex, NodeId, Term};
 
 impl Node {
+    /// Takes a message that only a leader sends.
+    pub(crate) fn step_follower(&mut self, from: NodeId, message: Message) {
+        match message {
+            Message::Append {
+                term,
+                previous_index,
+                previous_term,
+                entries,
+                commit,
+                round,
+            } => {
+                let previous = (previous_index, previous_term);
+                self.on_append(from, term, previous, entries, commit, round);
+            }
+            Message::SnapshotChunk {
+                term,
+                meta,
+                offset,
+                total,
+                data,
+                round,
+            } => {
+                let piece = Piece {
+                    meta,
+                    offset,
+                    total,
+                    data,
+                };
+                self.on_snapshot_chunk(from, term, piece, round);
+            }
+            _ => {}
+        }
+    }
+
     /// Takes a message of a leader of `term`. Returns false if it is of an
     /// earlier term, or if this node itself leads that term, which only a
     /// malformed message can claim.
@@ -20,7 +55,7 @@
         true
     }
 
-    pub(crate) fn on_append(
+    fn on_append(
         &mut self,
         from: NodeId,
         term: Term,
--- a/crates/consensus/src/node.rs
+++ b/crates/consensus/src/node.rs
@@ -181,58 +181,16 @@
             return;
         }
         match message {
-            Message::PreVote {
-                term,
-                last_index,
-                last_term,
-            } => self.on_pre_vote(from, term, (last_term, last_index)),
-            Message::PreVoteReply { term, granted } => self.on_pre_vote_reply(from, term, granted),
-            Message::Vote {
-                term,
-                last_index,
-                last_term,
-                transfer,
-            } => self.on_vote(from, term, (last_term, last_index), transfer),
-            Message::VoteReply { term, granted } => self.on_vote_reply(from, term, granted),
-            Message::Append {
-                term,
-                previous_index,
-                previous_term,
-                entries,
-                commit,
-                round,
-            } => {
-                let previous = (previous_index, previous_term);
-                self.on_append(from, term, previous, entries, commit, round);
+            Message::PreVote { .. }
+            | Message::PreVoteReply { .. }
+            | Message::Vote { .. }
+            | Message::VoteReply { .. } => self.step_election(from, message),
+            Message::Append { .. } | Message::SnapshotChunk { .. } => {
+                self.step_follower(from, message);
             }
-            Message::AppendReply {
-                term,
-                success,
-                index,
-                round,
-            } => self.on_append_reply(from, term, success, index, round),
-            Message::SnapshotChunk {
-                term,
-                meta,
-                offset,
-                total,
-                data,
-                round,
-            } => {
-                let piece = crate::snapshot::Piece {
-                    meta,
-                    offset,
-                    total,
-                    data,
-                };
-                self.on_snapshot_chunk(from, term, piece, round);
+            Message::AppendReply { .. } | Message::SnapshotReply { .. } => {
+                self.step_leader(from, message);
             }
-            Message::SnapshotReply {
-                term,
-                index,
-                next_offset,
-                round,
-            } => self.on_snapshot_reply(from, term, index, next_offset, round),
             Message::TimeoutNow { term } => self.on_timeout_now(term),
         }
     }
--- a/crates/consensus/src/replication.rs
+++ b/crates/consensus/src/replication.rs
@@ -3,7 +3,7 @@
 use crate::node::{Leadership, Role};
 use crate::progress::{Progress, Source};
 use crate::{Message, Node};
-use types::{LogIndex, Monotonic, NodeId};
+use types::{LogIndex, Monotonic, NodeId, Term};
 
 impl Leadership {
     /// Drops those that are members no more and begins with the new ones.
@@ -23,6 +23,25 @@
 }
 
 impl Node {
+    /// Takes a follower's answer.
+    pub(crate) fn step_leader(&mut self, from: NodeId, message: Message) {
+        match message {
+            Message::AppendReply {
+                term,
+                success,
+                index,
+                round,
+            } => self.on_append_reply(from, term, success, index, round),
+            Message::SnapshotReply {
+                term,
+                index,
+                next_offset,
+                round,
+            } => self.on_snapshot_reply(from, term, index, next_offset, round),
+            _ => {}
+        }
+    }
+
     /// Sends entries to every member whose window is open.
     pub(crate) fn replicate(&mut self) {
         self.for_each_member(Progress::pump);
@@ -59,10 +78,10 @@
         }
     }
 
-    pub(crate) fn on_append_reply(
+    fn on_append_reply(
         &mut self,
         from: NodeId,
-        term: types::Term,
+        term: Term,
         success: bool,
         index: LogIndex,
         round: u64,
--- a/crates/consensus/tests/cluster/script.rs
+++ b/crates/consensus/tests/cluster/script.rs
@@ -6,8 +6,10 @@
 use rand::Rng;
 use types::{LogIndex, NodeId, Term};
 
-/// Machines of a run; three of them are the first voters.
+/// Machines of a run.
 const MACHINES: u64 = 6;
+/// First voters; a run has one of these.
+const VOTERS: [u64; 4] = [3, 3, 3, 5];
 /// Faults and proposals of a run.
 const STEPS: u64 = 60;
 /// Proposals between two faults, at most; a run keeps to one of them. In an
@@ -26,7 +28,8 @@
 
 /// Runs a cluster under random faults, heals it and has it serve.
 pub fn run_seed(seed: u64, mutation: Option<Mutation>) -> Result<Outcome, Violation> {
-    let mut cluster = Cluster::new(seed, 3, MACHINES, mutation);
+    let voters = VOTERS[seed as usize % VOTERS.len()];
+    let mut cluster = Cluster::new(seed, voters, MACHINES, mutation);
     cluster.wait_for_leader()?;
     let burst = BURSTS[cluster.random.random_range(0..BURSTS.len())];
     for step in 0..STEPS {
@@ -104,7 +107,7 @@
     /// Does one random thing.
     fn act(&mut self) {
         let victim = self.victim();
-        match self.random.random_range(0..16) {
+        match self.random.random_range(0..17) {
             0 | 1 => self.crash(victim),
             2 | 3 => {
                 self.crash(victim);
@@ -131,6 +134,7 @@
             12 => self.network = Network::GOOD,
             13 => self.change_membership(),
             14 => self.hand_over(),
+            15 => self.lose_power(),
             _ => self.compact_some(),
         }
     }
@@ -145,6 +149,13 @@
         }
     }
 
+    fn lose_power(&mut self) {
+        for id in 1..=MACHINES {
+            self.crash(NodeId(id));
+        }
+        self.start_stopped();
+    }
+
     fn compact_some(&mut self) {
         let now = self.now;
         for machine in self.machines.values_mut() {
