--- a/crates/consensus/tests/node.rs
+++ b/crates/consensus/tests/node.rs
@@ -4,7 +4,8 @@
 
 use cluster::{membership, options};
 use consensus::{
-    Entry, HardState, Message, Node, Payload, RaftRole, Ready, Recovered, SnapshotMeta,
+    Entry, HardState, Message, Node, Payload, ProposeError, RaftRole, Ready, Recovered,
+    SnapshotMeta,
 };
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -131,6 +132,58 @@
     assert_eq!(ready.messages_after_persist[0].message, reply);
 }
 
+/// A node that has just won term 4 with entries of terms 1 and 2 in its log.
+fn new_leader() -> (Node, Monotonic) {
+    let recovered = Recovered {
+        hard_state: HardState {
+            term: Term(3),
+            ..HardState::default()
+        },
+        snapshot: None,
+        entries: vec![command(1, 1), command(2, 2)],
+    };
+    let mut node = node(&[1, 2, 3], recovered);
+    let now = node.next_wakeup();
+    let (term, granted) = (Term(4), true);
+    node.tick(now);
+    node.step(now, LEADER, Message::PreVoteReply { term, granted });
+    persist_all(&mut node, now);
+    node.step(now, LEADER, Message::VoteReply { term, granted });
+    persist_all(&mut node, now);
+    assert_eq!(node.status(now).role, RaftRole::Leader);
+    (node, now)
+}
+
+fn acknowledge(index: u64) -> Message {
+    Message::AppendReply {
+        term: Term(4),
+        success: true,
+        index: LogIndex(index),
+        round: 1,
+    }
+}
+
+#[test]
+fn entries_of_earlier_terms_commit_only_with_one_of_the_own() {
+    let (mut node, now) = new_leader();
+    node.step(now, LEADER, acknowledge(2));
+    assert_eq!(node.status(now).commit, LogIndex(0));
+    assert!(!node.holds_lease(now));
+    node.step(now, LEADER, acknowledge(3));
+    assert_eq!(node.status(now).commit, LogIndex(3));
+    assert!(node.holds_lease(now));
+}
+
+#[test]
+fn a_new_leader_changes_no_membership_before_its_own_entry_is_committed() {
+    let (mut node, now) = new_leader();
+    let next = membership(&[1, 2, 3, 4], &[]);
+    let early = node.propose_membership(now, next.clone());
+    assert_eq!(early, Err(ProposeError::ChangeInProgress));
+    node.step(now, LEADER, acknowledge(3));
+    assert_eq!(node.propose_membership(now, next), Ok(LogIndex(4)));
+}
+
 /// The same node may lead again by the time the answer arrives, and must not
 /// take an earlier term's round for one of its own.
 #[test]
