Test the dispatcher where planted faults passed

A view that trusted a report of free room over its own open runs passed all tests: a run that had ended on its runner gave up its room before the record closed it. Also tested now: the bound of the look-ahead, run identifiers of a view rebuilt in its term, and the audit of random divergence.

--- a/crates/dispatch/tests/model.rs
+++ b/crates/dispatch/tests/model.rs
@@ -264,6 +264,23 @@
     counts.chain(reasons).collect()
 }
 
+type Jobs = BTreeMap<u64, (u32, u32, u64)>;
+
+fn jobs() -> impl Strategy<Value = Jobs> {
+    prop::collection::btree_map(1..40_u64, (1..4_u32, 1..3_u32, 0..3_u64), 0..30)
+}
+
+fn metas(jobs: &Jobs) -> Vec<TaskMeta> {
+    let jobs = jobs.iter();
+    jobs.map(|(job, (needs, copies, delay))| {
+        let mut new = meta(*job, Reference::owner(*job).0, *needs);
+        new.max_copies = *copies;
+        new.not_before = (*delay > 0).then(|| at(*delay).wall);
+        new
+    })
+    .collect()
+}
+
 proptest! {
     #![proptest_config(ProptestConfig {
         cases: 300,
@@ -303,4 +320,26 @@
         };
         prop_assert_eq!(settled(&publish(&jobs.0)), settled(&publish(&jobs.1)));
     }
+
+    #[test]
+    fn an_audit_repairs_any_divergence(
+        viewed in jobs(),
+        recorded in jobs(),
+    ) {
+        let mut dispatcher = start();
+        for meta in metas(&viewed) {
+            dispatcher.publish(meta, at(0));
+        }
+        let record = metas(&recorded);
+        dispatcher.audit(JobNumber(0), JobNumber(99), &record, at(0));
+        let mut rebuilt = start();
+        for meta in metas(&recorded) {
+            rebuilt.publish(meta, at(0));
+        }
+        prop_assert_eq!(settled(&dispatcher), settled(&rebuilt));
+        prop_assert_eq!(dispatcher.next_start_time(), rebuilt.next_start_time());
+        let again = dispatcher.audit(JobNumber(0), JobNumber(99), &record, at(0));
+        prop_assert_eq!((again.republished, again.removed), (0, 0));
+        prop_assert_eq!(again.compared, record.len() as u64);
+    }
 }
--- a/crates/dispatch/tests/room.rs
+++ b/crates/dispatch/tests/room.rs
@@ -29,6 +29,24 @@
     assert_eq!(dispatcher.runners(at(30))[0].capacity, slots(2));
 }
 
+#[test]
+fn an_ended_run_takes_room_until_the_record_has_closed_it() {
+    let mut dispatcher = dispatcher(&document(&[("a", 10)]));
+    dispatcher.heartbeat(&report("r1", 1, 1, 1), at(0));
+    dispatcher.publish(meta(1, "a", 1), at(0));
+    dispatcher.publish(meta(2, "a", 1), at(0));
+    let first = placed(dispatcher.reserve(&runner("r1"), at(0))).unwrap();
+    let mut over = report("r1", 2, 1, 1);
+    over.ended.push(EndedRun {
+        run: first.run,
+        outcome: Outcome::Done,
+    });
+    dispatcher.heartbeat(&over, at(10));
+    assert_eq!(dispatcher.reserve(&runner("r1"), at(10)), None);
+    dispatcher.remove_run(first.run);
+    assert!(dispatcher.reserve(&runner("r1"), at(10)).is_some());
+}
+
 #[test]
 fn a_new_life_has_its_own_room_while_old_runs_still_count_for_the_tenant() {
     let mut dispatcher = dispatcher(&document(&[("a", 3)]));
--- a/crates/dispatch/tests/steps.rs
+++ b/crates/dispatch/tests/steps.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use dispatch::{NotPlacedReason, Published};
+use dispatch::{Dispatcher, DispatcherOptions, NotPlacedReason, Published};
 use support::*;
 use types::*;
 
@@ -155,3 +155,48 @@
     assert_eq!(dispatcher.holdings(&tenant("a")), slots(2));
     assert_eq!(dispatcher.reserve(&runner("r1"), at(0)), None);
 }
+
+#[test]
+fn the_look_ahead_is_bounded_by_needs_not_by_equal_tasks() {
+    let options = DispatcherOptions {
+        look_ahead: 1,
+        ..DispatcherOptions::default()
+    };
+    let mut dispatcher = Dispatcher::new(options, Term(3), 7);
+    dispatcher.configure(&document(&[("a", 100)]));
+    dispatcher.heartbeat(&report("r1", 1, 8, 2), at(0));
+    for job in 1..=50 {
+        dispatcher.publish(meta(job, "a", 3), at(0));
+    }
+    dispatcher.publish(meta(60, "a", 1), at(0));
+    let small = placed(dispatcher.reserve(&runner("r1"), at(0))).unwrap();
+    assert_eq!(small.task, task(60));
+    // Two kinds that do not fit stand before the next small one.
+    dispatcher.publish(meta(51, "a", 4), at(0));
+    dispatcher.publish(meta(61, "a", 1), at(0));
+    assert_eq!(dispatcher.reserve(&runner("r1"), at(0)), None);
+}
+
+#[test]
+fn a_view_rebuilt_in_its_term_uses_no_run_identifier_twice() {
+    let mut dispatcher = dispatcher(&document(&[("a", 100)]));
+    dispatcher.heartbeat(&report("r1", 1, 8, 8), at(0));
+    let sequence = 41;
+    dispatcher.adopt_run(OpenRun {
+        run: RunId {
+            term: Term(3),
+            sequence,
+        },
+        task: task(1),
+        tenant: tenant("a"),
+        queue: queue("main"),
+        runner: runner("r1"),
+        incarnation: RunnerIncarnation(1),
+        resources: slots(1),
+        time_limit: Milliseconds(1_000),
+        reserved_at: at(0).wall,
+    });
+    dispatcher.publish(meta(2, "a", 1), at(0));
+    let next = placed(dispatcher.reserve(&runner("r1"), at(0))).unwrap();
+    assert!(next.run.sequence > sequence);
+}
