--- a/crates/dispatch/tests/room.rs
+++ b/crates/dispatch/tests/room.rs
@@ -29,6 +29,24 @@
     assert_eq!(dispatcher.runners(at(30))[0].capacity, slots(2));
 }
 
+#[test]
+fn an_ended_run_takes_room_until_the_record_has_closed_it() {
+    let mut dispatcher = dispatcher(&document(&[("a", 10)]));
+    dispatcher.heartbeat(&report("r1", 1, 1, 1), at(0));
+    dispatcher.publish(meta(1, "a", 1), at(0));
+    dispatcher.publish(meta(2, "a", 1), at(0));
+    let first = placed(dispatcher.reserve(&runner("r1"), at(0))).unwrap();
+    let mut over = report("r1", 2, 1, 1);
+    over.ended.push(EndedRun {
+        run: first.run,
+        outcome: Outcome::Done,
+    });
+    dispatcher.heartbeat(&over, at(10));
+    assert_eq!(dispatcher.reserve(&runner("r1"), at(10)), None);
+    dispatcher.remove_run(first.run);
+    assert!(dispatcher.reserve(&runner("r1"), at(10)).is_some());
+}
+
 #[test]
 fn a_new_life_has_its_own_room_while_old_runs_still_count_for_the_tenant() {
     let mut dispatcher = dispatcher(&document(&[("a", 3)]));
@@ -123,6 +141,21 @@
     assert!(dispatcher.reserve(&runner("r1"), at(10_000)).is_some());
 }
 
+#[test]
+fn a_success_between_failures_clears_the_runner() {
+    let mut dispatcher = three_runners();
+    for job in 1..=7 {
+        dispatcher.note_outcome(&runner("r1"), task(job), true, at(0));
+    }
+    dispatcher.note_outcome(&runner("r1"), task(8), false, at(0));
+    for job in 9..=15 {
+        dispatcher.note_outcome(&runner("r1"), task(job), true, at(0));
+    }
+    assert!(!dispatcher.runners(at(0))[0].on_probation);
+    dispatcher.note_outcome(&runner("r1"), task(16), true, at(0));
+    assert!(dispatcher.runners(at(0))[0].on_probation);
+}
+
 #[test]
 fn a_failed_trial_leads_back_to_probation() {
     let mut dispatcher = three_runners();
