Add JSON bodies, job mixes and the stand-in caller

Cause: gateways, the simulation and the lab need the outer bodies, a load at the size of the two deployments, and callers that send again. Ruled out: serde on the domain types, which would tie the record's bytes to the outer interface; an untagged cancel body, whose errors name no field. Change: api reads JSON and TOML with the path of a fault; standin draws both mixes from a seed, describes their fleet and follows jobs to their end. Before: signatures only.

--- a/crates/api/src/decision.rs
+++ b/crates/api/src/decision.rs
@@ -1,1 +1,292 @@
-//! JSON bodies: decision.
+//! JSON bodies: the decision log, a line each.
+
+use crate::BodyError;
+use crate::cancel::JobKeyBody;
+use crate::job::JobState;
+use dispatch::{Decision, DecisionKind, NotPlacedReason};
+use peer::{DecisionEntry, DecisionEvent};
+use serde::{Deserialize, Serialize};
+use types::{Outcome, QueueName, RunClose, RunnerId, TenantId, WallTime};
+
+/// Most lines asked of the leader at once.
+pub const MAX_DECISIONS: u32 = 1_000;
+
+/// Query of `GET /v1/decisions`.
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct DecisionsQuery {
+    /// Number of the last line seen; 0 for the oldest kept.
+    #[serde(default)]
+    pub after: u64,
+    /// Whether to go on with new lines as they come.
+    #[serde(default)]
+    pub follow: bool,
+    /// Lines in a reply that does not follow, or in one poll of one that does.
+    pub limit: Option<u32>,
+}
+
+impl DecisionsQuery {
+    /// The limit, once it is found fair.
+    pub fn checked_limit(&self) -> Result<u32, BodyError> {
+        let limit = self.limit.unwrap_or(MAX_DECISIONS);
+        if limit == 0 || limit > MAX_DECISIONS {
+            let problem = format!("must lie between 1 and {MAX_DECISIONS}");
+            return Err(BodyError::new("limit", problem));
+        }
+        Ok(limit)
+    }
+}
+
+/// One line.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct DecisionLine {
+    /// Its number; rises by one within a leader's term.
+    pub number: u64,
+    /// Term of the leader that decided.
+    pub term: u64,
+    /// Leader's wall time, in milliseconds since the epoch.
+    pub at_ms: u64,
+    /// The job, when it is known.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub job: Option<JobKeyBody>,
+    /// What happened.
+    #[serde(flatten)]
+    pub event: EventBody,
+}
+
+/// What happened. Tasks read `<job number>.<step>.<task>`, runs
+/// `<term>-<sequence>`.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(tag = "event", rename_all = "snake_case")]
+pub enum EventBody {
+    /// A task was given to a runner.
+    Placed {
+        /// The queue.
+        queue: QueueName,
+        /// The tenant.
+        tenant: TenantId,
+        /// The task.
+        task: String,
+        /// The run.
+        run: String,
+        /// The runner.
+        runner: RunnerId,
+        /// Tenants that were runnable when one was drawn.
+        runnable_tenants: u32,
+        /// True in a shadow queue: nothing will be started.
+        shadow: bool,
+    },
+    /// A task stays where it is.
+    NotPlaced {
+        /// The queue.
+        queue: QueueName,
+        /// The tenant.
+        tenant: TenantId,
+        /// The task.
+        task: String,
+        /// Why, in short.
+        reason: Reason,
+        /// Why, for people.
+        message: String,
+    },
+    /// The record took the reservation; its order leaves.
+    Ordered {
+        /// The run.
+        run: String,
+        /// The task.
+        task: String,
+        /// The runner.
+        runner: RunnerId,
+    },
+    /// The record closed a run.
+    Closed {
+        /// The run.
+        run: String,
+        /// The task.
+        task: String,
+        /// The runner.
+        runner: RunnerId,
+        /// How it ended.
+        outcome: Close,
+        /// What the runner said about a failure.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        message: Option<String>,
+    },
+    /// A job reached a final state.
+    JobEnded {
+        /// The state.
+        state: JobState,
+    },
+}
+
+/// Why a task stays where it is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Reason {
+    /// The tenant's runs hold its ceiling.
+    TenantAtCeiling,
+    /// The tenant is above its share.
+    TenantAboveShare,
+    /// No runner has room.
+    NoRoom,
+    /// No runner with room carries the labels.
+    NoRunnerWithLabels,
+    /// The only room is on a runner on probation.
+    RunnerOnProbation,
+    /// A runner is kept free for a larger task.
+    HeldForLargerTask,
+    /// Its start time or backoff has not come.
+    BeforeItsTime,
+    /// A step before it is not done.
+    WaitingForStep,
+    /// The queue is paused.
+    QueuePaused,
+    /// The queue only decides and logs.
+    QueueShadow,
+    /// No runner has reported yet.
+    NoRunnerKnown,
+    /// It has all the runs it may have.
+    AlreadyRunning,
+}
+
+impl From<&NotPlacedReason> for Reason {
+    fn from(reason: &NotPlacedReason) -> Self {
+        match reason {
+            NotPlacedReason::TenantAtCeiling => Self::TenantAtCeiling,
+            NotPlacedReason::TenantAboveShare => Self::TenantAboveShare,
+            NotPlacedReason::NoRoom => Self::NoRoom,
+            NotPlacedReason::NoRunnerWithLabels => Self::NoRunnerWithLabels,
+            NotPlacedReason::RunnerOnProbation => Self::RunnerOnProbation,
+            NotPlacedReason::HeldForLargerTask { .. } => Self::HeldForLargerTask,
+            NotPlacedReason::BeforeItsTime { .. } => Self::BeforeItsTime,
+            NotPlacedReason::WaitingForStep => Self::WaitingForStep,
+            NotPlacedReason::QueuePaused => Self::QueuePaused,
+            NotPlacedReason::QueueShadow => Self::QueueShadow,
+            NotPlacedReason::NoRunnerKnown => Self::NoRunnerKnown,
+            NotPlacedReason::AlreadyRunning => Self::AlreadyRunning,
+        }
+    }
+}
+
+/// How a run ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Close {
+    /// The task did its work.
+    Done,
+    /// The task failed.
+    Failed,
+    /// Stopped; no failure.
+    Stopped,
+    /// It never started and never will.
+    Voided,
+    /// Its lease ran out in silence; no failure.
+    Lost,
+    /// The runner refused it; no failure.
+    Refused,
+    /// It ran past its time limit; a failure.
+    TimedOut,
+}
+
+impl From<&RunClose> for Close {
+    fn from(close: &RunClose) -> Self {
+        match close {
+            RunClose::Ended(Outcome::Done) => Self::Done,
+            RunClose::Ended(Outcome::Failed(_)) => Self::Failed,
+            RunClose::Ended(Outcome::Stopped) => Self::Stopped,
+            RunClose::Voided => Self::Voided,
+            RunClose::Lost => Self::Lost,
+            RunClose::Refused => Self::Refused,
+            RunClose::TimedOut => Self::TimedOut,
+        }
+    }
+}
+
+impl From<DecisionEntry> for DecisionLine {
+    fn from(entry: DecisionEntry) -> Self {
+        let (at, event) = match entry.event {
+            DecisionEvent::Dispatch(decision) => (decision.at, dispatched(decision)),
+            DecisionEvent::Ordered {
+                run,
+                task,
+                runner,
+                at,
+            } => (
+                at,
+                EventBody::Ordered {
+                    run: run.to_string(),
+                    task: task.to_string(),
+                    runner,
+                },
+            ),
+            DecisionEvent::Closed {
+                run,
+                task,
+                runner,
+                close,
+                at,
+            } => (
+                at,
+                EventBody::Closed {
+                    run: run.to_string(),
+                    task: task.to_string(),
+                    runner,
+                    outcome: Close::from(&close),
+                    message: failure_message(close),
+                },
+            ),
+            DecisionEvent::JobEnded { state, at } => (
+                at,
+                EventBody::JobEnded {
+                    state: state.into(),
+                },
+            ),
+        };
+        let WallTime(at_ms) = at;
+        Self {
+            number: entry.number,
+            term: entry.term.0,
+            at_ms,
+            job: entry.job.map(JobKeyBody::from),
+            event,
+        }
+    }
+}
+
+fn dispatched(decision: Decision) -> EventBody {
+    let Decision {
+        queue,
+        tenant,
+        kind,
+        ..
+    } = decision;
+    match kind {
+        DecisionKind::Placed {
+            reservation,
+            runnable_tenants,
+            shadow,
+        } => EventBody::Placed {
+            queue,
+            tenant,
+            task: reservation.task.to_string(),
+            run: reservation.run.to_string(),
+            runner: reservation.runner,
+            runnable_tenants,
+            shadow,
+        },
+        DecisionKind::NotPlaced { task, reason } => EventBody::NotPlaced {
+            queue,
+            tenant,
+            task: task.to_string(),
+            reason: Reason::from(&reason),
+            message: reason.to_string(),
+        },
+    }
+}
+
+fn failure_message(close: RunClose) -> Option<String> {
+    match close {
+        RunClose::Ended(Outcome::Failed(message)) => Some(message),
+        _ => None,
+    }
+}
--- a/crates/api/src/lib.rs
+++ b/crates/api/src/lib.rs
@@ -4,9 +4,17 @@
 //! alone; everything behind speaks the domain's terms. A change of the outer
 //! interface touches this crate only.
 
+pub mod body;
+pub mod cancel;
 pub mod configuration;
 pub mod decision;
 pub mod job;
+pub mod key;
 pub mod operator;
 pub mod refusal;
+pub mod route;
 pub mod runner;
+pub mod version;
+pub mod view;
+
+pub use body::{BodyError, parse_json, parse_toml};
--- a/crates/api/src/operator.rs
+++ b/crates/api/src/operator.rs
@@ -1,1 +1,204 @@
-//! JSON bodies: operator.
+//! JSON bodies: runners, queues, tenants and members, as operators see them.
+
+use crate::configuration::{CapacityBody, CeilingBody, QueueMode};
+use dispatch::RunnerView;
+use peer::{MemberView, QueueView, TenantView};
+use serde::{Deserialize, Serialize};
+use types::{Labels, PoolName, QueueName, RackName, RunnerId, TenantId};
+
+/// `POST /v1/runners/{runner}/drain`.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct DrainBody {
+    /// Whether it drains from now on.
+    pub draining: bool,
+}
+
+/// Answer to an order that has nothing to tell.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AcceptedBody {
+    /// Always true.
+    pub accepted: bool,
+}
+
+/// Answer to `POST /v1/runners/{runner}/lost`.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RunsLostBody {
+    /// Runs closed as lost, as `<term>-<sequence>`.
+    pub runs: Vec<String>,
+}
+
+/// Answer to `GET /v1/runners`.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RunnersBody {
+    /// The runners known to the leader.
+    pub runners: Vec<RunnerViewBody>,
+}
+
+/// A runner as the leader sees it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RunnerViewBody {
+    /// The runner.
+    pub runner: RunnerId,
+    /// Its current life.
+    pub incarnation: u64,
+    /// Its pool.
+    pub pool: PoolName,
+    /// Its rack.
+    pub rack: RackName,
+    /// Its labels.
+    pub labels: Labels,
+    /// All it has.
+    pub capacity: CapacityBody,
+    /// What is free, less orders on their way.
+    pub room: CapacityBody,
+    /// Open runs bound to it.
+    pub open_runs: u32,
+    /// True when it or an operator says so.
+    pub draining: bool,
+    /// True when it is on probation.
+    pub on_probation: bool,
+    /// Time since its last heartbeat.
+    pub silence_ms: u64,
+}
+
+impl From<RunnerView> for RunnerViewBody {
+    fn from(view: RunnerView) -> Self {
+        Self {
+            runner: view.runner,
+            incarnation: view.incarnation.0,
+            pool: view.pool,
+            rack: view.rack,
+            labels: view.labels,
+            capacity: view.capacity.into(),
+            room: view.room.into(),
+            open_runs: view.open_runs,
+            draining: view.draining,
+            on_probation: view.on_probation,
+            silence_ms: view.silence.0,
+        }
+    }
+}
+
+/// Answer to `GET /v1/queues`.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct QueuesBody {
+    /// The queues.
+    pub queues: Vec<QueueViewBody>,
+}
+
+/// A queue with its counts.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct QueueViewBody {
+    /// The queue.
+    pub queue: QueueName,
+    /// Its pool.
+    pub pool: PoolName,
+    /// Its mode.
+    pub mode: QueueMode,
+    /// Unfinished jobs.
+    pub unfinished_jobs: u64,
+    /// Tasks that may start.
+    pub ready_tasks: u64,
+    /// Open runs.
+    pub open_runs: u64,
+}
+
+impl From<QueueView> for QueueViewBody {
+    fn from(view: QueueView) -> Self {
+        Self {
+            queue: view.queue,
+            pool: view.pool,
+            mode: view.mode.into(),
+            unfinished_jobs: view.unfinished_jobs,
+            ready_tasks: view.ready_tasks,
+            open_runs: view.open_runs,
+        }
+    }
+}
+
+/// Answer to `GET /v1/tenants`.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TenantsBody {
+    /// The tenants.
+    pub tenants: Vec<TenantViewBody>,
+}
+
+/// A tenant with its counts and the state of its error budget.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TenantViewBody {
+    /// The tenant.
+    pub tenant: TenantId,
+    /// Unfinished jobs.
+    pub unfinished_jobs: u64,
+    /// Tasks that may start.
+    pub ready_tasks: u64,
+    /// What its open runs hold.
+    pub holds: CapacityBody,
+    /// Its ceiling.
+    pub most: CeilingBody,
+    /// Jobs ended since the leader's election.
+    pub ended_jobs: u64,
+    /// Of those, late by the contract.
+    pub late_jobs: u64,
+    /// Of those, failed.
+    pub failed_jobs: u64,
+    /// True when a budget is used up.
+    pub budget_exceeded: bool,
+}
+
+impl From<TenantView> for TenantViewBody {
+    fn from(view: TenantView) -> Self {
+        Self {
+            tenant: view.tenant,
+            unfinished_jobs: view.unfinished_jobs,
+            ready_tasks: view.ready_tasks,
+            holds: view.holds.into(),
+            most: view.ceiling.into(),
+            ended_jobs: view.ended_jobs,
+            late_jobs: view.late_jobs,
+            failed_jobs: view.failed_jobs,
+            budget_exceeded: view.budget_exceeded,
+        }
+    }
+}
+
+/// Answer to `GET /v1/members`.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MembersBody {
+    /// The members.
+    pub members: Vec<MemberViewBody>,
+}
+
+/// A member.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MemberViewBody {
+    /// Identity, in decimal; text, since it uses all 64 bits.
+    pub node: String,
+    /// `coordinator`, `gateway` or `agent`.
+    pub role: String,
+    /// Its zone.
+    pub zone: String,
+    /// Its peer socket.
+    pub socket: String,
+    /// `leader`, `voter`, `learner` or `session`.
+    pub standing: String,
+    /// Time since it was last heard by the leader.
+    pub silence_ms: u64,
+    /// Configuration version it last reported.
+    pub configuration: u64,
+}
+
+impl From<MemberView> for MemberViewBody {
+    fn from(view: MemberView) -> Self {
+        Self {
+            node: view.address.node.to_string(),
+            role: view.address.role.to_string(),
+            zone: view.address.zone.to_string(),
+            socket: view.address.socket.to_string(),
+            standing: view.standing,
+            silence_ms: view.silence.0,
+            configuration: view.configuration.0,
+        }
+    }
+}
--- /dev/null
+++ b/crates/standin/src/fleet.rs
@@ -0,0 +1,168 @@
+//! The runners and the configuration that the two mixes are made for.
+
+use crate::workload::Mix;
+use configuration::{
+    ClusterConfiguration, ErrorBudget, PoolSettings, QueueMode, QueueSettings, TenantSettings,
+    Timings,
+};
+use std::fmt::Debug;
+use std::str::FromStr;
+use types::{InvalidName, Labels, Milliseconds, PoolName, RackName, Resources};
+
+/// Pool of the stills mix.
+pub const STILLS_POOL: &str = "stills";
+/// Pool of the documents mix.
+pub const DOCUMENTS_POOL: &str = "documents";
+/// Label that runners with accelerators carry.
+pub const ACCELERATOR_LABEL: &str = "gpu";
+/// Value of [`ACCELERATOR_LABEL`].
+pub const ACCELERATOR_VALUE: &str = "true";
+
+const SLOTS: u32 = 8;
+const GPUS: u32 = 8;
+const MEMORY_MIB_PER_CORE: u32 = 4_096;
+const LARGEST_CORES: u32 = 128;
+const RACKS: [&str; 3] = ["rack-1", "rack-2", "rack-3"];
+/// Cores of each runner, and whether it has accelerators.
+const STILLS_RUNNERS: [(u32, bool); 5] = [
+    (16, false),
+    (32, false),
+    (64, true),
+    (64, false),
+    (128, true),
+];
+const DOCUMENTS_RUNNERS: [(u32, bool); 6] = [
+    (16, false),
+    (16, false),
+    (32, false),
+    (64, true),
+    (64, false),
+    (128, true),
+];
+
+/// What a runner of the fleet is like, all but its name.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RunnerTemplate {
+    /// Its pool.
+    pub pool: PoolName,
+    /// Its rack.
+    pub rack: RackName,
+    /// Its labels.
+    pub labels: Labels,
+    /// All it has.
+    pub capacity: Resources,
+}
+
+/// The runners of a mix: 5 or 6 with 8 slots each, 16 to 128 cores, two of
+/// them with 8 accelerators.
+pub fn pool_runners(mix: Mix) -> Vec<RunnerTemplate> {
+    let sizes: &[(u32, bool)] = match mix {
+        Mix::Stills => &STILLS_RUNNERS,
+        Mix::Documents => &DOCUMENTS_RUNNERS,
+    };
+    let racks = RACKS.iter().cycle();
+    sizes
+        .iter()
+        .zip(racks)
+        .map(|((cores, accelerated), rack)| template(mix, rack, *cores, *accelerated))
+        .collect()
+}
+
+fn template(mix: Mix, rack: &str, cores: u32, accelerated: bool) -> RunnerTemplate {
+    let mut labels = Labels::new();
+    if accelerated {
+        labels.insert(ACCELERATOR_LABEL.to_owned(), ACCELERATOR_VALUE.to_owned());
+    }
+    RunnerTemplate {
+        pool: checked_name(mix.pool()),
+        rack: checked_name(rack),
+        labels,
+        capacity: capacity(cores, accelerated),
+    }
+}
+
+const fn capacity(cores: u32, accelerated: bool) -> Resources {
+    Resources {
+        slots: SLOTS,
+        cpu_milli: cores * 1_000,
+        memory_mib: cores * MEMORY_MIB_PER_CORE,
+        gpus: if accelerated { GPUS } else { 0 },
+    }
+}
+
+/// The configuration both mixes need: two pools of 5 and 6 runners, their
+/// queues, six tenants, no keys.
+pub fn example_configuration() -> ClusterConfiguration {
+    ClusterConfiguration {
+        pools: [STILLS_POOL, DOCUMENTS_POOL]
+            .map(|pool| (checked_name(pool), pool_settings()))
+            .into(),
+        queues: [
+            ("hover", STILLS_POOL),
+            ("batch", STILLS_POOL),
+            ("gpu", STILLS_POOL),
+            ("lookup", DOCUMENTS_POOL),
+            ("checks", DOCUMENTS_POOL),
+            ("scan", DOCUMENTS_POOL),
+        ]
+        .map(|(queue, pool)| (checked_name(queue), queue_settings(pool)))
+        .into(),
+        tenants: [
+            ("poster", tenant(40, 28, 12)),
+            ("finishing", tenant(40, 28, 12)),
+            ("editors", tenant(20, 24, 8)),
+            ("bid-review", tenant(40, 36, 8)),
+            ("document-intelligence", tenant(40, 36, 14)),
+            ("status-desk", tenant(20, 24, 4)),
+        ]
+        .map(|(name, settings)| (checked_name(name), settings))
+        .into(),
+        keys: Vec::new(),
+        timings: Timings::default(),
+    }
+}
+
+fn pool_settings() -> PoolSettings {
+    PoolSettings {
+        largest_runner: capacity(LARGEST_CORES, true),
+    }
+}
+
+fn queue_settings(pool: &str) -> QueueSettings {
+    QueueSettings {
+        pool: checked_name(pool),
+        mode: QueueMode::Active,
+        max_unfinished_jobs: 50_000,
+    }
+}
+
+fn tenant(share_percent: u32, slots: u32, gpus: u32) -> TenantSettings {
+    TenantSettings {
+        share_percent,
+        ceiling: Resources {
+            slots,
+            gpus,
+            ..Resources::UNLIMITED
+        },
+        error_budget: ErrorBudget {
+            late_after: Milliseconds::from_seconds(5),
+            late_per_thousand: 10,
+            failed_per_thousand: 10,
+        },
+        submits_per_second: 200,
+        submit_burst: 400,
+        max_unfinished_jobs: 20_000,
+    }
+}
+
+/// A name that this crate's own texts spell; a wrong one is a fault of the
+/// trial itself, so it ends it.
+pub(crate) fn checked_name<Name>(text: &str) -> Name
+where
+    Name: FromStr<Err = InvalidName> + Debug,
+{
+    match Name::from_str(text) {
+        Ok(name) => name,
+        Err(problem) => panic!("{text:?} is no name: {problem}"),
+    }
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -1,5 +1,6 @@
 //! Stand-in runners and callers without I/O, for simulation and lab.
 
 pub mod caller;
+pub mod fleet;
 pub mod runner;
 pub mod workload;
--- a/crates/standin/src/workload.rs
+++ b/crates/standin/src/workload.rs
@@ -1,6 +1,20 @@
-//! Job mixes of the two deployments, drawn from a seed.
+//! Job mixes of the two deployments, drawn from a seed, and the fleet and
+//! configuration they are made for.
 
-use types::JobSpec;
+use crate::fleet::{
+    ACCELERATOR_LABEL, ACCELERATOR_VALUE, DOCUMENTS_POOL, STILLS_POOL, checked_name,
+};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::ops::RangeInclusive;
+use types::{JobSpec, Labels, Milliseconds, Resources, StepSpec, Urgency};
+
+pub use crate::fleet::{RunnerTemplate, example_configuration, pool_runners};
+
+/// Longest a run of the mixes may take before it is stopped.
+const TIME_LIMIT: Milliseconds = Milliseconds(30_000);
+/// Failed runs each task may have.
+const ALLOWED_FAILURES: u32 = 3;
 
 /// Which mix to draw from.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -13,32 +27,248 @@
     Documents,
 }
 
+impl Mix {
+    /// The pool its queues are bound to.
+    pub fn pool(self) -> &'static str {
+        match self {
+            Self::Stills => STILLS_POOL,
+            Self::Documents => DOCUMENTS_POOL,
+        }
+    }
+
+    fn kinds(self) -> &'static [JobKind] {
+        match self {
+            Self::Stills => STILLS,
+            Self::Documents => DOCUMENTS,
+        }
+    }
+}
+
+/// One kind of job in a mix.
+struct JobKind {
+    jobs_per_second: f64,
+    queue: &'static str,
+    urgency: Urgency,
+    /// Tenants that submit it, each as likely as its weight.
+    tenants: &'static [(&'static str, u32)],
+    steps: &'static [StepKind],
+}
+
+/// One step of a kind of job; it waits for the step before it.
+struct StepKind {
+    name: &'static str,
+    tasks: RangeInclusive<u32>,
+    duration_ms: RangeInclusive<u64>,
+    resources: Resources,
+}
+
+const fn cores(cpu_milli: u32, memory_mib: u32) -> Resources {
+    Resources {
+        slots: 1,
+        cpu_milli,
+        memory_mib,
+        gpus: 0,
+    }
+}
+
+const ONE_GPU: Resources = Resources {
+    slots: 1,
+    cpu_milli: 2_000,
+    memory_mib: 4_096,
+    gpus: 1,
+};
+
+const fn step(
+    name: &'static str,
+    tasks: RangeInclusive<u32>,
+    duration_ms: RangeInclusive<u64>,
+    resources: Resources,
+) -> StepKind {
+    StepKind {
+        name,
+        tasks,
+        duration_ms,
+        resources,
+    }
+}
+
+/// About 17 of the pool's 40 slots at the ordinary load.
+const STILLS: &[JobKind] = &[
+    JobKind {
+        jobs_per_second: 36.0,
+        queue: "hover",
+        urgency: Urgency::Urgent,
+        tenants: &[("editors", 8), ("poster", 1), ("finishing", 1)],
+        steps: &[step("frame", 1..=1, 30..=120, cores(500, 256))],
+    },
+    JobKind {
+        jobs_per_second: 3.0,
+        queue: "batch",
+        urgency: Urgency::Normal,
+        tenants: &[("poster", 3), ("finishing", 1)],
+        steps: &[
+            step("cells", 4..=8, 150..=450, cores(1_000, 512)),
+            step("assemble", 1..=1, 300..=600, cores(1_000, 1_024)),
+        ],
+    },
+    JobKind {
+        jobs_per_second: 1.5,
+        queue: "batch",
+        urgency: Urgency::Normal,
+        tenants: &[("poster", 1), ("finishing", 1)],
+        steps: &[step("strip", 2..=4, 400..=800, cores(2_000, 1_024))],
+    },
+    JobKind {
+        jobs_per_second: 1.2,
+        queue: "gpu",
+        urgency: Urgency::Normal,
+        tenants: &[("finishing", 2), ("poster", 1)],
+        steps: &[step("upscale", 1..=1, 500..=3_500, ONE_GPU)],
+    },
+    JobKind {
+        jobs_per_second: 1.3,
+        queue: "gpu",
+        urgency: Urgency::Normal,
+        tenants: &[("finishing", 3), ("editors", 1)],
+        steps: &[step("colour", 1..=1, 500..=5_000, ONE_GPU)],
+    },
+];
+
+/// About 21 of the pool's 48 slots at the ordinary load.
+const DOCUMENTS: &[JobKind] = &[
+    JobKind {
+        jobs_per_second: 44.0,
+        queue: "lookup",
+        urgency: Urgency::Urgent,
+        tenants: &[
+            ("status-desk", 8),
+            ("bid-review", 1),
+            ("document-intelligence", 1),
+        ],
+        steps: &[step("lookup", 1..=1, 30..=90, cores(250, 128))],
+    },
+    JobKind {
+        jobs_per_second: 4.0,
+        queue: "checks",
+        urgency: Urgency::Normal,
+        tenants: &[("bid-review", 3), ("document-intelligence", 1)],
+        steps: &[
+            step("read", 3..=5, 200..=400, cores(1_000, 512)),
+            step("check", 1..=3, 300..=500, cores(1_000, 1_024)),
+            step("report", 1..=1, 100..=300, cores(500, 512)),
+        ],
+    },
+    JobKind {
+        jobs_per_second: 2.0,
+        queue: "checks",
+        urgency: Urgency::Normal,
+        tenants: &[("bid-review", 1), ("document-intelligence", 1)],
+        steps: &[
+            step("compare", 3..=7, 300..=500, cores(1_000, 512)),
+            step("summarise", 1..=1, 200..=400, cores(1_000, 512)),
+        ],
+    },
+    JobKind {
+        jobs_per_second: 2.0,
+        queue: "scan",
+        urgency: Urgency::Normal,
+        tenants: &[("document-intelligence", 3), ("bid-review", 1)],
+        steps: &[step("scan", 1..=1, 500..=5_000, ONE_GPU)],
+    },
+];
+
 /// Draws jobs of a mix, the same for the same seed.
 #[derive(Debug)]
 pub struct Workload {
-    _mix: Mix,
+    mix: Mix,
+    prefix: String,
+    random: ChaCha8Rng,
+    drawn: u64,
 }
 
 impl Workload {
     /// A workload; `prefix` starts every job identifier.
+    ///
+    /// # Panics
+    /// [`Workload::next_job`] panics when the prefix cannot start a name.
     pub fn new(mix: Mix, prefix: &str, seed: u64) -> Self {
-        let _ = (prefix, seed);
-        Self { _mix: mix }
+        Self {
+            mix,
+            prefix: prefix.to_owned(),
+            random: ChaCha8Rng::seed_from_u64(seed),
+            drawn: 0,
+        }
     }
 
     /// Jobs a second at the ordinary load.
     pub fn jobs_per_second(&self) -> f64 {
-        todo!()
+        let kinds = self.mix.kinds().iter();
+        kinds.map(|kind| kind.jobs_per_second).sum()
     }
 
     /// The next job.
     pub fn next_job(&mut self) -> JobSpec {
-        todo!()
+        let kind = self.draw_kind();
+        let tenant = self.draw_tenant(kind);
+        self.drawn += 1;
+        JobSpec {
+            tenant: checked_name(tenant),
+            job: checked_name(&format!("{}-{}", self.prefix, self.drawn)),
+            queue: checked_name(kind.queue),
+            urgency: kind.urgency,
+            start_at: None,
+            steps: self.draw_steps(kind),
+        }
+    }
+
+    fn draw_kind(&mut self) -> &'static JobKind {
+        let kinds = self.mix.kinds();
+        let mut drawn = self.random.random_range(0.0..self.jobs_per_second());
+        for kind in kinds {
+            if drawn < kind.jobs_per_second {
+                return kind;
+            }
+            drawn -= kind.jobs_per_second;
+        }
+        &kinds[0]
+    }
+
+    fn draw_tenant(&mut self, kind: &JobKind) -> &'static str {
+        let total: u32 = kind.tenants.iter().map(|(_, weight)| weight).sum();
+        let mut drawn = self.random.random_range(0..total);
+        for (tenant, weight) in kind.tenants {
+            if drawn < *weight {
+                return tenant;
+            }
+            drawn -= weight;
+        }
+        kind.tenants[0].0
+    }
+
+    fn draw_steps(&mut self, kind: &JobKind) -> Vec<StepSpec> {
+        let mut steps: Vec<StepSpec> = Vec::with_capacity(kind.steps.len());
+        for step in kind.steps {
+            let after = steps.last().map(|before| before.name.clone());
+            let duration = self.random.random_range(step.duration_ms.clone());
+            steps.push(StepSpec {
+                name: checked_name(step.name),
+                after: after.into_iter().collect(),
+                tasks: self.random.random_range(step.tasks.clone()),
+                resources: step.resources,
+                labels: labels_for(step.resources),
+                max_copies: 1,
+                allowed_failures: ALLOWED_FAILURES,
+                time_limit: TIME_LIMIT,
+                payload: format!(r#"{{"duration_ms":{duration}}}"#),
+            });
+        }
+        steps
     }
 }
 
-/// The configuration both mixes need: two pools of 5 and 6 runners, their
-/// queues, six tenants, no keys.
-pub fn example_configuration() -> configuration::ClusterConfiguration {
-    todo!()
+fn labels_for(resources: Resources) -> Labels {
+    if resources.gpus == 0 {
+        return Labels::new();
+    }
+    Labels::from([(ACCELERATOR_LABEL.to_owned(), ACCELERATOR_VALUE.to_owned())])
 }
--- /dev/null
+++ b/crates/standin/tests/workload.rs
@@ -0,0 +1,140 @@
+//! The mixes: what they draw, and that the fleet carries them.
+
+use api::configuration::ConfigurationBody;
+use standin::workload::{Mix, Workload, example_configuration, pool_runners};
+use std::collections::BTreeSet;
+use types::{JobSpec, Resources, Urgency};
+
+const MIXES: [Mix; 2] = [Mix::Stills, Mix::Documents];
+const DRAWS: usize = 20_000;
+
+fn draw(mix: Mix, seed: u64) -> Vec<JobSpec> {
+    let mut workload = Workload::new(mix, "trial", seed);
+    (0..DRAWS).map(|_| workload.next_job()).collect()
+}
+
+fn duration_ms(payload: &str) -> u64 {
+    let payload: serde_json::Value = serde_json::from_str(payload).unwrap();
+    payload["duration_ms"].as_u64().unwrap()
+}
+
+fn slot_seconds(job: &JobSpec) -> f64 {
+    let steps = job.steps.iter();
+    let milliseconds: u64 = steps
+        .map(|step| u64::from(step.tasks) * duration_ms(&step.payload))
+        .sum();
+    milliseconds as f64 / 1_000.0
+}
+
+#[test]
+fn the_same_seed_draws_the_same_jobs() {
+    for mix in MIXES {
+        assert_eq!(draw(mix, 3), draw(mix, 3));
+        assert_ne!(draw(mix, 3), draw(mix, 4));
+    }
+}
+
+#[test]
+fn rates_are_those_of_the_deployments() {
+    let rate = |mix| Workload::new(mix, "trial", 1).jobs_per_second();
+    assert!((rate(Mix::Stills) - 43.0).abs() < 0.5);
+    assert!((rate(Mix::Documents) - 52.0).abs() < 0.5);
+}
+
+#[test]
+fn most_jobs_are_urgent_and_short_and_three_tenants_send_them() {
+    for mix in MIXES {
+        let jobs = draw(mix, 1);
+        let urgent = jobs.iter().filter(|job| job.urgency == Urgency::Urgent);
+        assert!(urgent.count() > DRAWS * 3 / 4);
+        let tenants: BTreeSet<_> = jobs.iter().map(|job| &job.tenant).collect();
+        assert_eq!(tenants.len(), 3);
+        let names: BTreeSet<_> = jobs.iter().map(|job| &job.job).collect();
+        assert_eq!(names.len(), DRAWS);
+    }
+}
+
+#[test]
+fn the_mean_load_takes_about_half_of_the_slots() {
+    for mix in MIXES {
+        let jobs = draw(mix, 1);
+        let mean = jobs.iter().map(slot_seconds).sum::<f64>() / DRAWS as f64;
+        let busy = mean * Workload::new(mix, "trial", 1).jobs_per_second();
+        let slots = pool_runners(mix).len() as f64 * 8.0;
+        let used = busy / slots;
+        assert!((0.4..0.6).contains(&used), "{mix:?} uses {used:.2}");
+    }
+}
+
+#[test]
+fn the_fleet_has_the_sizes_asked_for() {
+    for (mix, runners) in MIXES.into_iter().zip([5, 6]) {
+        let fleet = pool_runners(mix);
+        assert_eq!(fleet.len(), runners);
+        for runner in &fleet {
+            assert_eq!(runner.capacity.slots, 8);
+            assert!((16_000..=128_000).contains(&runner.capacity.cpu_milli));
+            let accelerated = runner.labels.contains_key("gpu");
+            assert_eq!(runner.capacity.gpus, if accelerated { 8 } else { 0 });
+        }
+        assert!(fleet.iter().any(|runner| runner.capacity.gpus == 8));
+    }
+}
+
+#[test]
+fn every_job_fits_the_configuration_and_a_runner() {
+    let configuration = example_configuration();
+    for mix in MIXES {
+        let fleet = pool_runners(mix);
+        for job in draw(mix, 2) {
+            assert!(configuration.tenants.contains_key(&job.tenant));
+            let queue = &configuration.queues[&job.queue];
+            assert_eq!(queue.pool.as_str(), mix.pool());
+            for step in &job.steps {
+                assert!(fleet.iter().any(|runner| {
+                    step.resources.fits_in(&runner.capacity)
+                        && step
+                            .labels
+                            .iter()
+                            .all(|label| runner.labels.get(label.0) == Some(label.1))
+                }));
+            }
+        }
+    }
+}
+
+#[test]
+fn shares_of_a_pool_add_up_and_a_full_slot_load_fits_every_runner() {
+    let configuration = example_configuration();
+    assert_eq!(configuration.pools.len(), 2);
+    assert_eq!(configuration.tenants.len(), 6);
+    assert!(configuration.keys.is_empty());
+    for mix in MIXES {
+        let tenants: BTreeSet<_> = draw(mix, 1).into_iter().map(|job| job.tenant).collect();
+        let shares = tenants.iter().map(|tenant| &configuration.tenants[tenant]);
+        assert_eq!(shares.map(|tenant| tenant.share_percent).sum::<u32>(), 100);
+        let largest = &configuration.pools.values().next().unwrap().largest_runner;
+        for runner in pool_runners(mix) {
+            assert!(runner.capacity.fits_in(largest));
+            let eight_strips = Resources {
+                slots: 8,
+                cpu_milli: 16_000,
+                memory_mib: 8_192,
+                gpus: 0,
+            };
+            assert!(eight_strips.fits_in(&runner.capacity));
+        }
+    }
+}
+
+#[test]
+fn the_example_files_hold_the_example_configuration() {
+    let folder = std::path::Path::new(env!("CARGO_MANIFEST_DIR")).join("../../examples");
+    let json = std::fs::read(folder.join("configuration.json")).unwrap();
+    let toml = std::fs::read_to_string(folder.join("configuration.toml")).unwrap();
+    let from_json: ConfigurationBody = api::parse_json(&json).unwrap();
+    let from_toml: ConfigurationBody = api::parse_toml(&toml).unwrap();
+    let expected = example_configuration();
+    assert_eq!(from_json.into_document().unwrap(), expected);
+    assert_eq!(from_toml.into_document().unwrap(), expected);
+}
