Forward requests to the leader under their callers' deadlines

Cause: the gateway's core was a signature. Ruled out: waiting out the deadline when the leader is given up, which hides the fault from the caller; a fixed resend interval, which loads a slow leader ever more; one common bound of places, which one tenant can use up. Change: keys and roles against the replica, places by tenant with a part for operators, resends with growing waits and at once on a change of leader, one final answer in the call that settles it. Before: todo.

--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -1,118 +1,343 @@
 //! The gateway's core.
+//!
+//! A request is forwarded to the leader and sent again, under the same number,
+//! after silence or a change of leader, until an answer comes, its time is out
+//! or the leader is given up. Sending again is safe since every operation is
+//! idempotent: a submit by its key, a configuration by its version, cancels
+//! and words on runners by their effect, the rest only reads.
+//!
+//! Whatever is given up is answered in the same call, never later.
 
-use peer::{Envelope, Operation, OperationReply, PeerMessage, Refusal};
-use std::net::SocketAddr;
-use types::{Address, Milliseconds, Monotonic, Now};
-
-/// Settings of the core.
-#[derive(Debug, Clone)]
-pub struct GatewayOptions {
-    /// Who and where this process is.
-    pub address: Address,
-    /// Peer sockets of other processes of any role; may be dead, or its own.
-    pub seeds: Vec<SocketAddr>,
-    /// Time between hellos.
-    pub session_interval: Milliseconds,
-    /// A configuration replica counts for this long after the leader's last word.
-    pub replica_valid: Milliseconds,
-    /// Requests that may wait for the leader at once.
-    pub max_waiting_requests: usize,
-    /// A request is sent again (to another leader, or by a follower) after
-    /// this long without an answer, while its time lasts. Submits, cancels and
-    /// configurations are idempotent, so a second sending is safe.
-    pub resend_after: Milliseconds,
-    /// Seed of draws.
-    pub seed: u64,
-}
-
-/// Number of a waiting HTTP request, given by the shell.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct TicketId(pub u64);
-
-/// Who asks: the bearer token as sent.
-#[derive(Clone, PartialEq, Eq)]
-pub struct Caller {
-    /// `<id>.<secret>`; none when the request had no key.
-    pub token: Option<String>,
-}
+mod access;
+mod interface;
+mod refusal;
+mod waiting;
 
-impl std::fmt::Debug for Caller {
-    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        let id = self.token.as_deref().and_then(|t| t.split('.').next());
-        write!(formatter, "Caller({id:?})")
-    }
-}
+pub use interface::{Caller, Effect, GatewayOptions, Input, TicketId};
 
-/// What happens to the core.
-#[derive(Debug, Clone)]
-pub enum Input {
-    /// Time passed.
-    Tick,
-    /// A message arrived.
-    Peer(Envelope),
-    /// A caller or operator asks.
-    Request {
-        /// Number of the waiting HTTP request.
-        ticket: TicketId,
-        /// Who asks.
-        caller: Caller,
-        /// How long the caller waits.
-        time_left: Milliseconds,
-        /// What is asked.
-        operation: Operation,
-    },
-    /// The caller went away: no answer is wanted any more.
-    Abandoned {
-        /// Number of the request.
-        ticket: TicketId,
-    },
-    /// The process was asked to stop.
-    Stop,
-}
+use peer::{Envelope, Operation, OperationReply, PeerMessage, Refusal, Reply, Request, RequestId};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use session::{SessionClient, SessionEvent, SessionOptions};
+use std::net::SocketAddr;
+use types::{ConfigurationVersion, Milliseconds, Monotonic, Now};
+use waiting::{Asked, NoPlace, WaitingTable};
 
-/// What the shell must do.
-#[derive(Debug, Clone, PartialEq)]
-pub enum Effect {
-    /// Send a message; it may be lost.
-    Send {
-        /// Where to.
-        to: SocketAddr,
-        /// The message.
-        message: PeerMessage,
-    },
-    /// The one final answer to a request.
-    Respond {
-        /// Number of the request.
-        ticket: TicketId,
-        /// The answer.
-        result: Result<OperationReply, Refusal>,
-    },
-    /// Whether this process should count as ready, and why not.
-    Ready(Result<(), String>),
-    /// Every request is answered; the process may end.
-    Stopped,
-}
+/// Most that a draw adds to the time to come back of an overloaded gateway.
+const OVERLOADED_JITTER_MS: u64 = 500;
+const NO_LEADER: &str = "no leader can be reached";
 
 /// A gateway.
 pub struct Gateway {
-    _options: GatewayOptions,
+    options: GatewayOptions,
+    session: SessionClient,
+    waiting: WaitingTable,
+    next_request: RequestId,
+    random: ChaCha8Rng,
+    readiness: Option<Result<(), String>>,
+    stopping: bool,
+    stopped: bool,
 }
 
 impl Gateway {
     /// A fresh gateway; it knows nothing and is not ready.
     pub fn new(options: GatewayOptions, now: Now) -> Self {
-        let _ = now;
-        Self { _options: options }
+        let mut random = ChaCha8Rng::seed_from_u64(options.seed ^ options.address.node.0);
+        let session = SessionOptions {
+            address: options.address.clone(),
+            seeds: options.seeds.clone(),
+            interval: options.session_interval,
+            replica_valid: options.replica_valid,
+            seed: options.seed,
+        };
+        // Drawn, so that answers to an earlier process at the same socket
+        // find no request here.
+        let first_request = u64::from(random.random::<u32>()) << 32;
+        Self {
+            session: SessionClient::new(session, now),
+            waiting: WaitingTable::new(options.max_waiting_requests, options.resend_after),
+            next_request: RequestId(first_request),
+            random,
+            readiness: None,
+            stopping: false,
+            stopped: false,
+            options,
+        }
     }
 
-    /// Takes one input and appends what is to be done.
+    /// Takes one input and appends what is to be done. The clock is looked at
+    /// first: after a freeze, what ran out meanwhile is answered before the
+    /// input counts for anything.
     pub fn handle(&mut self, now: Now, input: Input, effects: &mut Vec<Effect>) {
-        let _ = (now, input, effects);
-        todo!()
+        if self.stopped {
+            self.refuse_after_stop(input, effects);
+            return;
+        }
+        self.tick_session(now, effects);
+        self.work_off_due(now, effects);
+        match input {
+            Input::Tick => {}
+            Input::Peer(envelope) => self.take_message(now, envelope, effects),
+            Input::Request {
+                ticket,
+                caller,
+                time_left,
+                operation,
+            } => {
+                let asked = Asked {
+                    ticket,
+                    caller,
+                    operation,
+                };
+                self.take_request(now, asked, time_left, effects);
+            }
+            Input::Abandoned { ticket } => {
+                self.waiting.remove_ticket(ticket);
+            }
+            Input::Stop => self.stopping = true,
+        }
+        self.work_off_due(now, effects);
+        self.tell_readiness(now, effects);
+        self.stop_when_empty(now, effects);
     }
 
     /// When it wants [`Input::Tick`] next.
     pub fn next_wakeup(&self) -> Monotonic {
-        todo!()
+        let session = self.session.next_wakeup();
+        let due = self.waiting.next_due();
+        due.map_or(session, |due| due.min(session))
+    }
+
+    /// Version of the configuration replica, while it is valid.
+    pub fn configuration_version(&self, now: Now) -> Option<ConfigurationVersion> {
+        self.session.configuration(now).map(|(version, _)| version)
+    }
+
+    fn take_request(
+        &mut self,
+        now: Now,
+        asked: Asked,
+        time_left: Milliseconds,
+        effects: &mut Vec<Effect>,
+    ) {
+        let ticket = asked.ticket;
+        match self.admit(now, asked) {
+            Ok(Admitted::Answered(reply)) => effects.push(respond(ticket, Ok(reply))),
+            Ok(Admitted::Forward(asked)) => {
+                let id = self.next_request;
+                self.next_request = RequestId(id.0.wrapping_add(1));
+                let party = access::party(&asked.operation);
+                let deadline = now.monotonic + time_left;
+                self.waiting
+                    .insert(id, party, asked, now.monotonic, deadline);
+            }
+            Err(refusal) => effects.push(respond(ticket, Err(refusal))),
+        }
+    }
+
+    /// Everything that can be said without the leader.
+    fn admit(&mut self, now: Now, mut asked: Asked) -> Result<Admitted, Refusal> {
+        if self.stopping {
+            return Err(refusal::unavailable("this gateway is stopping"));
+        }
+        let replica = self.session.configuration(now);
+        let Some((version, document)) = replica.filter(|_| self.may_reach_leader(now)) else {
+            return Err(refusal::unavailable(NO_LEADER));
+        };
+        let token = asked.caller.token.as_deref();
+        asked.operation = access::authorize(document, token, asked.operation)?;
+        if asked.operation == Operation::GetConfiguration {
+            return Ok(Admitted::Answered(OperationReply::Configuration {
+                version,
+                document: document.clone(),
+            }));
+        }
+        self.check_place(&asked.operation)?;
+        Ok(Admitted::Forward(asked))
+    }
+
+    fn check_place(&mut self, operation: &Operation) -> Result<(), Refusal> {
+        let message = match self.waiting.check_place(&access::party(operation)) {
+            Ok(()) => return Ok(()),
+            Err(NoPlace::PartyFull) => "too many of this tenant's requests wait here",
+            Err(NoPlace::AllFull) => "too many requests wait here",
+        };
+        let jitter = Milliseconds(self.random.random_range(0..=OVERLOADED_JITTER_MS));
+        let retry_after = refusal::OVERLOADED_RETRY + jitter;
+        Err(refusal::overloaded(message, retry_after))
+    }
+
+    /// True while a sending to a leader can still be hoped for: the session
+    /// holds, or a leader is known that may answer.
+    fn may_reach_leader(&self, now: Now) -> bool {
+        let holds = self.session.term(now).is_some();
+        holds || self.session.to_leader(now, PeerMessage::Discover).is_some()
+    }
+
+    fn take_message(&mut self, now: Now, envelope: Envelope, effects: &mut Vec<Effect>) {
+        let not_leader = matches!(envelope.body, PeerMessage::NotLeader { .. })
+            .then_some(envelope.via.unwrap_or(envelope.from.socket));
+        let mut out = Vec::new();
+        let (events, rest) = self.session.handle(now, envelope, &mut out);
+        send_all(out, effects);
+        self.take_events(now, events);
+        if let Some(refuser) = not_leader {
+            self.turn_away_from(now, refuser);
+        }
+        if let Some(PeerMessage::Reply(Reply { id, result })) = rest.map(|message| message.body)
+            && let Some(waiting) = self.waiting.remove(id)
+        {
+            effects.push(respond(waiting.asked.ticket, result));
+        }
+    }
+
+    fn tick_session(&mut self, now: Now, effects: &mut Vec<Effect>) {
+        let mut out = Vec::new();
+        let events = self.session.tick(now, &[], &mut out);
+        send_all(out, effects);
+        self.take_events(now, events);
+    }
+
+    fn take_events(&mut self, now: Now, events: Vec<SessionEvent>) {
+        let opened = |event: &SessionEvent| matches!(event, SessionEvent::Opened { .. });
+        if events.iter().any(opened) {
+            for id in self.waiting.ids() {
+                self.waiting.hurry(id, now.monotonic);
+            }
+        }
     }
+
+    /// Sends again at once what went to a coordinator that does not lead, if
+    /// another one is known by now.
+    fn turn_away_from(&mut self, now: Now, refuser: SocketAddr) {
+        let leader = self.session.to_leader(now, PeerMessage::Discover);
+        if leader.is_none_or(|(socket, _)| socket == refuser) {
+            return;
+        }
+        for id in self.waiting.sent_to(refuser) {
+            self.waiting.hurry(id, now.monotonic);
+        }
+    }
+
+    /// Gives final answers to what is over, and sends what is due.
+    fn work_off_due(&mut self, now: Now, effects: &mut Vec<Effect>) {
+        self.answer_timed_out(now, effects);
+        if self.session.configuration(now).is_none() || !self.may_reach_leader(now) {
+            self.give_up_all(effects);
+            return;
+        }
+        while let Some(id) = self.waiting.pop_due(now.monotonic) {
+            self.send_or_refuse(now, id, effects);
+        }
+    }
+
+    fn answer_timed_out(&mut self, now: Now, effects: &mut Vec<Effect>) {
+        for id in self.waiting.timed_out(now.monotonic) {
+            if let Some(waiting) = self.waiting.remove(id) {
+                effects.push(respond(waiting.asked.ticket, Err(refusal::timed_out())));
+            }
+        }
+    }
+
+    fn give_up_all(&mut self, effects: &mut Vec<Effect>) {
+        for id in self.waiting.ids() {
+            if let Some(waiting) = self.waiting.remove(id) {
+                let refusal = refusal::unavailable(NO_LEADER);
+                effects.push(respond(waiting.asked.ticket, Err(refusal)));
+            }
+        }
+    }
+
+    /// A key may have been revoked since the last sending; nothing is sent on
+    /// its word then.
+    fn send_or_refuse(&mut self, now: Now, id: RequestId, effects: &mut Vec<Effect>) {
+        let Some(waiting) = self.waiting.get(id) else {
+            return;
+        };
+        let token = waiting.asked.caller.token.as_deref();
+        let replica = self.session.configuration(now);
+        if !replica.is_some_and(|(_, document)| access::is_known(document, token)) {
+            let message = "the key was revoked while the request waited";
+            let refusal = refusal::unauthenticated(message);
+            effects.push(respond(waiting.asked.ticket, Err(refusal)));
+            self.waiting.remove(id);
+            return;
+        }
+        let request = PeerMessage::Request(Request {
+            id,
+            time_left: waiting.deadline.since(now.monotonic),
+            operation: waiting.asked.operation.clone(),
+        });
+        let sending = self.session.to_leader(now, request);
+        let to = sending.as_ref().map(|(to, _)| *to);
+        send_all(sending.into_iter().collect(), effects);
+        self.waiting.sent(id, to, now.monotonic);
+    }
+
+    fn tell_readiness(&mut self, now: Now, effects: &mut Vec<Effect>) {
+        let readiness = self.readiness_at(now);
+        if self.readiness.as_ref() != Some(&readiness) {
+            self.readiness = Some(readiness.clone());
+            effects.push(Effect::Ready(readiness));
+        }
+    }
+
+    fn readiness_at(&self, now: Now) -> Result<(), String> {
+        if self.stopping {
+            return Err("stopping".to_owned());
+        }
+        if self.session.configuration(now).is_none() {
+            return Err("no configuration confirmed by a leader lately".to_owned());
+        }
+        if self.session.term(now).is_none() {
+            return Err("no session with a leader".to_owned());
+        }
+        Ok(())
+    }
+
+    fn stop_when_empty(&mut self, now: Now, effects: &mut Vec<Effect>) {
+        if !self.stopping || !self.waiting.is_empty() {
+            return;
+        }
+        let mut out = Vec::new();
+        self.session.leave(now, &mut out);
+        send_all(out, effects);
+        effects.push(Effect::Stopped);
+        self.stopped = true;
+    }
+
+    fn refuse_after_stop(&self, input: Input, effects: &mut Vec<Effect>) {
+        if let Input::Request { ticket, .. } = input {
+            let refusal = refusal::unavailable("this gateway is stopping");
+            effects.push(respond(ticket, Err(refusal)));
+        }
+    }
+}
+
+impl std::fmt::Debug for Gateway {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        formatter
+            .debug_struct("Gateway")
+            .field("address", &self.options.address)
+            .field("waiting", &self.waiting)
+            .field("readiness", &self.readiness)
+            .finish_non_exhaustive()
+    }
+}
+
+/// A request that is not refused.
+enum Admitted {
+    /// The replica had the answer.
+    Answered(OperationReply),
+    /// It goes to the leader in this form.
+    Forward(Asked),
+}
+
+fn respond(ticket: TicketId, result: Result<OperationReply, Refusal>) -> Effect {
+    Effect::Respond { ticket, result }
+}
+
+fn send_all(out: Vec<(SocketAddr, PeerMessage)>, effects: &mut Vec<Effect>) {
+    let sends = out.into_iter();
+    effects.extend(sends.map(|(to, message)| Effect::Send { to, message }));
 }
--- /dev/null
+++ b/crates/gateway/src/core/refusal.rs
@@ -0,0 +1,49 @@
+//! The refusals a gateway gives by itself.
+
+use peer::{Refusal, RefusalCode};
+use types::Milliseconds;
+
+/// When to come back while no leader is known or this process stops.
+pub const UNAVAILABLE_RETRY: Milliseconds = Milliseconds(500);
+/// When to send the same again after no answer came in time.
+pub const TIMED_OUT_RETRY: Milliseconds = Milliseconds(500);
+/// Shortest time to come back when every place is taken.
+pub const OVERLOADED_RETRY: Milliseconds = Milliseconds(500);
+
+/// No leader can be reached.
+pub fn unavailable(message: &str) -> Refusal {
+    refuse(RefusalCode::Unavailable, message, Some(UNAVAILABLE_RETRY))
+}
+
+/// Every place that the asker may take is taken.
+pub fn overloaded(message: &str, retry_after: Milliseconds) -> Refusal {
+    refuse(RefusalCode::Overloaded, message, Some(retry_after))
+}
+
+/// The caller's time ran out before the leader answered.
+pub fn timed_out() -> Refusal {
+    refuse(
+        RefusalCode::TimedOut,
+        "no answer came in time: it may or may not be taken, send the same again",
+        Some(TIMED_OUT_RETRY),
+    )
+}
+
+/// No key, or none that is known.
+pub fn unauthenticated(message: &str) -> Refusal {
+    refuse(RefusalCode::Unauthenticated, message, None)
+}
+
+/// The key may not do this.
+pub fn forbidden(message: &str) -> Refusal {
+    refuse(RefusalCode::Forbidden, message, None)
+}
+
+fn refuse(code: RefusalCode, message: &str, retry_after: Option<Milliseconds>) -> Refusal {
+    Refusal {
+        code,
+        message: message.to_owned(),
+        retry_after,
+        problems: Vec::new(),
+    }
+}
