Carry orders and heartbeats in the agent's core, fenced

An agent that was cut off or frozen must not act on what it held. It delivers an order only under an open session of the order's own term, to a life of the runner that has been heard since the session opened, and once. A lost session or a jump of the clock drops the queue; a freeze shorter than the lease makes it rejoin as well. A dropped order is voided by the leader, so it costs time, never a second start.

Ruled out: keeping orders until the session is back (what was sent before a freeze cannot be told from what was sent after); passing on heartbeats heard before the session opened.

--- /dev/null
+++ b/crates/agent/src/core/interface.rs
@@ -0,0 +1,97 @@
+//! What goes into the core and what comes out.
+
+use peer::{Envelope, PeerMessage};
+use std::net::SocketAddr;
+use types::{
+    Address, HeartbeatSequence, Milliseconds, OrderAnswer, RunId, RunnerIncarnation, RunnerOrder,
+    RunnerReport, Term,
+};
+
+/// Settings of the core.
+#[derive(Debug, Clone)]
+pub struct AgentOptions {
+    /// Who and where this process is.
+    pub address: Address,
+    /// Peer sockets of other processes of any role; may be dead, or its own.
+    pub seeds: Vec<SocketAddr>,
+    /// Time between hellos.
+    pub session_interval: Milliseconds,
+    /// An order without an answer for this long is unknown.
+    pub order_timeout: Milliseconds,
+    /// A jump of the clock between two inputs that counts as a freeze.
+    pub freeze_after: Milliseconds,
+    /// A configuration replica counts for this long after the leader's last word.
+    pub replica_valid: Milliseconds,
+    /// Seed of draws.
+    pub seed: u64,
+}
+
+/// A guard of the agent left out, to prove that a checker notices.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum AgentMutation {
+    /// Orders of any term are delivered.
+    NoTermFence,
+    /// Orders are kept, and taken, over a lost session or a freeze.
+    KeepOrdersOverLostSession,
+}
+
+/// What happens to the core.
+#[derive(Debug, Clone)]
+pub enum Input {
+    /// Time passed.
+    Tick,
+    /// A message arrived.
+    Peer(Envelope),
+    /// A runner's heartbeat arrived. The answer is [`Agent::heartbeat_answer`],
+    /// asked for right after.
+    Heartbeat(RunnerReport),
+    /// A runner answered an order, or its connection failed
+    /// ([`OrderAnswer::Unknown`]).
+    Answered {
+        /// The order.
+        order: RunnerOrder,
+        /// The answer.
+        answer: OrderAnswer,
+    },
+    /// The process was asked to stop.
+    Stop,
+}
+
+/// What the shell must do.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Effect {
+    /// Send a message; it may be lost.
+    Send {
+        /// Where to.
+        to: SocketAddr,
+        /// The message.
+        message: PeerMessage,
+    },
+    /// Give the order to its runner once, never again, and come back with
+    /// [`Input::Answered`].
+    Deliver {
+        /// The order.
+        order: RunnerOrder,
+    },
+    /// Whether this process should count as ready, and why not.
+    Ready(Result<(), String>),
+    /// The process may end.
+    Stopped,
+}
+
+/// What a runner is told in answer to a heartbeat.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct HeartbeatAnswer {
+    /// Highest term seen; the runner refuses lower ones.
+    pub term: Term,
+    /// Newest heartbeat of this life the leader confirmed.
+    pub confirmed: Option<HeartbeatSequence>,
+    /// The life the confirmation is for.
+    pub incarnation: RunnerIncarnation,
+    /// Run lease, counted from when the confirmed heartbeat was sent.
+    pub lease: Milliseconds,
+    /// Ended runs the record has.
+    pub recorded: Vec<RunId>,
+    /// Held runs the record closed: stop them.
+    pub stop: Vec<RunId>,
+}
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -8,5 +8,5 @@
 pub mod core;
 pub mod shell;
 
-pub use crate::core::{Agent, AgentOptions, Effect, HeartbeatAnswer, Input};
+pub use crate::core::{Agent, AgentMutation, AgentOptions, Effect, HeartbeatAnswer, Input};
 pub use shell::{AgentError, ShellOptions, run};
--- /dev/null
+++ b/crates/agent/tests/agent/main.rs
@@ -0,0 +1,6 @@
+//! Tests of the agent's core.
+
+mod bench;
+mod fencing;
+mod heartbeats;
+mod orders;
--- a/crates/session/src/client.rs
+++ b/crates/session/src/client.rs
@@ -135,6 +135,15 @@
         (events, rest)
     }
 
+    /// Gives up the lease and asks for a new one, as after a freeze that was
+    /// shorter than the lease. Answers to hellos from before count for nothing.
+    pub fn rejoin(&mut self, now: Now, out: &mut Outbox) {
+        self.lease = None;
+        self.hellos.forget_all();
+        self.next_round = now.monotonic;
+        self.send_round_if_due(now.monotonic, out);
+    }
+
     /// Says goodbye to the leader.
     pub fn leave(&mut self, now: Now, out: &mut Outbox) {
         let sequence = self.hellos.note(now.monotonic, Path::Direct);
--- a/crates/session/src/hello.rs
+++ b/crates/session/src/hello.rs
@@ -59,6 +59,11 @@
         sequence
     }
 
+    /// Forgets what was sent; numbers go on rising.
+    pub fn forget_all(&mut self) {
+        self.sent.clear();
+    }
+
     /// The hello of this number, while it is remembered.
     pub fn find(&self, sequence: u64) -> Option<SentHello> {
         self.sent
--- a/crates/session/tests/session/membership.rs
+++ b/crates/session/tests/session/membership.rs
@@ -236,3 +236,19 @@
     };
     assert_eq!(run(), run());
 }
+
+#[test]
+fn rejoining_takes_answers_to_new_hellos_only() {
+    let mut bench = Bench::opened();
+    bench.tick_at(2 * INTERVAL);
+    let before = bench.hello_to(1).expect("a hello");
+    bench.events.clear();
+    let now = bench.now();
+    bench.client.rejoin(now, &mut bench.sent);
+    assert_eq!(bench.client.term(now), None);
+    bench.receive(&coordinator(1), lease(1, 1, before.sequence));
+    assert!(bench.events.is_empty());
+    let after = bench.hello_to(1).expect("a hello at once");
+    bench.receive(&coordinator(1), lease(1, 1, after.sequence));
+    assert_eq!(bench.events, vec![SessionEvent::Opened { term: Term(1) }]);
+}
