Give runners and agents their JSON bodies

The outer names (hold, ended) stay in this crate; conversions to the domain's types refuse what contradicts itself, with the place. A run is written in one way only, and orders go to an IP, never to a name that would have to be looked up.

Before: an empty module.

--- a/crates/api/src/runner.rs
+++ b/crates/api/src/runner.rs
@@ -1,1 +1,69 @@
-//! JSON bodies: runner.
+//! JSON between runners and their agent: heartbeats and orders.
+//!
+//! A runner posts [`HeartbeatBody`] to [`HEARTBEAT_ROUTE`] and is answered
+//! with [`HeartbeatAnswerBody`]. The agent posts [`OrderBody`] to the
+//! `orders_url` of the runner's last heartbeat and is answered with
+//! [`OrderAnswerBody`]. Unknown fields are refused, so that a misspelt one is
+//! noticed at once.
+
+mod heartbeat;
+mod order;
+mod orders_url;
+mod run_text;
+
+pub use heartbeat::{EndedBody, HeartbeatAnswerBody, HeartbeatBody, HeldBody, OutcomeName};
+pub use order::{AnswerName, OrderAnswerBody, OrderBody, OrderName, ReasonName, StartBody};
+pub use orders_url::{OrdersUrl, OrdersUrlProblem};
+pub use run_text::{RunText, RunTextProblem};
+
+use serde::de::DeserializeOwned;
+use thiserror::Error;
+use types::InvalidName;
+
+/// Where runners post heartbeats; `runner` is the runner's name.
+pub const HEARTBEAT_ROUTE: &str = "/v1/runners/{runner}/heartbeat";
+
+/// Why a body is refused.
+#[derive(Debug, Error)]
+pub enum RunnerBodyError {
+    /// It is no JSON, or not of the shape asked for.
+    #[error("the body does not have the expected form: {0}")]
+    Form(#[from] serde_json::Error),
+    /// A name breaks the rules for names.
+    #[error("{field}: {problem}")]
+    Name {
+        /// Where it stands.
+        field: &'static str,
+        /// What is wrong.
+        problem: InvalidName,
+    },
+    /// The URL for orders cannot be used.
+    #[error("orders_url: {0}")]
+    OrdersUrl(#[from] OrdersUrlProblem),
+    /// A number or list is outside its bounds.
+    #[error("{field}: {problem}")]
+    Bounds {
+        /// Where it stands.
+        field: &'static str,
+        /// What is wrong.
+        problem: &'static str,
+    },
+    /// A field is missing that the rest of the body asks for, or the reverse.
+    #[error("{field} must {must}")]
+    Contradiction {
+        /// The field.
+        field: &'static str,
+        /// What it must be.
+        must: &'static str,
+    },
+}
+
+/// Reads a body.
+pub fn read<T: DeserializeOwned>(body: &[u8]) -> Result<T, RunnerBodyError> {
+    Ok(serde_json::from_slice(body)?)
+}
+
+/// Names the field in the error of a name.
+fn in_field<T>(field: &'static str, name: Result<T, InvalidName>) -> Result<T, RunnerBodyError> {
+    name.map_err(|problem| RunnerBodyError::Name { field, problem })
+}
--- /dev/null
+++ b/crates/api/src/runner/heartbeat.rs
@@ -0,0 +1,212 @@
+//! Heartbeats of runners and the agent's answers.
+
+use super::{OrdersUrl, RunText, RunnerBodyError, in_field};
+use serde::{Deserialize, Serialize};
+use types::{
+    EndedRun, HeartbeatSequence, HeldRun, Labels, Milliseconds, Outcome, PoolName, RackName,
+    Resources, RunnerId, RunnerIncarnation, RunnerReport,
+};
+
+/// Labels of one runner at most.
+const MAX_LABELS: usize = 64;
+/// Characters kept of a failed run's reason; the rest is cut off.
+const MAX_REASON_CHARACTERS: usize = 1_024;
+
+/// A runner's heartbeat.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct HeartbeatBody {
+    /// This life of the runner; larger than that of any earlier life.
+    pub incarnation: u64,
+    /// Place among the heartbeats of this life; rises with each.
+    pub sequence: u64,
+    /// Pool it serves.
+    pub pool: String,
+    /// Its rack.
+    pub rack: String,
+    /// Its labels.
+    #[serde(default)]
+    pub labels: Labels,
+    /// All it has.
+    pub capacity: Resources,
+    /// What is free now.
+    pub free: Resources,
+    /// True when it is about to leave.
+    #[serde(default)]
+    pub draining: bool,
+    /// True when it stops its own runs at the end of their lease.
+    #[serde(default)]
+    pub self_stop: bool,
+    /// Where it takes orders: `http://<ip>:<port>/<path>`.
+    pub orders_url: String,
+    /// Every run it holds.
+    pub hold: Vec<HeldBody>,
+    /// Every ended run that was not named in `recorded` yet.
+    pub ended: Vec<EndedBody>,
+}
+
+/// A run that is going.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct HeldBody {
+    /// The run.
+    pub run: RunText,
+    /// How long it has been going, in milliseconds.
+    pub age_ms: u64,
+}
+
+/// A run that ended.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct EndedBody {
+    /// The run.
+    pub run: RunText,
+    /// How.
+    pub outcome: OutcomeName,
+    /// Why it failed, for people.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub reason: Option<String>,
+}
+
+/// How a run ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum OutcomeName {
+    /// The task did its work.
+    Done,
+    /// The task failed.
+    Failed,
+    /// It was stopped; no failure of the task.
+    Stopped,
+}
+
+/// The agent's answer to a heartbeat.
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct HeartbeatAnswerBody {
+    /// Highest term the agent has seen: refuse orders of lower ones.
+    pub term: u64,
+    /// Newest heartbeat of the life `incarnation` that reached the leader.
+    pub confirmed: Option<u64>,
+    /// The life the confirmation is for.
+    pub incarnation: u64,
+    /// Held runs may go on for this long after heartbeat `confirmed` was sent,
+    /// in milliseconds.
+    pub lease_ms: u64,
+    /// Ended runs that need not be named any more.
+    pub recorded: Vec<RunText>,
+    /// Held runs to stop.
+    pub stop: Vec<RunText>,
+}
+
+impl HeartbeatBody {
+    /// The body of a report.
+    pub fn from_report(report: &RunnerReport, orders_url: &OrdersUrl) -> Self {
+        Self {
+            incarnation: report.incarnation.0,
+            sequence: report.sequence.0,
+            pool: report.pool.to_string(),
+            rack: report.rack.to_string(),
+            labels: report.labels.clone(),
+            capacity: report.capacity,
+            free: report.free,
+            draining: report.draining,
+            self_stop: report.self_stop,
+            orders_url: orders_url.to_string(),
+            hold: report.held.iter().map(HeldBody::from).collect(),
+            ended: report.ended.iter().map(EndedBody::from).collect(),
+        }
+    }
+
+    /// The report of `runner`, and where it takes orders.
+    pub fn into_report(
+        self,
+        runner: RunnerId,
+    ) -> Result<(RunnerReport, OrdersUrl), RunnerBodyError> {
+        let orders_url = OrdersUrl::new(&self.orders_url)?;
+        self.check_bounds()?;
+        let report = RunnerReport {
+            runner,
+            incarnation: RunnerIncarnation(self.incarnation),
+            sequence: HeartbeatSequence(self.sequence),
+            pool: in_field("pool", PoolName::new(self.pool))?,
+            rack: in_field("rack", RackName::new(self.rack))?,
+            labels: self.labels,
+            capacity: self.capacity,
+            free: self.free,
+            draining: self.draining,
+            self_stop: self.self_stop,
+            held: self.hold.into_iter().map(HeldRun::from).collect(),
+            ended: self.ended.into_iter().map(EndedRun::from).collect(),
+        };
+        Ok((report, orders_url))
+    }
+
+    fn check_bounds(&self) -> Result<(), RunnerBodyError> {
+        if self.labels.len() > MAX_LABELS {
+            return Err(RunnerBodyError::Bounds {
+                field: "labels",
+                problem: "a runner has at most 64 labels",
+            });
+        }
+        if !self.free.fits_in(&self.capacity) {
+            return Err(RunnerBodyError::Bounds {
+                field: "free",
+                problem: "no more can be free than the capacity",
+            });
+        }
+        Ok(())
+    }
+}
+
+impl From<&HeldRun> for HeldBody {
+    fn from(held: &HeldRun) -> Self {
+        Self {
+            run: RunText(held.run),
+            age_ms: held.age.0,
+        }
+    }
+}
+
+impl From<HeldBody> for HeldRun {
+    fn from(body: HeldBody) -> Self {
+        Self {
+            run: body.run.0,
+            age: Milliseconds(body.age_ms),
+        }
+    }
+}
+
+impl From<&EndedRun> for EndedBody {
+    fn from(ended: &EndedRun) -> Self {
+        let (outcome, reason) = match &ended.outcome {
+            Outcome::Done => (OutcomeName::Done, None),
+            Outcome::Failed(reason) => (OutcomeName::Failed, Some(reason.clone())),
+            Outcome::Stopped => (OutcomeName::Stopped, None),
+        };
+        Self {
+            run: RunText(ended.run),
+            outcome,
+            reason,
+        }
+    }
+}
+
+/// A reason that is missing or too long is no ground to refuse an ended run:
+/// the runner would name it for ever.
+impl From<EndedBody> for EndedRun {
+    fn from(body: EndedBody) -> Self {
+        let reason = body.reason.unwrap_or_default();
+        let outcome = match body.outcome {
+            OutcomeName::Done => Outcome::Done,
+            OutcomeName::Failed => {
+                Outcome::Failed(reason.chars().take(MAX_REASON_CHARACTERS).collect())
+            }
+            OutcomeName::Stopped => Outcome::Stopped,
+        };
+        Self {
+            run: body.run.0,
+            outcome,
+        }
+    }
+}
--- /dev/null
+++ b/crates/api/tests/runner.rs
@@ -0,0 +1,324 @@
+//! Bodies between runners and their agent.
+
+use api::runner::{
+    HeartbeatAnswerBody, HeartbeatBody, OrderAnswerBody, OrderBody, OrdersUrl, OrdersUrlProblem,
+    RunText, read,
+};
+use proptest::prelude::*;
+use serde_json::{Value, json};
+use types::{
+    EndedRun, HeartbeatSequence, HeldRun, JobId, JobKey, Labels, Milliseconds, OrderAnswer,
+    OrderKind, OrderSequence, Outcome, PoolName, RackName, RefusalReason, Resources, RunId,
+    RunSpec, RunnerId, RunnerIncarnation, RunnerOrder, RunnerReport, StepName, TenantId, Term,
+};
+
+fn runner() -> RunnerId {
+    RunnerId::new("runner-1").unwrap()
+}
+
+fn heartbeat() -> Value {
+    json!({
+        "incarnation": 4, "sequence": 17, "pool": "stills", "rack": "rack-2",
+        "labels": {"gpu": "large"},
+        "capacity": {"slots": 8, "gpus": 2}, "free": {"slots": 6},
+        "draining": false, "self_stop": true,
+        "orders_url": "http://127.0.0.1:7500/orders",
+        "hold": [{"run": "3-12", "age_ms": 250}],
+        "ended": [
+            {"run": "3-11", "outcome": "failed", "reason": "no such file"},
+            {"run": "3-10", "outcome": "done"},
+        ],
+    })
+}
+
+fn take(body: &Value) -> Result<(RunnerReport, OrdersUrl), String> {
+    let bytes = serde_json::to_vec(body).unwrap();
+    let body: HeartbeatBody = read(&bytes).map_err(|error| error.to_string())?;
+    body.into_report(runner())
+        .map_err(|error| error.to_string())
+}
+
+fn run(term: u64, sequence: u64) -> RunId {
+    RunId {
+        term: Term(term),
+        sequence,
+    }
+}
+
+#[test]
+fn a_heartbeat_becomes_a_report_and_back() {
+    let (report, url) = take(&heartbeat()).unwrap();
+    assert_eq!(report.sequence, HeartbeatSequence(17));
+    assert_eq!(report.held[0].run, run(3, 12));
+    assert_eq!(
+        report.ended[0].outcome,
+        Outcome::Failed("no such file".to_owned())
+    );
+    let body = HeartbeatBody::from_report(&report, &url);
+    assert_eq!(body.into_report(runner()).unwrap(), (report, url));
+}
+
+#[test]
+fn wrong_heartbeats_are_refused_with_the_place() {
+    let cases = [
+        ("holds", json!([]), "holds"),
+        ("pool", json!("a b"), "pool: a name holds only"),
+        ("rack", json!(""), "rack: a name must not be empty"),
+        ("free", json!({"slots": 9}), "free: no more can be free"),
+        ("capacity", json!({"slot": 9}), "slot"),
+        (
+            "orders_url",
+            json!("https://127.0.0.1:1/"),
+            "orders_url: must begin",
+        ),
+        (
+            "hold",
+            json!([{"run": "3", "age_ms": 1}]),
+            "<term>-<sequence>",
+        ),
+        ("ended", json!([{"run": "3-1", "outcome": "lost"}]), "lost"),
+        ("sequence", json!(-1), "-1"),
+    ];
+    for (field, value, expected) in cases {
+        let mut body = heartbeat();
+        body[field] = value;
+        let error = take(&body).expect_err(field);
+        assert!(error.contains(expected), "{field}: {error}");
+    }
+}
+
+#[test]
+fn a_missing_hold_is_not_an_empty_one() {
+    let mut body = heartbeat();
+    body.as_object_mut().unwrap().remove("hold");
+    assert!(take(&body).expect_err("hold").contains("hold"));
+}
+
+#[test]
+fn orders_urls_name_one_machine_by_ip() {
+    for good in ["http://127.0.0.1:80", "http://[::1]:9/x?y=1"] {
+        assert!(OrdersUrl::new(good).is_ok(), "{good}");
+    }
+    let cases = [
+        ("ftp://127.0.0.1:1/", OrdersUrlProblem::Scheme),
+        ("http://localhost:1/", OrdersUrlProblem::Host),
+        ("http://127.0.0.1/", OrdersUrlProblem::Host),
+        ("http://user@127.0.0.1:1/", OrdersUrlProblem::Host),
+        ("http://0.0.0.0:1/", OrdersUrlProblem::Unusable),
+        ("http://127.0.0.1:0/", OrdersUrlProblem::Unusable),
+        ("http://127.0.0.1:1/a b", OrdersUrlProblem::Path),
+    ];
+    for (bad, problem) in cases {
+        assert_eq!(OrdersUrl::new(bad), Err(problem), "{bad}");
+    }
+}
+
+#[test]
+fn a_run_is_written_in_one_way_only() {
+    let read_run = |text: &str| RunText::try_from(text.to_owned());
+    assert_eq!(read_run("3-12"), Ok(RunText(run(3, 12))));
+    for wrong in ["", "3", "-", "03-12", "+3-12", "3-12-1", "3-12 ", "-3-12"] {
+        assert!(read_run(wrong).is_err(), "{wrong:?}");
+    }
+}
+
+#[test]
+fn an_answer_keeps_its_field_names() {
+    let answer = HeartbeatAnswerBody {
+        term: 5,
+        confirmed: Some(16),
+        incarnation: 4,
+        lease_ms: 10_000,
+        recorded: vec![RunText(run(3, 10))],
+        stop: vec![RunText(run(3, 12))],
+    };
+    let expected = json!({
+        "term": 5, "confirmed": 16, "incarnation": 4, "lease_ms": 10_000,
+        "recorded": ["3-10"], "stop": ["3-12"],
+    });
+    assert_eq!(serde_json::to_value(&answer).unwrap(), expected);
+}
+
+#[test]
+fn an_order_must_not_contradict_itself() {
+    let void = json!({
+        "term": 3, "sequence": 1, "runner": "runner-1", "incarnation": 4,
+        "order": "void", "run": "3-12",
+    });
+    let order = |value: &Value| -> Result<RunnerOrder, String> {
+        let bytes = serde_json::to_vec(value).unwrap();
+        let body: OrderBody = read(&bytes).map_err(|error| error.to_string())?;
+        RunnerOrder::try_from(body).map_err(|error| error.to_string())
+    };
+    assert!(order(&void).is_ok());
+    let mut start = void.clone();
+    start["order"] = json!("start");
+    assert!(order(&start).unwrap_err().contains("start must be there"));
+    let refused: OrderAnswerBody = read(br#"{"answer": "refused"}"#).unwrap();
+    assert!(OrderAnswer::try_from(refused).is_err());
+    let started: OrderAnswerBody = read(br#"{"answer": "started", "reason": "no_room"}"#).unwrap();
+    assert!(OrderAnswer::try_from(started).is_err());
+}
+
+prop_compose! {
+    fn any_run()(term: u64, sequence: u64) -> RunId {
+        run(term, sequence)
+    }
+}
+
+fn any_outcome() -> impl Strategy<Value = Outcome> {
+    prop_oneof![
+        Just(Outcome::Done),
+        Just(Outcome::Stopped),
+        "[a-z ]{0,40}".prop_map(Outcome::Failed),
+    ]
+}
+
+prop_compose! {
+    fn any_report()(
+        numbers: (u64, u64, bool, bool),
+        capacity: (u32, u32, u32, u32),
+        held in prop::collection::vec((any_run(), any::<u64>()), 0..5),
+        ended in prop::collection::vec((any_run(), any_outcome()), 0..5),
+    ) -> RunnerReport {
+        let (slots, cpu_milli, memory_mib, gpus) = capacity;
+        let capacity = Resources { slots, cpu_milli, memory_mib, gpus };
+        let (incarnation, sequence, draining, self_stop) = numbers;
+        RunnerReport {
+            runner: runner(),
+            incarnation: RunnerIncarnation(incarnation),
+            sequence: HeartbeatSequence(sequence),
+            pool: PoolName::new("stills").unwrap(),
+            rack: RackName::new("rack-2").unwrap(),
+            labels: Labels::from([("a".to_owned(), "ö".to_owned())]),
+            capacity,
+            free: capacity,
+            draining,
+            self_stop,
+            held: held
+                .into_iter()
+                .map(|(run, age)| HeldRun { run, age: Milliseconds(age) })
+                .collect(),
+            ended: ended
+                .into_iter()
+                .map(|(run, outcome)| EndedRun { run, outcome })
+                .collect(),
+        }
+    }
+}
+
+prop_compose! {
+    fn any_order()(
+        numbers: (u64, u64, u64, u64, u64, u64, u32),
+        run in any_run(),
+        payload: String,
+        kind in 0..3,
+    ) -> RunnerOrder {
+        let (term, sequence, incarnation, basis, lease, limit, task) = numbers;
+        let spec = RunSpec {
+            run,
+            job: JobKey {
+                tenant: TenantId::new("tenant").unwrap(),
+                job: JobId::new("job").unwrap(),
+            },
+            step: StepName::new("step").unwrap(),
+            task,
+            resources: Resources::UNLIMITED,
+            time_limit: Milliseconds(limit),
+            payload,
+        };
+        let kind = match kind {
+            0 => OrderKind::Stop { run },
+            1 => OrderKind::Void { run },
+            _ => OrderKind::Start {
+                run: spec,
+                basis: HeartbeatSequence(basis),
+                lease: Milliseconds(lease),
+            },
+        };
+        RunnerOrder {
+            term: Term(term),
+            sequence: OrderSequence(sequence),
+            runner: runner(),
+            incarnation: RunnerIncarnation(incarnation),
+            kind,
+        }
+    }
+}
+
+fn any_answer() -> impl Strategy<Value = OrderAnswer> {
+    prop_oneof![
+        Just(OrderAnswer::Started),
+        Just(OrderAnswer::Stopping),
+        Just(OrderAnswer::Voided),
+        Just(OrderAnswer::Held),
+        Just(OrderAnswer::Ended),
+        prop_oneof![
+            Just(RefusalReason::StaleTerm),
+            Just(RefusalReason::OtherIncarnation),
+            Just(RefusalReason::StaleBasis),
+            Just(RefusalReason::KnownRun),
+            Just(RefusalReason::NoRoom),
+            Just(RefusalReason::Draining),
+        ]
+        .prop_map(OrderAnswer::Refused),
+    ]
+}
+
+/// Bytes of a good body with one stretch replaced.
+fn damaged(good: Value) -> impl Strategy<Value = Vec<u8>> {
+    let bytes = serde_json::to_vec(&good).unwrap();
+    let length = bytes.len();
+    (0..length, 0..8_usize, any::<Vec<u8>>()).prop_map(move |(at, cut, new)| {
+        let mut bytes = bytes.clone();
+        let end = (at + cut).min(length);
+        bytes.splice(at..end, new);
+        bytes
+    })
+}
+
+proptest! {
+    #[test]
+    fn reports_survive_json(report in any_report()) {
+        let url = OrdersUrl::new("http://127.0.0.1:7500/orders").unwrap();
+        let body = HeartbeatBody::from_report(&report, &url);
+        let bytes = serde_json::to_vec(&body).unwrap();
+        let back: HeartbeatBody = read(&bytes).unwrap();
+        prop_assert_eq!(back.into_report(runner()).unwrap(), (report, url));
+    }
+
+    #[test]
+    fn orders_survive_json(order in any_order()) {
+        let bytes = serde_json::to_vec(&OrderBody::from(&order)).unwrap();
+        let back: OrderBody = read(&bytes).unwrap();
+        prop_assert_eq!(RunnerOrder::try_from(back).unwrap(), order);
+    }
+
+    #[test]
+    fn answers_survive_json(answer in any_answer()) {
+        let body = OrderAnswerBody::from_answer(&answer).unwrap();
+        let bytes = serde_json::to_vec(&body).unwrap();
+        let back: OrderAnswerBody = read(&bytes).unwrap();
+        prop_assert_eq!(OrderAnswer::try_from(back).unwrap(), answer);
+    }
+
+    #[test]
+    fn no_body_makes_it_panic(bytes: Vec<u8>) {
+        let _ = read::<HeartbeatBody>(&bytes);
+        let _ = read::<OrderBody>(&bytes);
+        let _ = read::<OrderAnswerBody>(&bytes);
+    }
+
+    #[test]
+    fn no_damaged_heartbeat_makes_it_panic(bytes in damaged(heartbeat())) {
+        if let Ok(body) = read::<HeartbeatBody>(&bytes) {
+            let _ = body.into_report(runner());
+        }
+    }
+
+    #[test]
+    fn no_url_makes_it_panic(text: String) {
+        let _ = OrdersUrl::new(&text);
+        let _ = OrdersUrl::new(&format!("http://{text}"));
+    }
+}
