Run daemons and ask gateways from one command line

Cause: the binary was empty. Ruled out: a second binary for operators, which would double the release. Before: nothing ran.

--- /dev/null
+++ b/crates/cypressdrum/src/client/configuration.rs
@@ -0,0 +1,101 @@
+//! Commands about the cluster configuration.
+
+use crate::Exit;
+use crate::client::arguments::ConfigCommand;
+use crate::client::difference::differences;
+use crate::client::jobs::read_input;
+use crate::client::{ClientError, Context};
+use crate::output::{OutputFormat, json_line, print};
+use api::configuration::ConfigurationBody;
+use api::route;
+use api::version::{ConfigurationStatusBody, ConfigurationViewBody, ConfiguredBody};
+use api::{BodyError, parse_json, parse_toml};
+use reqwest::Method;
+use std::path::Path;
+
+/// Runs one of the commands.
+pub async fn run(context: &Context, command: ConfigCommand) -> Result<Exit, ClientError> {
+    match command {
+        ConfigCommand::Get => get(context).await,
+        ConfigCommand::Put { file, version } => put(context, &file, version).await,
+        ConfigCommand::Diff { file } => diff(context, &file).await,
+        ConfigCommand::Status => status(context).await,
+    }
+}
+
+async fn in_force(context: &Context) -> Result<ConfigurationViewBody, ClientError> {
+    context.gateways.get(route::CONFIGURATION, Vec::new()).await
+}
+
+async fn get(context: &Context) -> Result<Exit, ClientError> {
+    let view = in_force(context).await?;
+    match context.format {
+        OutputFormat::Json => print!("{}", json_line(&view)),
+        OutputFormat::Table => {
+            println!("# Version {}", view.version);
+            print!("{}", toml::to_string(&view.configuration)?);
+        }
+    }
+    Ok(Exit::Done)
+}
+
+async fn put(context: &Context, file: &Path, version: Option<u64>) -> Result<Exit, ClientError> {
+    let document = read_document(file)?;
+    let version = match version {
+        Some(version) => version,
+        None => in_force(context).await?.version + 1,
+    };
+    let path = route::CONFIGURATION_VERSION.replace("{version}", &version.to_string());
+    let sent = context
+        .gateways
+        .send(Method::PUT, &path, Some(&document))
+        .await;
+    let answer: ConfiguredBody = sent.inspect_err(|error| {
+        if error.exit() == Exit::Unavailable {
+            eprintln!("version {version} may or may not be taken; send it again with --version");
+        }
+    })?;
+    print(context.format, &answer);
+    Ok(Exit::Done)
+}
+
+async fn diff(context: &Context, file: &Path) -> Result<Exit, ClientError> {
+    let document = read_document(file)?;
+    let view = in_force(context).await?;
+    let found = differences(&to_json(&view.configuration), &to_json(&document));
+    match context.format {
+        OutputFormat::Json => print!("{}", json_line(&found)),
+        OutputFormat::Table => found.iter().for_each(|line| println!("{line}")),
+    }
+    Ok(match found.is_empty() {
+        true => Exit::Done,
+        false => Exit::Refused,
+    })
+}
+
+async fn status(context: &Context) -> Result<Exit, ClientError> {
+    let path = route::CONFIGURATION_STATUS;
+    let status: ConfigurationStatusBody = context.gateways.get(path, Vec::new()).await?;
+    print(context.format, &status);
+    Ok(Exit::Done)
+}
+
+/// Reads a document in JSON, which begins with a brace, or in TOML.
+fn read_document(path: &Path) -> Result<ConfigurationBody, ClientError> {
+    let bytes = read_input(path)?;
+    let first = bytes.iter().find(|byte| !byte.is_ascii_whitespace());
+    let document = match first {
+        Some(b'{') => parse_json(&bytes),
+        _ => std::str::from_utf8(&bytes)
+            .map_err(|error| BodyError::new("body", error))
+            .and_then(parse_toml),
+    };
+    document.map_err(|source| ClientError::Input {
+        path: path.to_owned(),
+        source,
+    })
+}
+
+fn to_json(document: &ConfigurationBody) -> serde_json::Value {
+    serde_json::to_value(document).unwrap_or_default()
+}
--- /dev/null
+++ b/crates/cypressdrum/src/client/decisions.rs
@@ -0,0 +1,76 @@
+//! The decision log, once or as it grows.
+
+use crate::Exit;
+use crate::client::arguments::DecisionsArguments;
+use crate::client::{ClientError, Context};
+use crate::output::{OutputFormat, Show};
+use api::decision::DecisionLine;
+use api::route;
+
+/// Prints decisions, a line each.
+pub async fn run(context: &Context, arguments: DecisionsArguments) -> Result<Exit, ClientError> {
+    let mut query = vec![
+        ("after", arguments.after.to_string()),
+        ("follow", arguments.follow.to_string()),
+    ];
+    query.extend(arguments.limit.map(|limit| ("limit", limit.to_string())));
+    let mut response = context.gateways.stream(route::DECISIONS, query).await?;
+    let url = response.url().to_string();
+    let mut lines = LineBuffer::default();
+    while let Some(piece) = response.chunk().await.map_err(|error| {
+        ClientError::Unavailable(vec![format!("{url}: the stream broke: {error}")])
+    })? {
+        for line in lines.push(&piece) {
+            print_line(context.format, &url, &line)?;
+        }
+    }
+    if let Some(line) = lines.finish() {
+        print_line(context.format, &url, &line)?;
+    }
+    Ok(Exit::Done)
+}
+
+fn print_line(format: OutputFormat, url: &str, line: &str) -> Result<(), ClientError> {
+    if line.trim().is_empty() {
+        return Ok(());
+    }
+    if format == OutputFormat::Json {
+        println!("{line}");
+        return Ok(());
+    }
+    let decision: DecisionLine =
+        serde_json::from_str(line).map_err(|error| ClientError::Answer {
+            url: url.to_owned(),
+            problem: error.to_string(),
+        })?;
+    print!("{}", decision.table());
+    Ok(())
+}
+
+/// Cuts a stream of bytes into lines.
+#[derive(Debug, Default)]
+pub struct LineBuffer {
+    partial: Vec<u8>,
+}
+
+impl LineBuffer {
+    /// Adds bytes and gives the lines that are whole now.
+    pub fn push(&mut self, bytes: &[u8]) -> Vec<String> {
+        self.partial.extend_from_slice(bytes);
+        let Some(end) = self.partial.iter().rposition(|byte| *byte == b'\n') else {
+            return Vec::new();
+        };
+        let rest = self.partial.split_off(end + 1);
+        let whole = std::mem::replace(&mut self.partial, rest);
+        let text = String::from_utf8_lossy(&whole);
+        text.lines().map(str::to_owned).collect()
+    }
+
+    /// The last line, if it has no line end.
+    pub fn finish(self) -> Option<String> {
+        match self.partial.is_empty() {
+            true => None,
+            false => Some(String::from_utf8_lossy(&self.partial).into_owned()),
+        }
+    }
+}
--- /dev/null
+++ b/crates/cypressdrum/src/client/jobs.rs
@@ -0,0 +1,126 @@
+//! Commands about jobs.
+
+use crate::Exit;
+use crate::client::arguments::{CancelArguments, JobArguments, ListArguments, SubmitArguments};
+use crate::client::show::word;
+use crate::client::{ClientError, Context};
+use crate::output::print;
+use api::BodyError;
+use api::cancel::{CancelBody, CancelledBody, JobKeyBody};
+use api::job::JobBody;
+use api::route;
+use api::view::{ExplainedBody, JobViewBody, JobsBody, SubmittedBody};
+use reqwest::Method;
+use std::io::Read;
+use std::path::Path;
+use types::JobKey;
+
+/// A file name that means standard input.
+const STANDARD_INPUT: &str = "-";
+
+/// Reads a file, or standard input for `-`.
+pub fn read_input(path: &Path) -> Result<Vec<u8>, ClientError> {
+    let mut bytes = Vec::new();
+    let read = match path.to_str() {
+        Some(STANDARD_INPUT) => std::io::stdin().read_to_end(&mut bytes),
+        _ => std::fs::File::open(path).and_then(|mut file| file.read_to_end(&mut bytes)),
+    };
+    match read {
+        Ok(_) => Ok(bytes),
+        Err(source) => Err(ClientError::Read {
+            path: path.to_owned(),
+            source,
+        }),
+    }
+}
+
+/// Submits each job of the input in order, and stops at the first refusal.
+pub async fn submit(context: &Context, arguments: SubmitArguments) -> Result<Exit, ClientError> {
+    let bytes = read_input(&arguments.file)?;
+    let jobs = serde_json::Deserializer::from_slice(&bytes).into_iter::<JobBody>();
+    for job in jobs {
+        let job = job.map_err(|error| ClientError::Input {
+            path: arguments.file.clone(),
+            source: BodyError::new("body", error),
+        })?;
+        let answer: SubmittedBody = context
+            .gateways
+            .send(Method::POST, route::JOBS, Some(&job))
+            .await?;
+        print(context.format, &answer);
+    }
+    Ok(Exit::Done)
+}
+
+/// Shows a job.
+pub async fn status(context: &Context, arguments: JobArguments) -> Result<Exit, ClientError> {
+    let path = job_path(route::JOB, arguments);
+    let job: JobViewBody = context.gateways.get(&path, Vec::new()).await?;
+    print(context.format, &job);
+    Ok(Exit::Done)
+}
+
+/// Tells why a job's tasks are where they are.
+pub async fn explain(context: &Context, arguments: JobArguments) -> Result<Exit, ClientError> {
+    let path = job_path(route::JOB_EXPLAIN, arguments);
+    let lines: ExplainedBody = context.gateways.get(&path, Vec::new()).await?;
+    print(context.format, &lines);
+    Ok(Exit::Done)
+}
+
+/// Lists jobs.
+pub async fn list(context: &Context, arguments: ListArguments) -> Result<Exit, ClientError> {
+    let mut query = Vec::new();
+    query.extend(
+        arguments
+            .tenant
+            .map(|tenant| ("tenant", tenant.to_string())),
+    );
+    query.extend(arguments.state.map(|state| ("state", word(&state))));
+    query.extend(arguments.after.map(|after| ("after", after.to_string())));
+    query.extend(arguments.limit.map(|limit| ("limit", limit.to_string())));
+    let jobs: JobsBody = context.gateways.get(route::JOBS, query).await?;
+    print(context.format, &jobs);
+    Ok(Exit::Done)
+}
+
+/// Cancels jobs; refused when one of them is unknown.
+pub async fn cancel(context: &Context, arguments: CancelArguments) -> Result<Exit, ClientError> {
+    let body = cancel_body(arguments);
+    let answer: CancelledBody = context
+        .gateways
+        .send(Method::POST, route::CANCELS, Some(&body))
+        .await?;
+    print(context.format, &answer);
+    Ok(match answer.unknown.is_empty() {
+        true => Exit::Done,
+        false => Exit::Refused,
+    })
+}
+
+fn cancel_body(arguments: CancelArguments) -> CancelBody {
+    if arguments.all {
+        return CancelBody {
+            jobs: None,
+            tenant: Some(arguments.tenant),
+            queue: arguments.queue,
+        };
+    }
+    let tenant = arguments.tenant;
+    let key = |job| JobKey {
+        tenant: tenant.clone(),
+        job,
+    };
+    let jobs = arguments.jobs.into_iter().map(key).map(JobKeyBody::from);
+    CancelBody {
+        jobs: Some(jobs.collect()),
+        tenant: None,
+        queue: None,
+    }
+}
+
+fn job_path(template: &str, arguments: JobArguments) -> String {
+    template
+        .replace("{tenant}", arguments.tenant.as_str())
+        .replace("{job}", arguments.job.as_str())
+}
--- /dev/null
+++ b/crates/cypressdrum/src/daemon/mod.rs
@@ -0,0 +1,56 @@
+//! The three daemons: settings, logs, signals, and the role's own shell.
+
+pub mod flags;
+pub mod logging;
+pub mod options;
+pub mod role;
+pub mod supervise;
+
+pub use flags::{AgentFlags, CoordinatorFlags, DaemonFlags, GatewayFlags};
+pub use role::{RoleError, RunRole};
+
+use crate::Exit;
+use settings::Source;
+
+/// Runs a daemon, or with `--check` only reads its settings.
+pub fn run<F: DaemonFlags>(flags: &F) -> Exit {
+    let source = match flags.source() {
+        Ok(source) => source,
+        Err(error) => return usage(&error),
+    };
+    let settings: F::Settings = match settings::load(&source) {
+        Ok(settings) => settings,
+        Err(error) => return usage(&error),
+    };
+    if flags.check_only() {
+        println!("the settings are fine");
+        return Exit::Done;
+    }
+    run_with(settings, source)
+}
+
+fn usage(error: &dyn std::error::Error) -> Exit {
+    eprintln!("{error}");
+    Exit::Usage
+}
+
+fn run_with<S: RunRole>(settings: S, source: Source) -> Exit {
+    let log = match logging::start(settings.node().log) {
+        Ok(log) => log,
+        Err(error) => return usage(&error),
+    };
+    if let Err(error) = admin::install_metrics() {
+        tracing::error!(%error, "no metrics");
+        return Exit::Refused;
+    }
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .build();
+    match runtime {
+        Ok(runtime) => runtime.block_on(supervise::run(settings, source, log)),
+        Err(error) => {
+            tracing::error!(%error, "cannot start the runtime");
+            Exit::Refused
+        }
+    }
+}
--- /dev/null
+++ b/crates/cypressdrum/src/daemon/options.rs
@@ -0,0 +1,130 @@
+//! Turns settings into the options of each role's shell.
+
+use settings::{AgentSettings, CoordinatorSettings, GatewaySettings, NodeSettings};
+use types::{Address, Milliseconds, NodeId, Role};
+
+/// Random values of one process life, drawn once at its start.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Draws {
+    /// Identity; a coordinator uses it only when its disk holds none.
+    pub node: NodeId,
+    /// Seed of elections, waits and identifiers.
+    pub seed: u64,
+}
+
+impl Draws {
+    /// Fresh values from the operating system.
+    pub fn fresh() -> Self {
+        Self {
+            node: NodeId(rand::random()),
+            seed: rand::random(),
+        }
+    }
+}
+
+/// Options of a coordinator.
+pub fn coordinator(settings: &CoordinatorSettings, draws: Draws) -> coordinator::ShellOptions {
+    let CoordinatorSettings {
+        node,
+        timings,
+        limits,
+        dispatcher,
+        ..
+    } = settings;
+    let core = coordinator::CoordinatorOptions {
+        address: address(node, Role::Coordinator, draws),
+        seeds: node.seeds.clone(),
+        initial_coordinators: settings.initial_coordinators,
+        consensus: consensus::Options {
+            election_timeout: Milliseconds(timings.election_timeout_ms),
+            heartbeat_interval: Milliseconds(timings.heartbeat_interval_ms),
+            leader_lease: Milliseconds(timings.leader_lease_ms),
+            ..consensus::Options::default()
+        },
+        dispatcher: dispatch::DispatcherOptions {
+            look_ahead: dispatcher.look_ahead_tasks,
+            hold_after: Milliseconds(dispatcher.hold_after_ms),
+            probation_failures: dispatcher.probation_failures,
+            probation: Milliseconds(dispatcher.probation_ms),
+            silent_after: Milliseconds(dispatcher.silent_after_ms),
+        },
+        session_lease: Milliseconds(timings.session_lease_ms),
+        replace_voter_after: Milliseconds(timings.replace_voter_after_ms),
+        runner_wait: Milliseconds(timings.runner_wait_ms),
+        snapshot_every: limits.snapshot_every_entries,
+        max_waiting_requests: limits.max_waiting_requests,
+        decisions_kept: limits.decisions_kept,
+        seed: draws.seed,
+    };
+    coordinator::ShellOptions {
+        core,
+        transport: transport(node),
+        cluster_key: cluster_key(node),
+        admin_listen: settings.admin_listen,
+        data: settings.data.clone(),
+        grace: Milliseconds(node.grace_ms),
+    }
+}
+
+/// Options of a gateway.
+pub fn gateway(settings: &GatewaySettings, draws: Draws) -> gateway::ShellOptions {
+    let GatewaySettings { node, timings, .. } = settings;
+    let core = gateway::GatewayOptions {
+        address: address(node, Role::Gateway, draws),
+        seeds: node.seeds.clone(),
+        session_interval: Milliseconds(timings.session_interval_ms),
+        replica_valid: Milliseconds(timings.replica_valid_ms),
+        max_waiting_requests: settings.limits.max_waiting_requests,
+        resend_after: Milliseconds(timings.resend_after_ms),
+        seed: draws.seed,
+    };
+    gateway::ShellOptions {
+        core,
+        transport: transport(node),
+        cluster_key: cluster_key(node),
+        http_listen: settings.http_listen,
+        grace: Milliseconds(node.grace_ms),
+    }
+}
+
+/// Options of an agent.
+pub fn agent(settings: &AgentSettings, draws: Draws) -> agent::ShellOptions {
+    let AgentSettings { node, timings, .. } = settings;
+    let core = agent::AgentOptions {
+        address: address(node, Role::Agent, draws),
+        seeds: node.seeds.clone(),
+        session_interval: Milliseconds(timings.session_interval_ms),
+        order_timeout: Milliseconds(timings.order_timeout_ms),
+        freeze_after: Milliseconds(timings.freeze_after_ms),
+        replica_valid: Milliseconds(timings.replica_valid_ms),
+        seed: draws.seed,
+    };
+    agent::ShellOptions {
+        core,
+        transport: transport(node),
+        cluster_key: cluster_key(node),
+        http_listen: settings.http_listen,
+        grace: Milliseconds(node.grace_ms),
+    }
+}
+
+fn address(node: &NodeSettings, role: Role, draws: Draws) -> Address {
+    Address {
+        node: draws.node,
+        role,
+        zone: node.zone.clone(),
+        socket: node.advertise,
+    }
+}
+
+fn transport(node: &NodeSettings) -> peer::TransportOptions {
+    peer::TransportOptions {
+        listen: node.listen,
+        queue_length: node.transport.queue_length_messages,
+        max_frame_bytes: node.transport.max_frame_bytes,
+    }
+}
+
+fn cluster_key(node: &NodeSettings) -> peer::ClusterKey {
+    peer::ClusterKey::new(node.cluster_key.bytes())
+}
--- a/crates/cypressdrum/src/main.rs
+++ b/crates/cypressdrum/src/main.rs
@@ -1,3 +1,8 @@
-//! The command line: daemons, operator and caller commands, toolbox.
+//! The `cypressdrum` program.
 
-fn main() {}
+use clap::Parser;
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    cypressdrum::run(cypressdrum::Arguments::parse()).into()
+}
--- /dev/null
+++ b/crates/cypressdrum/tests/gateways.rs
@@ -0,0 +1,153 @@
+//! Client commands against stub gateways: order of trial and exit codes.
+
+use api::refusal::{Code, RefusalBody};
+use axum::Router;
+use axum::http::{HeaderMap, StatusCode};
+use axum::response::IntoResponse;
+use axum::routing::{get, post};
+use clap::Parser;
+use cypressdrum::{Arguments, Exit};
+use std::net::SocketAddr;
+use std::path::Path;
+use tokio::net::TcpListener;
+use tokio::runtime::Runtime;
+
+/// A stub that lives as long as its runtime.
+struct Stub {
+    _runtime: Runtime,
+    socket: SocketAddr,
+}
+
+impl Stub {
+    fn serve(router: Router) -> Self {
+        let runtime = Runtime::new().unwrap();
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        let listener = runtime.block_on(TcpListener::bind(any)).unwrap();
+        let socket = listener.local_addr().unwrap();
+        runtime.spawn(axum::serve(listener, router).into_future());
+        Self {
+            _runtime: runtime,
+            socket,
+        }
+    }
+
+    fn refusing(code: Code) -> Self {
+        let refuse = move || async move {
+            let status = StatusCode::from_u16(code.status()).unwrap();
+            let body = RefusalBody {
+                code,
+                message: "refused by the stub".to_owned(),
+                retry_after_ms: None,
+                problems: Vec::new(),
+            };
+            (status, serde_json::to_string(&body).unwrap()).into_response()
+        };
+        Self::serve(Router::new().fallback(refuse))
+    }
+
+    fn queues() -> Self {
+        let empty = || async { r#"{"queues":[]}"# };
+        Self::serve(Router::new().route(api::route::QUEUES, get(empty)))
+    }
+
+    fn url(&self) -> String {
+        format!("http://{}", self.socket)
+    }
+}
+
+/// A URL where nobody listens.
+fn nobody() -> String {
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    let listener = std::net::TcpListener::bind(any).unwrap();
+    format!("http://{}", listener.local_addr().unwrap())
+}
+
+fn run(command: &str, gateways: &[String]) -> Exit {
+    let gateways = gateways.join(",");
+    let line = format!("cypressdrum {command} --gateway {gateways}");
+    cypressdrum::run(Arguments::try_parse_from(line.split_whitespace()).unwrap())
+}
+
+#[test]
+fn the_next_gateway_is_asked_when_one_is_silent_or_has_no_leader() {
+    let leaderless = Stub::refusing(Code::Unavailable);
+    let fine = Stub::queues();
+    let gateways = [nobody(), leaderless.url(), fine.url()];
+    assert_eq!(run("queue list", &gateways), Exit::Done);
+}
+
+#[test]
+fn a_final_refusal_is_not_carried_to_the_next_gateway() {
+    let forbidden = Stub::refusing(Code::Forbidden);
+    let fine = Stub::queues();
+    let gateways = [forbidden.url(), fine.url()];
+    assert_eq!(run("queue list", &gateways), Exit::Refused);
+}
+
+#[test]
+fn refusals_have_the_documented_exit_codes() {
+    for (code, exit) in [
+        (Code::Invalid, Exit::Refused),
+        (Code::Unauthenticated, Exit::Refused),
+        (Code::NotFound, Exit::Refused),
+        (Code::Conflict, Exit::Refused),
+        (Code::Overloaded, Exit::Unavailable),
+        (Code::Unavailable, Exit::Unavailable),
+        (Code::TimedOut, Exit::Unavailable),
+    ] {
+        let stub = Stub::refusing(code);
+        assert_eq!(
+            run("status poster sheet-1", &[stub.url()]),
+            exit,
+            "{code:?}"
+        );
+    }
+    assert_eq!(run("members", &[nobody()]), Exit::Unavailable);
+}
+
+#[test]
+fn wrong_files_and_urls_are_usage_errors() {
+    let stub = Stub::queues();
+    assert_eq!(run("submit no/such/file", &[stub.url()]), Exit::Usage);
+    let ftp = "ftp://127.0.0.1".to_owned();
+    assert_eq!(run("queue list", &[ftp]), Exit::Usage);
+    let file = Path::new(env!("CARGO_TARGET_TMPDIR")).join("no-token.key");
+    std::fs::write(&file, "no token\n").unwrap();
+    let command = format!("queue list --key-file {}", file.display());
+    assert_eq!(run(&command, &[stub.url()]), Exit::Usage);
+}
+
+#[test]
+fn jobs_are_submitted_one_after_the_other_with_token_and_deadline() {
+    let take = |headers: HeaderMap, body: String| async move {
+        let bearer = headers.get("authorization").map(|value| value.as_bytes());
+        assert_eq!(bearer, Some(b"Bearer editors.secret".as_slice()));
+        assert!(headers.contains_key(api::route::DEADLINE_HEADER));
+        assert!(body.contains("sheet-"));
+        (StatusCode::CREATED, r#"{"number":1,"known":false}"#)
+    };
+    let stub = Stub::serve(Router::new().route(api::route::JOBS, post(take)));
+    let folder = Path::new(env!("CARGO_TARGET_TMPDIR"));
+    let key = folder.join("editors.key");
+    std::fs::write(&key, "editors.secret\n").unwrap();
+    let job = |name: &str| {
+        format!(r#"{{"tenant":"editors","job":"{name}","queue":"hover","steps":[{{"name":"a"}}]}}"#)
+    };
+    let jobs = folder.join("jobs.json");
+    std::fs::write(&jobs, job("sheet-1") + "\n" + &job("sheet-2")).unwrap();
+    let command = format!("submit {} --key-file {}", jobs.display(), key.display());
+    assert_eq!(run(&command, &[stub.url()]), Exit::Done);
+
+    std::fs::write(&jobs, job("sheet-1") + "{}").unwrap();
+    assert_eq!(run(&command, &[stub.url()]), Exit::Usage);
+}
+
+#[test]
+fn a_cancel_that_names_an_unknown_job_is_not_done() {
+    let answer = || async {
+        r#"{"cancelled":1,"finished":0,"unknown":[{"tenant":"poster","job":"sheet-2"}]}"#
+    };
+    let stub = Stub::serve(Router::new().route(api::route::CANCELS, post(answer)));
+    let command = "cancel poster sheet-1 sheet-2";
+    assert_eq!(run(command, &[stub.url()]), Exit::Refused);
+}
