Build a lab of real daemons, stand-ins and reports

Cause: nothing showed the parts together. Ruled out: a second build of the daemons' program from the lab; the lab's own executable is the daemon instead. Change: a fleet of child processes with addresses of their own, callers and runners into one history, a closing table, and the demo that kills the leader once. Children end with the lab, however it goes. Before: no lab.

--- a/crates/cypressdrum/src/check.rs
+++ b/crates/cypressdrum/src/check.rs
@@ -1,61 +1,48 @@
 //! `check`: a history against every promise.
 
 use crate::Exit;
-use checker::{Limits, Observation, Report};
+use checker::{HistoryError, Limits, Observation, Report};
 use std::fs::File;
-use std::io::{BufRead, BufReader};
+use std::io::BufReader;
 use std::path::{Path, PathBuf};
 use thiserror::Error;
 
-/// Why a history cannot be read.
+/// Why a history cannot be checked.
 #[derive(Debug, Error)]
-pub enum HistoryError {
-    /// The file cannot be read.
+pub enum CheckError {
+    /// The file cannot be opened.
     #[error("{path}: {source}", path = path.display())]
-    Read {
+    Open {
         /// The file.
         path: PathBuf,
         /// Why.
         source: std::io::Error,
     },
-    /// A line is no observation.
-    #[error("{path}:{line}: {source}", path = path.display())]
-    Line {
+    /// The file is no history.
+    #[error("{path}: {source}", path = path.display())]
+    History {
         /// The file.
         path: PathBuf,
-        /// Its line, from 1.
-        line: usize,
         /// Why.
-        source: serde_json::Error,
+        source: HistoryError,
     },
 }
 
 /// Reads a history of JSON lines.
-pub fn read_history(path: &Path) -> Result<Vec<Observation>, HistoryError> {
-    let read = |source| HistoryError::Read {
+pub fn read_file(path: &Path) -> Result<Vec<Observation>, CheckError> {
+    let file = File::open(path).map_err(|source| CheckError::Open {
         path: path.to_owned(),
         source,
-    };
-    let file = File::open(path).map_err(read)?;
-    let mut history = Vec::new();
-    for (index, line) in BufReader::new(file).lines().enumerate() {
-        let line = line.map_err(read)?;
-        if line.trim().is_empty() {
-            continue;
-        }
-        let observation = serde_json::from_str(&line).map_err(|source| HistoryError::Line {
-            path: path.to_owned(),
-            line: index + 1,
-            source,
-        })?;
-        history.push(observation);
-    }
-    Ok(history)
+    })?;
+    checker::read_history(BufReader::new(file)).map_err(|source| CheckError::History {
+        path: path.to_owned(),
+        source,
+    })
 }
 
 /// Checks the history and prints what was found.
 pub fn run(path: &Path) -> Exit {
-    let history = match read_history(path) {
+    let history = match read_file(path) {
         Ok(history) => history,
         Err(error) => {
             eprintln!("{error}");
--- a/crates/cypressdrum/tests/toolbox.rs
+++ b/crates/cypressdrum/tests/toolbox.rs
@@ -1,9 +1,8 @@
 //! Keys, settings checks and histories.
 
 use configuration::{ClusterConfiguration, KeyRole};
-use cypressdrum::Exit;
-use cypressdrum::check::read_history;
 use cypressdrum::key::{KeyError, Role, new_key};
+use cypressdrum::{Exit, check};
 use std::path::{Path, PathBuf};
 use std::process::Command;
 
@@ -41,15 +40,24 @@
 }
 
 #[test]
-fn a_history_is_read_line_by_line_and_a_wrong_line_is_named() {
-    let good = file(
-        "good.jsonl",
-        "{\"at\":1,\"observer\":\"a\",\"event\":\"healed\"}\n\n",
+fn check_ends_by_what_the_history_shows() {
+    let calm = r#"{"at":1,"observer":"lab","event":"finished"}"#;
+    let acknowledged = r#"{"at":0,"observer":"caller","event":"submit_acknowledged",
+        "job":{"tenant":"poster","job":"sheet-1"}}"#;
+    let lost = format!(
+        "{}\n{}\n",
+        acknowledged.replace('\n', ""),
+        calm.replace(":1", ":60000")
     );
-    assert_eq!(read_history(&good).unwrap().len(), 1);
-    let wrong = file("wrong.jsonl", "\n{\"at\":1}\n");
-    let error = read_history(&wrong).unwrap_err().to_string();
-    assert!(error.contains("wrong.jsonl:2"), "{error}");
+    for (name, text, exit) in [
+        ("calm.jsonl", calm, Exit::Done),
+        ("lost.jsonl", lost.as_str(), Exit::PromiseBroken),
+        ("wrong.jsonl", "{\"at\":1}\n", Exit::Usage),
+    ] {
+        let path = file(name, text);
+        assert_eq!(check::run(&path), exit, "{name}");
+    }
+    assert_eq!(check::run(Path::new("no/such/history")), Exit::Usage);
 }
 
 fn cypressdrum(arguments: &[&str]) -> (Option<i32>, String) {
--- /dev/null
+++ b/crates/lab/src/callers.rs
@@ -0,0 +1,210 @@
+//! Stand-in callers: both job mixes, sent open loop to all gateways in turn.
+
+mod client;
+
+use crate::{History, LabError};
+use client::JobClient;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use standin::caller::{Caller, CallerAction, CallerAnswer};
+use standin::workload::{Mix, Workload};
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+use tokio::sync::{mpsc, watch};
+use tokio::task::JoinHandle;
+use types::{JobKey, JobSpec, Monotonic};
+
+/// Longest sleep of a caller that has nothing to do.
+const IDLE_SLEEP: Duration = Duration::from_millis(200);
+
+/// Counts for the progress line.
+#[derive(Debug, Default)]
+pub struct Progress {
+    /// Jobs drawn and sent at least once.
+    pub submitted: AtomicU64,
+    /// Jobs acknowledged.
+    pub acknowledged: AtomicU64,
+    /// Jobs seen in a final state, or refused for good.
+    pub ended: AtomicU64,
+}
+
+impl Progress {
+    /// Jobs that are not over yet.
+    pub fn unfinished(&self) -> u64 {
+        let submitted = self.submitted.load(Ordering::Relaxed);
+        submitted.saturating_sub(self.ended.load(Ordering::Relaxed))
+    }
+}
+
+/// What one stand-in caller sends.
+#[derive(Debug, Clone)]
+pub struct CallerPlan {
+    /// Its name in the history.
+    pub name: String,
+    /// Which jobs.
+    pub mix: Mix,
+    /// Times the ordinary load.
+    pub load: f64,
+    /// Seed of jobs and times.
+    pub seed: u64,
+}
+
+/// Running stand-in callers.
+pub struct Callers {
+    progress: Arc<Progress>,
+    sending: watch::Sender<bool>,
+    tasks: Vec<JoinHandle<()>>,
+}
+
+impl Callers {
+    /// Starts callers that send until [`Callers::stop_sending`].
+    pub fn start(
+        plans: Vec<CallerPlan>,
+        gateways: &[String],
+        history: &History,
+    ) -> Result<Self, LabError> {
+        let progress = Arc::new(Progress::default());
+        let (sending, is_sending) = watch::channel(true);
+        let mut tasks = Vec::new();
+        for plan in plans {
+            let client = JobClient::new(&plan.name, gateways, history.clone())?;
+            let session = Session::new(plan, client, history.clone(), progress.clone());
+            tasks.push(tokio::spawn(session.run(is_sending.clone())));
+        }
+        Ok(Self {
+            progress,
+            sending,
+            tasks,
+        })
+    }
+
+    /// Counts so far.
+    pub fn progress(&self) -> &Progress {
+        &self.progress
+    }
+
+    /// No new jobs from now on; those on their way are followed to their end.
+    pub fn stop_sending(&self) {
+        self.sending.send_replace(false);
+    }
+}
+
+impl Drop for Callers {
+    fn drop(&mut self) {
+        self.tasks.iter().for_each(JoinHandle::abort);
+    }
+}
+
+/// One caller with its jobs.
+struct Session {
+    workload: Workload,
+    jobs_per_second: f64,
+    random: ChaCha8Rng,
+    caller: Caller,
+    jobs: BTreeMap<JobKey, Arc<JobSpec>>,
+    client: JobClient,
+    history: History,
+    progress: Arc<Progress>,
+}
+
+impl Session {
+    fn new(plan: CallerPlan, client: JobClient, history: History, progress: Arc<Progress>) -> Self {
+        let workload = Workload::new(plan.mix, &plan.name, plan.seed);
+        Self {
+            jobs_per_second: workload.jobs_per_second() * plan.load,
+            workload,
+            random: ChaCha8Rng::seed_from_u64(plan.seed),
+            caller: Caller::new(plan.seed),
+            jobs: BTreeMap::new(),
+            client,
+            history,
+            progress,
+        }
+    }
+
+    async fn run(mut self, mut is_sending: watch::Receiver<bool>) {
+        let (answers, mut answered) = mpsc::unbounded_channel();
+        let mut next_job = Some(self.history.monotonic());
+        loop {
+            if !*is_sending.borrow_and_update() {
+                next_job = None;
+            }
+            next_job = next_job.map(|due| self.draw_due(due));
+            self.act(&answers);
+            let sleep = self.sleep_length(next_job);
+            tokio::select! {
+                Some((job, answer)) = answered.recv() => self.take(&job, answer),
+                () = tokio::time::sleep(sleep) => {}
+            }
+            if next_job.is_none() && self.caller.unfinished() == 0 {
+                return;
+            }
+        }
+    }
+
+    /// Draws every job that is due, and gives the time of the next. Times do
+    /// not depend on answers: the load is open.
+    fn draw_due(&mut self, mut due: Monotonic) -> Monotonic {
+        while due <= self.history.monotonic() {
+            let job = self.workload.next_job();
+            let key = JobKey {
+                tenant: job.tenant.clone(),
+                job: job.job.clone(),
+            };
+            self.jobs.insert(key.clone(), Arc::new(job));
+            self.caller.follow(key, self.history.monotonic());
+            self.progress.submitted.fetch_add(1, Ordering::Relaxed);
+            due = due + self.draw_gap();
+        }
+        due
+    }
+
+    /// Time to the next job of a Poisson process.
+    fn draw_gap(&mut self) -> types::Milliseconds {
+        let uniform: f64 = self.random.random_range(f64::EPSILON..1.0);
+        let seconds = -uniform.ln() / self.jobs_per_second;
+        types::Milliseconds((seconds * 1_000.0).round() as u64)
+    }
+
+    /// Sends what the caller wants sent now.
+    fn act(&mut self, answers: &mpsc::UnboundedSender<(JobKey, CallerAnswer)>) {
+        for action in self.caller.actions(self.history.monotonic()) {
+            let (CallerAction::Submit(key) | CallerAction::Ask(key)) = &action;
+            let Some(job) = self.jobs.get(key).cloned() else {
+                continue;
+            };
+            let client = self.client.clone();
+            let answers = answers.clone();
+            tokio::spawn(async move {
+                let (key, answer) = match action {
+                    CallerAction::Submit(key) => (key, client.submit(&job).await),
+                    CallerAction::Ask(key) => (key.clone(), client.ask(&key).await),
+                };
+                // The receiver is gone only when the trial is over.
+                let _ = answers.send((key, answer));
+            });
+        }
+    }
+
+    fn take(&mut self, job: &JobKey, answer: CallerAnswer) {
+        if answer == CallerAnswer::Acknowledged {
+            self.progress.acknowledged.fetch_add(1, Ordering::Relaxed);
+        }
+        let before = self.caller.unfinished();
+        self.caller.answered(job, answer, self.history.monotonic());
+        if self.caller.unfinished() < before {
+            self.jobs.remove(job);
+            self.progress.ended.fetch_add(1, Ordering::Relaxed);
+        }
+    }
+
+    fn sleep_length(&self, next_job: Option<Monotonic>) -> Duration {
+        let now = self.history.monotonic();
+        let due = [next_job, self.caller.next_wakeup()];
+        let first = due.into_iter().flatten().min();
+        let length = first.map(|due| Duration::from_millis(due.since(now).0));
+        length.unwrap_or(IDLE_SLEEP).min(IDLE_SLEEP)
+    }
+}
--- /dev/null
+++ b/crates/lab/src/callers/client.rs
@@ -0,0 +1,206 @@
+//! Requests of one caller, and what they leave in the history.
+
+use crate::{History, LabError};
+use api::job::JobBody;
+use api::refusal::{Code, RefusalBody};
+use api::route;
+use api::view::JobViewBody;
+use checker::{Event, ExpectedStep, ReadState};
+use reqwest::{Client, RequestBuilder, Response, StatusCode};
+use standin::caller::CallerAnswer;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+use tokio::sync::Semaphore;
+use types::{JobKey, JobSpec, JobState, Milliseconds};
+
+/// How long a caller waits for an answer.
+const DEADLINE_MS: u64 = 2_000;
+/// What the answer may take on top of the deadline.
+const ANSWER_MARGIN_MS: u64 = 500;
+/// Requests of one caller at the same time.
+const MAX_REQUESTS: usize = 256;
+/// When to come back where a refusal does not say it.
+const DEFAULT_RETRY: Milliseconds = Milliseconds(500);
+
+/// Sends a caller's requests to its gateways in turn. Clones share all.
+#[derive(Clone)]
+pub struct JobClient {
+    shared: Arc<Shared>,
+}
+
+struct Shared {
+    name: String,
+    http: Client,
+    gateways: Vec<String>,
+    next_gateway: AtomicUsize,
+    requests: Semaphore,
+    history: History,
+}
+
+/// How a request ended.
+enum Answer {
+    Success(Response),
+    Refused(RefusalBody),
+    Silence,
+}
+
+impl JobClient {
+    /// A client with its own connections.
+    pub fn new(name: &str, gateways: &[String], history: History) -> Result<Self, LabError> {
+        let timeout = Duration::from_millis(DEADLINE_MS + ANSWER_MARGIN_MS);
+        let shared = Shared {
+            name: name.to_owned(),
+            http: Client::builder().timeout(timeout).build()?,
+            gateways: gateways.to_vec(),
+            next_gateway: AtomicUsize::new(0),
+            requests: Semaphore::new(MAX_REQUESTS),
+            history,
+        };
+        Ok(Self {
+            shared: Arc::new(shared),
+        })
+    }
+
+    /// Sends a submit, first or again.
+    pub async fn submit(&self, job: &JobSpec) -> CallerAnswer {
+        let key = JobKey {
+            tenant: job.tenant.clone(),
+            job: job.job.clone(),
+        };
+        let _permit = self.shared.requests.acquire().await;
+        self.record(Event::SubmitSent {
+            job: key.clone(),
+            steps: expected_steps(job),
+            not_before: None,
+        });
+        let url = format!("{}{}", self.gateway(), route::JOBS);
+        let request = self.shared.http.post(url).json(&JobBody::from(job.clone()));
+        match send(request).await {
+            Answer::Success(_) => {
+                self.record(Event::SubmitAcknowledged { job: key });
+                CallerAnswer::Acknowledged
+            }
+            Answer::Refused(refusal) => self.submit_refused(key, refusal),
+            Answer::Silence => self.silent("submit"),
+        }
+    }
+
+    /// Asks for a job's state.
+    pub async fn ask(&self, key: &JobKey) -> CallerAnswer {
+        let _permit = self.shared.requests.acquire().await;
+        let asked_at = self.shared.history.now();
+        let path = route::JOB
+            .replace("{tenant}", key.tenant.as_str())
+            .replace("{job}", key.job.as_str());
+        let url = format!("{}{path}", self.gateway());
+        match send(self.shared.http.get(url)).await {
+            Answer::Success(response) => match response.json::<JobViewBody>().await {
+                Ok(view) => self.state_read(key, asked_at, view),
+                Err(_) => self.silent("status"),
+            },
+            Answer::Refused(refusal) if refusal.code == Code::NotFound => {
+                self.record(Event::StateRead {
+                    job: key.clone(),
+                    asked_at,
+                    state: ReadState::Unknown,
+                });
+                CallerAnswer::Unknown
+            }
+            Answer::Refused(refusal) => self.come_back("status", &refusal),
+            Answer::Silence => self.silent("status"),
+        }
+    }
+
+    fn state_read(&self, key: &JobKey, asked_at: Milliseconds, view: JobViewBody) -> CallerAnswer {
+        let state = JobState::from(view.state);
+        self.record(Event::StateRead {
+            job: key.clone(),
+            asked_at,
+            state: ReadState::Known(state),
+        });
+        CallerAnswer::State(state)
+    }
+
+    fn submit_refused(&self, job: JobKey, refusal: RefusalBody) -> CallerAnswer {
+        if refusal.code == Code::TimedOut {
+            return self.silent("submit");
+        }
+        self.record(Event::SubmitRefused {
+            job,
+            code: format!("{:?}", refusal.code),
+        });
+        match refusal.code {
+            Code::Overloaded | Code::Unavailable => CallerAnswer::RetryAfter(retry_after(&refusal)),
+            _ => CallerAnswer::Refused,
+        }
+    }
+
+    fn come_back(&self, operation: &str, refusal: &RefusalBody) -> CallerAnswer {
+        match refusal.code {
+            Code::TimedOut => self.silent(operation),
+            _ => CallerAnswer::RetryAfter(retry_after(refusal)),
+        }
+    }
+
+    fn silent(&self, operation: &str) -> CallerAnswer {
+        self.record(Event::RequestTimedOut {
+            operation: operation.to_owned(),
+        });
+        CallerAnswer::Silence
+    }
+
+    fn record(&self, event: Event) {
+        self.shared.history.record(&self.shared.name, event);
+    }
+
+    /// The gateway whose turn it is.
+    fn gateway(&self) -> &str {
+        let turn = self.shared.next_gateway.fetch_add(1, Ordering::Relaxed);
+        let gateways = &self.shared.gateways;
+        let position = turn.checked_rem(gateways.len()).unwrap_or(0);
+        gateways.get(position).map_or("", String::as_str)
+    }
+}
+
+async fn send(request: RequestBuilder) -> Answer {
+    let request = request.header(route::DEADLINE_HEADER, DEADLINE_MS);
+    let Ok(response) = request.send().await else {
+        return Answer::Silence;
+    };
+    if response.status().is_success() {
+        return Answer::Success(response);
+    }
+    let status = response.status();
+    match response.json().await {
+        Ok(refusal) => Answer::Refused(refusal),
+        Err(_) if status == StatusCode::SERVICE_UNAVAILABLE => Answer::Refused(unavailable()),
+        Err(_) => Answer::Silence,
+    }
+}
+
+/// What a 503 without a body says.
+fn unavailable() -> RefusalBody {
+    RefusalBody {
+        code: Code::Unavailable,
+        message: String::new(),
+        retry_after_ms: None,
+        problems: Vec::new(),
+    }
+}
+
+fn retry_after(refusal: &RefusalBody) -> Milliseconds {
+    refusal.retry_after_ms.map_or(DEFAULT_RETRY, Milliseconds)
+}
+
+fn expected_steps(job: &JobSpec) -> Vec<ExpectedStep> {
+    let steps = job.steps.iter().map(|step| ExpectedStep {
+        name: step.name.clone(),
+        after: step.after.clone(),
+        tasks: step.tasks,
+        max_copies: step.max_copies,
+        allowed_failures: step.allowed_failures,
+        time_limit: Some(step.time_limit),
+    });
+    steps.collect()
+}
--- /dev/null
+++ b/crates/lab/src/fleet.rs
@@ -0,0 +1,253 @@
+//! A fleet of real daemons on this machine.
+
+mod member;
+mod plan;
+
+pub use member::{Member, MemberId};
+pub use plan::FleetPlan;
+
+use crate::LabError;
+use crate::ports::Addresses;
+use crate::process::{Process, Program};
+use api::operator::MembersBody;
+use api::route;
+use cypressdrum::client::{Connection, GatewayClient};
+use cypressdrum::output::OutputFormat;
+use nix::sys::signal::Signal;
+use std::path::{Path, PathBuf};
+use std::time::{Duration, Instant};
+use types::Role;
+
+/// Time between two looks at something that is waited for.
+const LOOK_INTERVAL: Duration = Duration::from_millis(50);
+/// Longest wait of one command to the fleet.
+const COMMAND_TIMEOUT_MS: u64 = 3_000;
+/// The secret of a trial's cluster; it guards nothing beyond one machine.
+const CLUSTER_SECRET: &str = "a-secret-for-trials-on-one-machine-only";
+
+/// A fleet of real daemons on this machine.
+#[derive(Debug)]
+pub struct Fleet {
+    program: Program,
+    folder: PathBuf,
+    members: Vec<Member>,
+}
+
+impl Fleet {
+    /// Lays out folders, addresses and settings; starts nothing yet.
+    pub fn build(plan: &FleetPlan, program: Program, folder: &Path) -> Result<Self, LabError> {
+        std::fs::create_dir_all(folder).map_err(LabError::file(folder))?;
+        let key = folder.join("cluster.key");
+        std::fs::write(&key, CLUSTER_SECRET).map_err(LabError::file(&key))?;
+        let members = plan.members(&Addresses::default(), folder)?;
+        let seeds = plan::seeds(&members);
+        for member in &members {
+            member.write_settings(&seeds, &key)?;
+        }
+        Ok(Self {
+            program,
+            folder: folder.to_owned(),
+            members,
+        })
+    }
+
+    /// The folder that holds everything of this fleet.
+    pub fn folder(&self) -> &Path {
+        &self.folder
+    }
+
+    /// All daemons.
+    pub fn members(&self) -> &[Member] {
+        &self.members
+    }
+
+    /// The daemons of a role, in order.
+    pub fn of_role(&self, role: Role) -> impl Iterator<Item = &Member> {
+        self.members
+            .iter()
+            .filter(move |member| member.id.role == role)
+    }
+
+    /// URLs of all gateways.
+    pub fn gateway_urls(&self) -> Vec<String> {
+        self.of_role(Role::Gateway).map(Member::http_url).collect()
+    }
+
+    /// A client of all gateways.
+    pub fn client(&self) -> Result<GatewayClient, LabError> {
+        let connection = Connection {
+            gateway: self.gateway_urls(),
+            key_file: None,
+            timeout_ms: COMMAND_TIMEOUT_MS,
+            output: OutputFormat::Json,
+        };
+        Ok(GatewayClient::connect(&connection)?)
+    }
+
+    /// Starts every daemon that is not running.
+    pub fn start_all(&mut self) -> Result<(), LabError> {
+        let ids: Vec<_> = self.members.iter().map(|member| member.id).collect();
+        ids.into_iter().try_for_each(|id| self.start(id))
+    }
+
+    /// Starts one daemon, with whatever its data folder holds.
+    pub fn start(&mut self, id: MemberId) -> Result<(), LabError> {
+        let program = self.program.clone();
+        let member = self.member_mut(id)?;
+        if member.process.is_some() {
+            return Ok(());
+        }
+        let arguments = member.arguments();
+        member.process = Some(Process::start(&program, &arguments, &member.log)?);
+        Ok(())
+    }
+
+    /// Ends one daemon at once, as a power cut of its process would.
+    pub fn kill(&mut self, id: MemberId) -> Result<(), LabError> {
+        let member = self.member_mut(id)?;
+        match member.process.take() {
+            Some(mut process) => {
+                process.kill();
+                Ok(())
+            }
+            None => Err(LabError::NotRunning(id.to_string())),
+        }
+    }
+
+    /// Asks one daemon to drain and end, and waits until it has.
+    pub async fn terminate(&mut self, id: MemberId, longest: Duration) -> Result<(), LabError> {
+        self.signal(id, Signal::SIGTERM)?;
+        let started = Instant::now();
+        loop {
+            let member = self.member_mut(id)?;
+            let ended = member.process.as_mut().and_then(Process::ended);
+            if ended.is_some() {
+                member.process = None;
+                return Ok(());
+            }
+            if started.elapsed() > longest {
+                return Err(timed_out(format!("{id} to drain"), longest));
+            }
+            tokio::time::sleep(LOOK_INTERVAL).await;
+        }
+    }
+
+    /// Stops one daemon's clock, as a frozen machine would.
+    pub fn freeze(&self, id: MemberId) -> Result<(), LabError> {
+        self.signal(id, Signal::SIGSTOP)
+    }
+
+    /// Wakes a frozen daemon.
+    pub fn wake(&self, id: MemberId) -> Result<(), LabError> {
+        self.signal(id, Signal::SIGCONT)
+    }
+
+    /// Empties the data folder of a daemon that is not running.
+    pub fn wipe(&self, id: MemberId) -> Result<(), LabError> {
+        let member = self.member(id)?;
+        if member.data.exists() {
+            std::fs::remove_dir_all(&member.data).map_err(LabError::file(&member.data))?;
+        }
+        Ok(())
+    }
+
+    /// Waits until the daemon says that it is ready.
+    pub async fn wait_ready(&mut self, id: MemberId, longest: Duration) -> Result<(), LabError> {
+        let url = self.member(id)?.ready_url();
+        let started = Instant::now();
+        loop {
+            self.check_alive(id)?;
+            if is_ready(&url).await {
+                return Ok(());
+            }
+            if started.elapsed() > longest {
+                return Err(timed_out(format!("{id} to be ready"), longest));
+            }
+            tokio::time::sleep(LOOK_INTERVAL).await;
+        }
+    }
+
+    /// Waits until all daemons say that they are ready.
+    pub async fn wait_all_ready(&mut self, longest: Duration) -> Result<(), LabError> {
+        let started = Instant::now();
+        let ids: Vec<_> = self.members.iter().map(|member| member.id).collect();
+        for id in ids {
+            let left = longest.saturating_sub(started.elapsed());
+            self.wait_ready(id, left).await?;
+        }
+        Ok(())
+    }
+
+    /// The coordinator that leads now, as the gateways are told.
+    pub async fn leader(&self) -> Result<Option<MemberId>, LabError> {
+        let client = self.client()?;
+        let answer: MembersBody = client.get(route::MEMBERS, Vec::new()).await?;
+        let leader = answer
+            .members
+            .iter()
+            .find(|member| member.standing == "leader");
+        let Some(leader) = leader else {
+            return Ok(None);
+        };
+        let found = self
+            .members
+            .iter()
+            .find(|member| member.peer.to_string() == leader.socket);
+        Ok(found.map(|member| member.id))
+    }
+
+    /// Ends all daemons at once.
+    pub fn kill_all(&mut self) {
+        for member in &mut self.members {
+            member.process = None;
+        }
+    }
+
+    /// An error when a daemon that should run has ended by itself.
+    pub fn check_alive(&mut self, id: MemberId) -> Result<(), LabError> {
+        let member = self.member_mut(id)?;
+        let Some(process) = &mut member.process else {
+            return Err(LabError::NotRunning(id.to_string()));
+        };
+        match process.ended() {
+            None => Ok(()),
+            Some(status) => Err(LabError::Ended {
+                member: id.to_string(),
+                status: status.to_string(),
+                log: member.log.clone(),
+            }),
+        }
+    }
+
+    fn signal(&self, id: MemberId, signal: Signal) -> Result<(), LabError> {
+        match &self.member(id)?.process {
+            Some(process) => process.signal(signal),
+            None => Err(LabError::NotRunning(id.to_string())),
+        }
+    }
+
+    fn member(&self, id: MemberId) -> Result<&Member, LabError> {
+        let found = self.members.iter().find(|member| member.id == id);
+        found.ok_or_else(|| LabError::NotRunning(id.to_string()))
+    }
+
+    fn member_mut(&mut self, id: MemberId) -> Result<&mut Member, LabError> {
+        let found = self.members.iter_mut().find(|member| member.id == id);
+        found.ok_or_else(|| LabError::NotRunning(id.to_string()))
+    }
+}
+
+/// The error of a wait that was given up.
+pub fn timed_out(what: impl Into<String>, longest: Duration) -> LabError {
+    LabError::TimedOut {
+        what: what.into(),
+        seconds: longest.as_secs(),
+    }
+}
+
+async fn is_ready(url: &str) -> bool {
+    match reqwest::get(url).await {
+        Ok(response) => response.status().is_success(),
+        Err(_) => false,
+    }
+}
--- /dev/null
+++ b/crates/lab/src/lib.rs
@@ -0,0 +1,21 @@
+//! Trials on one machine: fleets of real processes, stand-ins, load and reports.
+//!
+//! The daemons are child processes of the lab, each with a loopback address of
+//! its own; runners and callers are stand-ins inside the lab process. All that
+//! callers and runners see goes into one history, which the checker judges.
+
+pub mod callers;
+pub mod daemon;
+pub mod demo;
+pub mod error;
+pub mod fleet;
+pub mod history;
+pub mod ports;
+pub mod process;
+pub mod report;
+pub mod runners;
+pub mod trial;
+
+pub use error::LabError;
+pub use fleet::{Fleet, FleetPlan, MemberId};
+pub use history::History;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -1,3 +1,30 @@
-//! Trials on one machine: fleets of real processes, stand-ins, load and reports.
+//! The `lab` program.
 
-fn main() {}
+use clap::{Parser, Subcommand};
+use lab::daemon::{self, DaemonArguments};
+use lab::demo::{self, DemoArguments};
+use std::process::ExitCode;
+
+/// Trials of cypressdrum on one machine.
+#[derive(Debug, Parser)]
+#[command(name = "lab", version, after_help = cypressdrum::exit::HELP)]
+struct Arguments {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Debug, Subcommand)]
+enum Command {
+    /// Run a fleet of today's size under load, and kill its leader once.
+    Demo(DemoArguments),
+    /// Run one daemon; the lab starts its own children with it.
+    #[command(hide = true)]
+    Daemon(DaemonArguments),
+}
+
+fn main() -> ExitCode {
+    match Arguments::parse().command {
+        Command::Demo(arguments) => demo::run(arguments).into(),
+        Command::Daemon(arguments) => daemon::run(arguments).into(),
+    }
+}
--- /dev/null
+++ b/crates/lab/src/runners.rs
@@ -0,0 +1,162 @@
+//! Stand-in runners inside the lab process, each beside its agent.
+
+use crate::fleet::Member;
+use crate::{History, LabError};
+use checker::Event;
+use standin::runner::{Behaviour, RunnerEvent, RunnerOptions};
+use standin::shell::{RunnerHandle, RunnerServer};
+use standin::workload::RunnerTemplate;
+use std::net::SocketAddr;
+use tokio::sync::mpsc;
+use tokio::task::JoinHandle;
+use types::{RunnerId, RunnerIncarnation};
+
+/// One stand-in runner and the agent it reports to.
+#[derive(Debug, Clone)]
+pub struct RunnerPlan {
+    /// Its name.
+    pub name: String,
+    /// URL of its agent.
+    pub agent_url: String,
+    /// Where it takes orders; port 0 for any.
+    pub listen: SocketAddr,
+    /// What it is like.
+    pub template: RunnerTemplate,
+    /// Seed of its draws.
+    pub seed: u64,
+}
+
+impl RunnerPlan {
+    /// A runner on the machine of this agent.
+    pub fn beside(agent: &Member, template: RunnerTemplate, seed: u64) -> Self {
+        let place = agent.id.place;
+        Self {
+            name: format!("runner-{place}"),
+            agent_url: agent.http_url(),
+            listen: SocketAddr::new(agent.http.ip(), 0),
+            template,
+            seed: seed.wrapping_add(u64::from(place)),
+        }
+    }
+
+    fn options(&self) -> Result<RunnerOptions, LabError> {
+        let runner = RunnerId::new(&self.name).map_err(|problem| self.error(&problem))?;
+        Ok(RunnerOptions {
+            runner,
+            incarnation: RunnerIncarnation(1),
+            pool: self.template.pool.clone(),
+            rack: self.template.rack.clone(),
+            labels: self.template.labels.clone(),
+            capacity: self.template.capacity,
+            behaviour: Behaviour::Healthy,
+            mutation: None,
+            seed: self.seed,
+        })
+    }
+
+    fn error(&self, problem: &dyn std::error::Error) -> LabError {
+        LabError::Runner {
+            runner: self.name.clone(),
+            problem: problem.to_string(),
+        }
+    }
+}
+
+/// Running stand-in runners.
+#[derive(Debug, Default)]
+pub struct Runners {
+    running: Vec<RunningRunner>,
+}
+
+#[derive(Debug)]
+struct RunningRunner {
+    handle: RunnerHandle,
+    recorder: JoinHandle<()>,
+}
+
+impl Runners {
+    /// Starts the runners; all that happens in them goes into the history.
+    pub async fn start(plans: Vec<RunnerPlan>, history: &History) -> Result<Self, LabError> {
+        let mut runners = Self::default();
+        for plan in plans {
+            runners.add(&plan, history).await?;
+        }
+        Ok(runners)
+    }
+
+    /// Runners that run.
+    pub fn count(&self) -> usize {
+        self.running.len()
+    }
+
+    /// Ends all of them, and waits until the history has all they did.
+    pub async fn stop(self) {
+        for runner in self.running {
+            runner.handle.kill().await;
+            // It ends with the runner's events; an error would be its panic.
+            let _ = runner.recorder.await;
+        }
+    }
+
+    async fn add(&mut self, plan: &RunnerPlan, history: &History) -> Result<(), LabError> {
+        let options = plan.options()?;
+        let recorder = Recorder {
+            runner: options.runner.clone(),
+            incarnation: options.incarnation,
+            history: history.clone(),
+        };
+        let started = RunnerServer::start(options, &plan.agent_url, None, plan.listen).await;
+        let (handle, events) = started.map_err(|problem| plan.error(&problem))?;
+        self.running.push(RunningRunner {
+            handle,
+            recorder: tokio::spawn(recorder.run(events)),
+        });
+        Ok(())
+    }
+}
+
+/// Writes what happens in one runner into the history.
+struct Recorder {
+    runner: RunnerId,
+    incarnation: RunnerIncarnation,
+    history: History,
+}
+
+impl Recorder {
+    async fn run(self, mut events: mpsc::UnboundedReceiver<RunnerEvent>) {
+        while let Some(event) = events.recv().await {
+            self.record(self.translate(event));
+        }
+        let runner = self.runner.clone();
+        self.record(Event::RunnerStopped { runner });
+    }
+
+    fn record(&self, event: Event) {
+        self.history.record(self.runner.as_str(), event);
+    }
+
+    fn translate(&self, event: RunnerEvent) -> Event {
+        let runner = self.runner.clone();
+        match event {
+            RunnerEvent::Started(spec) => Event::RunStarted {
+                runner,
+                incarnation: self.incarnation,
+                run: spec.run,
+                job: spec.job,
+                step: spec.step,
+                task: spec.task,
+                resources: spec.resources,
+            },
+            RunnerEvent::Ended { run, outcome } => Event::RunEnded {
+                runner,
+                run,
+                outcome,
+            },
+            RunnerEvent::AcceptedStale(order) => Event::OrderAccepted {
+                runner,
+                term: order.term,
+                stale: true,
+            },
+        }
+    }
+}
