--- a/crates/coordinator/src/core.rs
+++ b/crates/coordinator/src/core.rs
@@ -1,10 +1,28 @@
-//! The coordinator's core.
+//! The coordinator's core: one input in, effects out.
+//!
+//! Every input first lets the consensus node look at the clock, so a process
+//! that wakes from a freeze loses its lease before anything it held can act.
+//! The leader's messages are collected while an input is handled, and leave
+//! only if the lease still holds at the end.
 
-use consensus::Recovered;
-use peer::{Envelope, PeerMessage};
+use crate::directory::Directory;
+use crate::identification::Identification;
+use crate::leader::Leader;
+use crate::replica::Replica;
+use consensus::{RaftRole, Recovered};
+use peer::{Envelope, PeerMessage, Relay};
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
 use std::net::SocketAddr;
 use storage::{Batch, Identity};
-use types::{Address, Milliseconds, Now};
+use types::{Address, Milliseconds, Monotonic, Now};
+
+/// Longest time between two looks at the core's own timers.
+const TICK_INTERVAL: Milliseconds = Milliseconds(50);
+/// Longest wait for a successor after a polite stop.
+const HANDOVER_WAIT: Milliseconds = Milliseconds(2_000);
+/// Rounds of proposing and applying within one input.
+const MAX_ROUNDS: usize = 8;
 
 /// Settings of the core.
 #[derive(Debug, Clone)]
@@ -33,6 +51,24 @@
     pub decisions_kept: usize,
     /// Seed of elections, draws and identifiers.
     pub seed: u64,
+    /// A fault built in on purpose, for the simulation alone: it proves that
+    /// the checker finds what it should. None in every daemon.
+    pub mutation: Option<Mutation>,
+}
+
+/// Faults that the simulation may build in, to prove that they are found.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Mutation {
+    /// An unanswered start is sent again, where a void belongs.
+    ResendStartInsteadOfVoid,
+    /// An unanswered start is closed as refused, without a void.
+    CloseUnansweredStart,
+    /// The leader acts without looking at its lease.
+    SkipLeaseCheck,
+    /// A submit is acknowledged as soon as it is proposed.
+    AcknowledgeBeforeCommit,
+    /// Runs of a silent runner are closed at a tenth of their lease.
+    ExpireRunsEarly,
 }
 
 /// What happens to the core.
@@ -83,7 +119,19 @@
 
 /// A coordinator.
 pub struct Coordinator {
-    _options: CoordinatorOptions,
+    pub(crate) options: CoordinatorOptions,
+    pub(crate) own: Address,
+    pub(crate) directory: Directory,
+    pub(crate) identification: Identification,
+    pub(crate) replica: Option<Replica>,
+    pub(crate) leader: Option<Leader>,
+    pub(crate) random: ChaCha8Rng,
+    /// Why it serves no more, when its log or snapshot could not be read.
+    pub(crate) fault: Option<String>,
+    handover: Option<Monotonic>,
+    stopped: bool,
+    readiness: Option<Result<(), String>>,
+    last_input: Monotonic,
 }
 
 impl Coordinator {
@@ -95,19 +143,275 @@
         recovered: Recovered,
         now: Now,
     ) -> Self {
-        let _ = (identity, recovered, now);
-        Self { _options: options }
+        let mut own = options.address.clone();
+        if let Some(identity) = &identity {
+            own.node = identity.node;
+        }
+        let mut coordinator = Self {
+            // Coordinators may be given one seed, but must not draw alike.
+            random: ChaCha8Rng::seed_from_u64(options.seed ^ own.node.0),
+            directory: Directory::new(own.clone()),
+            identification: Identification::new(own.node, identity, now.monotonic),
+            own,
+            options,
+            replica: None,
+            leader: None,
+            fault: None,
+            handover: None,
+            stopped: false,
+            readiness: None,
+            last_input: now.monotonic,
+        };
+        coordinator.start_replica(recovered, now.monotonic);
+        coordinator
     }
 
     /// Takes one input and appends what is to be done. The caller reads the
     /// clock just before; after a freeze the core sees the jump first.
     pub fn handle(&mut self, now: Now, input: Input, effects: &mut Vec<Effect>) {
-        let _ = (now, input, effects);
-        todo!()
+        self.last_input = now.monotonic;
+        if self.stopped {
+            return;
+        }
+        if self.fault.is_some() {
+            self.handle_faulted(&input, effects);
+            return;
+        }
+        if let Some(replica) = &mut self.replica {
+            replica.node.tick(now.monotonic);
+        }
+        self.follow_leadership(now, effects);
+        match input {
+            Input::Tick => {}
+            Input::Peer(envelope) => self.receive(now, envelope, effects),
+            Input::Persisted { number } => self.persisted(now, number, effects),
+            Input::IdentitySaved => self.identity_saved(now, effects),
+            Input::Stop => self.begin_stop(now),
+        }
+        self.advance(now, effects);
     }
 
     /// When it wants [`Input::Tick`] next, on the monotonic clock.
-    pub fn next_wakeup(&self) -> types::Monotonic {
-        todo!()
+    pub fn next_wakeup(&self) -> Monotonic {
+        if self.leader.as_ref().is_some_and(Leader::is_rebuilding) {
+            return self.last_input;
+        }
+        let own = self.last_input + TICK_INTERVAL;
+        match &self.replica {
+            Some(replica) => own.min(replica.node.next_wakeup()),
+            None => own,
+        }
+    }
+
+    /// The record as this process has applied it; none before it belongs to a
+    /// cluster. For checks and for `replay`.
+    pub fn record(&self) -> Option<&record::Record> {
+        self.replica.as_ref().map(|replica| &replica.record)
+    }
+
+    /// What its consensus node says of itself; none before it has one.
+    pub fn status(&self, now: Now) -> Option<consensus::Status> {
+        let replica = self.replica.as_ref()?;
+        Some(replica.node.status(now.monotonic))
+    }
+
+    /// True when it leads and may act.
+    pub fn is_serving(&self, now: Now) -> bool {
+        self.may_serve(now) && self.leader.as_ref().is_some_and(|leader| leader.serving)
+    }
+
+    /// The lease, checked at this moment. A leader that hands over acts no
+    /// more, whatever its lease says: its successor need not wait for that.
+    pub(crate) fn may_serve(&self, now: Now) -> bool {
+        if self.handover.is_some() || self.fault.is_some() {
+            return false;
+        }
+        let Some(replica) = &self.replica else {
+            return false;
+        };
+        if self.options.mutation == Some(Mutation::SkipLeaseCheck) && self.leader.is_some() {
+            return true;
+        }
+        replica.node.holds_lease(now.monotonic)
+    }
+
+    fn advance(&mut self, now: Now, effects: &mut Vec<Effect>) {
+        self.identify(now, effects);
+        self.pump(now, effects);
+        self.follow_leadership(now, effects);
+        self.lead(now);
+        for _ in 0..MAX_ROUNDS {
+            if !self.propose_collected(now, effects) {
+                break;
+            }
+            self.pump(now, effects);
+            self.follow_leadership(now, effects);
+        }
+        self.send_collected(now, effects);
+        self.report_readiness(now, effects);
+        self.finish_stop(now, effects);
+    }
+
+    fn receive(&mut self, now: Now, envelope: Envelope, effects: &mut Vec<Effect>) {
+        let Some(envelope) = self.open_relay(envelope, effects) else {
+            return;
+        };
+        if envelope.from.node == self.own.node {
+            return;
+        }
+        if envelope.via.is_none() {
+            self.directory.heard(&envelope.from, now.monotonic);
+        }
+        let sender = Sender {
+            address: envelope.from,
+            via: envelope.via,
+        };
+        match envelope.body {
+            PeerMessage::Discover => self.answer_discover(now, &sender, effects),
+            PeerMessage::Members(members) => self.members_received(now, &sender, members),
+            PeerMessage::Bootstrap(bootstrap) => {
+                self.bootstrap_received(now, &sender, bootstrap, effects)
+            }
+            PeerMessage::Raft {
+                cluster,
+                to,
+                message,
+            } => self.raft_received(now, &sender, cluster, to, message),
+            PeerMessage::Hello(hello) => self.hello_received(now, &sender, hello, effects),
+            PeerMessage::Lease(lease) => self.lease_received(lease, effects),
+            PeerMessage::NotLeader { leader } => self.identification.hint_leader(leader),
+            PeerMessage::Request(request) => self.request_received(now, &sender, request, effects),
+            PeerMessage::AgentReport(report) => self.report_received(now, &sender, report),
+            PeerMessage::OrderResults { results } => self.results_received(now, &sender, results),
+            PeerMessage::Configuration { .. }
+            | PeerMessage::Reply(_)
+            | PeerMessage::RunnerUpdate(_)
+            | PeerMessage::Orders { .. }
+            | PeerMessage::Relay(_) => {}
+        }
+    }
+
+    /// Opens a relay meant for this process; passes any other on unchanged.
+    fn open_relay(&self, envelope: Envelope, effects: &mut Vec<Effect>) -> Option<Envelope> {
+        let PeerMessage::Relay(relay) = envelope.body else {
+            return Some(envelope);
+        };
+        if relay.destination == self.own.socket {
+            return Some(Envelope {
+                from: relay.origin,
+                via: Some(envelope.from.socket),
+                body: *relay.body,
+            });
+        }
+        effects.push(Effect::Send {
+            to: relay.destination,
+            message: PeerMessage::Relay(relay),
+        });
+        None
+    }
+
+    fn begin_stop(&mut self, now: Now) {
+        if self.handover.is_some() {
+            return;
+        }
+        let successor = self
+            .replica
+            .as_mut()
+            .and_then(|replica| replica.node.transfer_leadership(now.monotonic));
+        let wait = match successor {
+            Some(_) => HANDOVER_WAIT,
+            None => Milliseconds(0),
+        };
+        self.handover = Some(now.monotonic + wait);
+    }
+
+    fn finish_stop(&mut self, now: Now, effects: &mut Vec<Effect>) {
+        let Some(deadline) = self.handover else {
+            return;
+        };
+        let leads = self
+            .status(now)
+            .is_some_and(|status| status.role == RaftRole::Leader);
+        if !leads || now.monotonic >= deadline {
+            self.stopped = true;
+            effects.push(Effect::Stopped);
+        }
+    }
+
+    fn report_readiness(&mut self, now: Now, effects: &mut Vec<Effect>) {
+        let readiness = self.readiness_now(now);
+        if self.readiness.as_ref() != Some(&readiness) {
+            self.readiness = Some(readiness.clone());
+            effects.push(Effect::Ready(readiness));
+        }
+    }
+
+    fn readiness_now(&self, now: Now) -> Result<(), String> {
+        if let Some(fault) = &self.fault {
+            return Err(fault.clone());
+        }
+        if self.handover.is_some() {
+            return Err("stopping".to_owned());
+        }
+        let Some(status) = self.status(now) else {
+            return Err("belongs to no cluster yet".to_owned());
+        };
+        if status.membership.socket(self.own.node).is_none() {
+            return Err("waits to be taken in by the cluster".to_owned());
+        }
+        let leads = self.is_serving(now);
+        let follows = status.leader.is_some_and(|leader| leader != self.own.node);
+        if leads || follows {
+            Ok(())
+        } else {
+            Err("knows no leader".to_owned())
+        }
+    }
+
+    /// After unreadable state nothing is done any more but to say so.
+    fn handle_faulted(&mut self, input: &Input, effects: &mut Vec<Effect>) {
+        let reason = self.fault.clone().unwrap_or_default();
+        if self.readiness != Some(Err(reason.clone())) {
+            self.readiness = Some(Err(reason.clone()));
+            effects.push(Effect::Ready(Err(reason)));
+        }
+        if matches!(input, Input::Stop) {
+            self.stopped = true;
+            effects.push(Effect::Stopped);
+        }
+    }
+
+    /// Serves no more, for this reason. The log or snapshot of a majority
+    /// cannot be skipped, so there is nothing to go on with.
+    pub(crate) fn fail(&mut self, reason: String) {
+        tracing::error!(reason, "the coordinator stops serving");
+        self.fault = Some(reason);
+        self.leader = None;
+    }
+}
+
+/// Whom a message came from, and by which member.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct Sender {
+    /// The sender.
+    pub(crate) address: Address,
+    /// The member that relayed it.
+    pub(crate) via: Option<SocketAddr>,
+}
+
+impl Sender {
+    /// Addresses an answer, by the same member the message came by.
+    pub(crate) fn answer(&self, own: &Address, message: PeerMessage) -> (SocketAddr, PeerMessage) {
+        match self.via {
+            None => (self.address.socket, message),
+            Some(via) => {
+                let relay = Relay {
+                    origin: own.clone(),
+                    destination: self.address.socket,
+                    body: Box::new(message),
+                };
+                (via, PeerMessage::Relay(relay))
+            }
+        }
     }
 }
--- /dev/null
+++ b/crates/coordinator/src/directory.rs
@@ -0,0 +1,113 @@
+//! Processes this one has heard of, for discovery and for the addresses of
+//! members.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use types::{Address, Milliseconds, Monotonic, NodeId, Role};
+
+/// A process silent for this long is not passed on to others.
+const ALIVE_WITHIN: Milliseconds = Milliseconds(5_000);
+/// A process silent for this long is forgotten.
+const FORGET_AFTER: Milliseconds = Milliseconds(60_000);
+/// Processes kept at most; the longest silent goes first.
+const MAX_KNOWN: usize = 4_096;
+
+#[derive(Debug, Clone)]
+struct Known {
+    address: Address,
+    /// When it was heard, or when another process last named it.
+    last: Monotonic,
+    /// Whether it was heard itself.
+    heard: bool,
+}
+
+/// Processes known by identity.
+#[derive(Debug)]
+pub(crate) struct Directory {
+    own: Address,
+    known: BTreeMap<NodeId, Known>,
+}
+
+impl Directory {
+    pub(crate) fn new(own: Address) -> Self {
+        Self {
+            own,
+            known: BTreeMap::new(),
+        }
+    }
+
+    /// A message came straight from this process.
+    pub(crate) fn heard(&mut self, address: &Address, now: Monotonic) {
+        if let Some(known) = self.known.get_mut(&address.node)
+            && known.address == *address
+        {
+            known.last = now;
+            known.heard = true;
+            return;
+        }
+        // Whoever had the socket before has lost it.
+        self.known
+            .retain(|_, known| known.address.socket != address.socket);
+        self.insert(address, now, true);
+    }
+
+    /// Another process named this one.
+    pub(crate) fn learn(&mut self, address: &Address, now: Monotonic) {
+        let own = address.node == self.own.node || address.socket == self.own.socket;
+        let socket_known = self
+            .known
+            .values()
+            .any(|known| known.address.socket == address.socket);
+        if !own && !socket_known {
+            self.insert(address, now, false);
+        }
+    }
+
+    fn insert(&mut self, address: &Address, now: Monotonic, heard: bool) {
+        if self.known.len() >= MAX_KNOWN {
+            let oldest = self.known.iter().min_by_key(|(_, known)| known.last);
+            if let Some(node) = oldest.map(|(node, _)| *node) {
+                self.known.remove(&node);
+            }
+        }
+        let known = Known {
+            address: address.clone(),
+            last: now,
+            heard,
+        };
+        self.known.insert(address.node, known);
+    }
+
+    /// Drops processes that have been silent for long.
+    pub(crate) fn forget_silent(&mut self, now: Monotonic) {
+        self.known
+            .retain(|_, known| now.since(known.last) <= FORGET_AFTER);
+    }
+
+    /// The address of a process.
+    pub(crate) fn address(&self, node: NodeId) -> Option<&Address> {
+        if node == self.own.node {
+            return Some(&self.own);
+        }
+        self.known.get(&node).map(|known| &known.address)
+    }
+
+    /// Processes heard a short while ago, this one first.
+    pub(crate) fn alive(&self, now: Monotonic) -> Vec<Address> {
+        let others = self
+            .known
+            .values()
+            .filter(|known| known.heard && now.since(known.last) <= ALIVE_WITHIN)
+            .map(|known| known.address.clone());
+        std::iter::once(self.own.clone()).chain(others).collect()
+    }
+
+    /// Sockets of all other coordinators known.
+    pub(crate) fn coordinator_sockets(&self) -> Vec<SocketAddr> {
+        self.known
+            .values()
+            .filter(|known| known.address.role == Role::Coordinator)
+            .map(|known| known.address.socket)
+            .collect()
+    }
+}
--- /dev/null
+++ b/crates/coordinator/src/leader.rs
@@ -0,0 +1,283 @@
+//! What a leader holds in memory, and nothing else does.
+//!
+//! A leader of one term is built when its lease first holds, and dropped with
+//! its role. If the lease lapses within the term (no other leader can have
+//! been elected then) the view is kept and fed, so that run identifiers of the
+//! term are not drawn twice, but nothing acts until the lease holds again.
+//!
+//! Nothing here sends or proposes: it collects, and the core lets out what the
+//! lease allows at the end of an input.
+
+use crate::admission::Admission;
+use crate::audit::AuditCursor;
+use crate::budget::Budgets;
+use crate::core::{Mutation, Sender};
+use crate::decisions::DecisionLog;
+use crate::membership::Joiners;
+use crate::runners::Runners;
+use crate::runs::Runs;
+use crate::sessions::Sessions;
+use crate::{CoordinatorOptions, Effect};
+use configuration::Timings;
+use dispatch::Dispatcher;
+use peer::{OperationReply, PeerMessage, Refusal, Reply, RequestId};
+use record::{ClosedRun, Command, Record};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use types::{
+    Address, ClusterId, JobNumber, LogIndex, Monotonic, Now, OrderSequence, Reservation, RunId,
+    RunnerOrder, Term,
+};
+
+/// Who waits for an entry to be applied.
+#[derive(Debug, Clone)]
+pub(crate) enum Waiting {
+    /// A gateway's request.
+    Request(WaitingRequest),
+    /// The dispatcher, for these choices.
+    Reservations(Vec<Reservation>),
+    /// Nobody; the changes say it all.
+    Nobody,
+}
+
+/// A request that waits for the log.
+#[derive(Debug, Clone)]
+pub(crate) struct WaitingRequest {
+    pub(crate) sender: Sender,
+    pub(crate) id: RequestId,
+    pub(crate) deadline: Monotonic,
+    /// Runs an operator declared lost; answered with those that closed.
+    pub(crate) declares_lost: bool,
+}
+
+/// A command to propose, and who waits for it.
+#[derive(Debug)]
+pub(crate) struct Proposal {
+    pub(crate) command: Command,
+    pub(crate) waiting: Waiting,
+}
+
+/// How far the view has been rebuilt from the record.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Rebuild {
+    /// Tasks of jobs after this number are still to be published.
+    After(Option<JobNumber>),
+    /// Everything is published.
+    Done,
+}
+
+/// What the leader knows of the cluster's shape, told by the core.
+#[derive(Debug, Clone)]
+pub(crate) struct LeaderIdentity {
+    pub(crate) own: Address,
+    pub(crate) cluster: ClusterId,
+    pub(crate) term: Term,
+}
+
+/// The leader's view.
+pub(crate) struct Leader {
+    pub(crate) identity: LeaderIdentity,
+    pub(crate) options: CoordinatorOptions,
+    /// Whether the lease held when it was last looked at.
+    pub(crate) serving: bool,
+    /// When it began to hold. Silence of runners counts from here at the
+    /// earliest.
+    pub(crate) serving_since: Monotonic,
+    pub(crate) elected_at: Monotonic,
+    pub(crate) timings: Timings,
+    pub(crate) dispatcher: Dispatcher,
+    pub(crate) rebuild: Rebuild,
+    pub(crate) sessions: Sessions,
+    pub(crate) runners: Runners,
+    pub(crate) runs: Runs,
+    pub(crate) waiting: BTreeMap<LogIndex, Waiting>,
+    pub(crate) reservations_in_flight: usize,
+    pub(crate) admission: Admission,
+    pub(crate) budgets: Budgets,
+    pub(crate) decisions: DecisionLog,
+    pub(crate) joiners: Joiners,
+    pub(crate) audit: AuditCursor,
+    pub(crate) next_order: OrderSequence,
+    /// Reserved runs whose start is to leave at the end of this input.
+    pub(crate) to_start: Vec<RunId>,
+    pub(crate) closes: Vec<ClosedRun>,
+    pub(crate) proposals: Vec<Proposal>,
+    pub(crate) orders: Vec<(Sender, RunnerOrder)>,
+    pub(crate) messages: Vec<(SocketAddr, PeerMessage)>,
+    pub(crate) placement_due: bool,
+    pub(crate) timers: Timers,
+}
+
+/// When each periodic duty is next due.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Timers {
+    pub(crate) sweep: Monotonic,
+    pub(crate) audit: Monotonic,
+    pub(crate) forget: Monotonic,
+    pub(crate) membership: Monotonic,
+    pub(crate) gauges: Monotonic,
+}
+
+impl Timers {
+    fn new(now: Monotonic) -> Self {
+        Self {
+            sweep: now,
+            audit: now,
+            forget: now,
+            membership: now,
+            gauges: now,
+        }
+    }
+}
+
+impl Leader {
+    /// A leader whose lease began to hold now. Open runs are entered at once,
+    /// so that ceilings count them; tasks follow in slices.
+    pub(crate) fn new(
+        options: CoordinatorOptions,
+        identity: LeaderIdentity,
+        record: &Record,
+        seed: u64,
+        now: Now,
+    ) -> Self {
+        let document = record.configuration().1;
+        let mut dispatcher = Dispatcher::new(options.dispatcher.clone(), identity.term, seed);
+        dispatcher.configure(document);
+        let mut runs = Runs::default();
+        for run in record.open_runs() {
+            dispatcher.adopt_run(run.clone());
+            runs.adopt(run, now.monotonic);
+        }
+        for runner in record.draining_runners() {
+            dispatcher.set_draining(&runner, true);
+        }
+        Self {
+            serving: true,
+            serving_since: now.monotonic,
+            elected_at: now.monotonic,
+            timings: document.timings.clone(),
+            dispatcher,
+            rebuild: Rebuild::After(None),
+            sessions: Sessions::default(),
+            runners: Runners::default(),
+            runs,
+            waiting: BTreeMap::new(),
+            reservations_in_flight: 0,
+            admission: Admission::default(),
+            budgets: Budgets::default(),
+            decisions: DecisionLog::new(identity.term, options.decisions_kept),
+            joiners: Joiners::default(),
+            audit: AuditCursor::default(),
+            next_order: OrderSequence(0),
+            to_start: Vec::new(),
+            closes: Vec::new(),
+            proposals: Vec::new(),
+            orders: Vec::new(),
+            messages: Vec::new(),
+            placement_due: true,
+            timers: Timers::new(now.monotonic),
+            identity,
+            options,
+        }
+    }
+
+    pub(crate) fn is_rebuilding(&self) -> bool {
+        self.serving && self.rebuild != Rebuild::Done
+    }
+
+    pub(crate) fn has_mutation(&self, mutation: Mutation) -> bool {
+        self.options.mutation == Some(mutation)
+    }
+
+    /// Collects an answer to a sender.
+    pub(crate) fn answer(&mut self, sender: &Sender, message: PeerMessage) {
+        self.messages
+            .push(sender.answer(&self.identity.own, message));
+    }
+
+    /// Collects the final answer to a request.
+    pub(crate) fn reply(
+        &mut self,
+        sender: &Sender,
+        id: RequestId,
+        result: Result<OperationReply, Refusal>,
+    ) {
+        self.answer(sender, PeerMessage::Reply(Reply { id, result }));
+    }
+
+    /// Collects a command.
+    pub(crate) fn propose(&mut self, command: Command, waiting: Waiting) {
+        self.proposals.push(Proposal { command, waiting });
+    }
+
+    /// Turns the runs to close into one command.
+    pub(crate) fn propose_closes(&mut self, now: Now) {
+        if self.closes.is_empty() {
+            return;
+        }
+        let runs = std::mem::take(&mut self.closes);
+        let at = now.wall;
+        self.propose(Command::CloseRuns { runs, at }, Waiting::Nobody);
+    }
+
+    /// The lease lapsed: what was collected must not leave, and starts that
+    /// were not sent never will be.
+    pub(crate) fn suspend(&mut self) {
+        self.serving = false;
+        self.to_start.clear();
+        self.proposals.clear();
+        self.orders.clear();
+        self.messages.clear();
+        for close in std::mem::take(&mut self.closes) {
+            self.runs.close_failed(close.run);
+        }
+    }
+
+    /// The lease holds again within the term. Clocks of silence start anew:
+    /// what was sent meanwhile may have been lost on the way.
+    pub(crate) fn resume(&mut self, now: Monotonic) {
+        self.serving = true;
+        self.serving_since = now;
+        self.placement_due = true;
+    }
+
+    /// Takes out all waiting requests, to refuse them.
+    pub(crate) fn take_waiting_requests(&mut self) -> Vec<WaitingRequest> {
+        let mut requests = Vec::new();
+        for waiting in self.waiting.values_mut() {
+            if let Waiting::Request(request) = waiting {
+                requests.push(request.clone());
+                *waiting = Waiting::Nobody;
+            }
+        }
+        for proposal in self.proposals.drain(..) {
+            if let Waiting::Request(request) = proposal.waiting {
+                requests.push(request);
+            }
+        }
+        requests
+    }
+
+    /// Requests that wait for the log.
+    pub(crate) fn waiting_requests(&self) -> usize {
+        let is_request = |waiting: &&Waiting| matches!(waiting, Waiting::Request(_));
+        let collected = self.proposals.iter().map(|proposal| &proposal.waiting);
+        self.waiting.values().filter(is_request).count() + collected.filter(is_request).count()
+    }
+
+    /// Drops requests whose callers have given up.
+    pub(crate) fn drop_late_requests(&mut self, now: Monotonic) {
+        for waiting in self.waiting.values_mut() {
+            if matches!(waiting, Waiting::Request(request) if request.deadline <= now) {
+                *waiting = Waiting::Nobody;
+            }
+        }
+    }
+
+    /// Lets out the lines of the decision log since the last call.
+    pub(crate) fn emit_decisions(&mut self, effects: &mut Vec<Effect>) {
+        for entry in self.decisions.take_new() {
+            effects.push(Effect::Decision(Box::new(entry)));
+        }
+    }
+}
--- /dev/null
+++ b/crates/coordinator/src/leadership.rs
@@ -0,0 +1,307 @@
+//! Election, rebuild, service and stepping down.
+
+use crate::audit;
+use crate::core::{Effect, Mutation};
+use crate::leader::{Leader, LeaderIdentity, Rebuild, Waiting, WaitingRequest};
+use crate::replica::AppliedEntry;
+use crate::requests::{refusal_unavailable, reply_of};
+use crate::{Coordinator, placement};
+use consensus::RaftRole;
+use peer::{OperationReply, PeerMessage, Reply};
+use rand::Rng;
+use record::{Change, Command, CommandReply};
+use types::{JobNumber, LogIndex, Milliseconds, Now};
+
+/// Time between two looks at runs, sessions and waiting requests.
+const SWEEP_INTERVAL: Milliseconds = Milliseconds(100);
+/// Time between two readings of the gauges.
+const GAUGE_INTERVAL: Milliseconds = Milliseconds(1_000);
+/// Jobs published in one step of the rebuild.
+const REBUILD_JOBS: usize = 512;
+
+impl Coordinator {
+    /// Brings the leader's view in line with the node's role and lease.
+    pub(crate) fn follow_leadership(&mut self, now: Now, effects: &mut Vec<Effect>) {
+        let Some(replica) = &self.replica else {
+            return;
+        };
+        let may_serve = self.may_serve(now);
+        if self.leader.is_none() && !may_serve {
+            return;
+        }
+        let status = replica.node.status(now.monotonic);
+        let same_term = |leader: &Leader| leader.identity.term == status.term;
+        let keeps = self.options.mutation == Some(Mutation::SkipLeaseCheck);
+        let leads = status.role == RaftRole::Leader || keeps;
+        let current = self.leader.as_ref().is_some_and(same_term) || keeps;
+        if self.leader.is_some() && !(leads && current) {
+            self.refuse_waiting(effects);
+            self.leader = None;
+            tracing::info!(term = %status.term, "leads no more");
+        }
+        match &mut self.leader {
+            Some(leader) if leader.serving && !may_serve => {
+                self.refuse_waiting(effects);
+                if let Some(leader) = &mut self.leader {
+                    leader.suspend();
+                }
+            }
+            Some(leader) if !leader.serving && may_serve => leader.resume(now.monotonic),
+            Some(_) => {}
+            None if may_serve => self.take_office(now),
+            None => {}
+        }
+    }
+
+    /// Builds the view of a new leader. The node's lease holds, so an entry of
+    /// its own term is committed and the record has everything before it.
+    fn take_office(&mut self, now: Now) {
+        let Some(replica) = &self.replica else {
+            return;
+        };
+        let identity = LeaderIdentity {
+            own: self.own.clone(),
+            cluster: replica.cluster,
+            term: replica.node.status(now.monotonic).term,
+        };
+        tracing::info!(term = %identity.term, "leads");
+        metrics::counter!("cypressdrum_elections_won_total").increment(1);
+        let seed = self.random.random();
+        let options = self.options.clone();
+        self.leader = Some(Leader::new(options, identity, &replica.record, seed, now));
+    }
+
+    /// Answers every waiting request at once that it cannot be served here.
+    fn refuse_waiting(&mut self, effects: &mut Vec<Effect>) {
+        let Some(leader) = &mut self.leader else {
+            return;
+        };
+        for request in leader.take_waiting_requests() {
+            let reply = PeerMessage::Reply(Reply {
+                id: request.id,
+                result: Err(refusal_unavailable()),
+            });
+            let (to, message) = request.sender.answer(&self.own, reply);
+            effects.push(Effect::Send { to, message });
+        }
+    }
+
+    /// The leader's duties that hang on time.
+    pub(crate) fn lead(&mut self, now: Now) {
+        if !self.is_serving(now) {
+            return;
+        }
+        self.drive_membership(now);
+        let (Some(leader), Some(replica)) = (&mut self.leader, &self.replica) else {
+            return;
+        };
+        let record = &replica.record;
+        leader.rebuild_slice(record, now);
+        if now.monotonic >= leader.timers.sweep {
+            leader.timers.sweep = now.monotonic + SWEEP_INTERVAL;
+            leader.placement_due = true;
+            leader.drop_late_requests(now.monotonic);
+            leader.expire_sessions(now.monotonic);
+            leader.sweep_runs(record, now);
+        }
+        audit::audit_when_due(leader, record, now);
+        audit::forget_when_due(leader, record, now);
+        if now.monotonic >= leader.timers.gauges {
+            leader.timers.gauges = now.monotonic + GAUGE_INTERVAL;
+            leader.read_gauges(record);
+        }
+    }
+
+    /// Last step of a round: sends starts, places, and proposes what was
+    /// collected. True when something was proposed.
+    pub(crate) fn propose_collected(&mut self, now: Now, effects: &mut Vec<Effect>) -> bool {
+        if !self.is_serving(now) {
+            return false;
+        }
+        let (Some(leader), Some(replica)) = (&mut self.leader, &mut self.replica) else {
+            return false;
+        };
+        leader.start_reserved(&replica.record, now);
+        placement::place(leader, &replica.record, now);
+        leader.propose_closes(now);
+        let proposals = std::mem::take(&mut leader.proposals);
+        let any = !proposals.is_empty();
+        for proposal in proposals {
+            let index = proposal
+                .command
+                .encode()
+                .ok()
+                .and_then(|bytes| replica.node.propose(now.monotonic, bytes).ok());
+            match index {
+                Some(index) => leader.proposed(index, proposal.waiting, &proposal.command),
+                None => {
+                    leader.not_proposed(&replica.record, proposal.waiting, &proposal.command, now)
+                }
+            }
+        }
+        leader.emit_decisions(effects);
+        any
+    }
+
+    /// Lets out what the leader collected, if its lease holds at this moment.
+    pub(crate) fn send_collected(&mut self, now: Now, effects: &mut Vec<Effect>) {
+        let serving = self.is_serving(now);
+        let Some(leader) = &mut self.leader else {
+            return;
+        };
+        leader.emit_decisions(effects);
+        leader.pack_orders();
+        let messages = std::mem::take(&mut leader.messages);
+        if serving {
+            effects.extend(
+                messages
+                    .into_iter()
+                    .map(|(to, message)| Effect::Send { to, message }),
+            );
+        }
+    }
+
+    /// Tells the leader what the record changed.
+    pub(crate) fn entries_applied(&mut self, now: Now, entries: Vec<AppliedEntry>) {
+        let (Some(leader), Some(replica)) = (&mut self.leader, &self.replica) else {
+            return;
+        };
+        for entry in entries {
+            for change in entry.applied.changes {
+                leader.changed(&replica.record, change, now);
+            }
+            let own_term = entry.term == leader.identity.term;
+            match leader.waiting.remove(&entry.index) {
+                Some(waiting) if own_term => {
+                    leader.replied(&replica.record, waiting, entry.applied.reply, now)
+                }
+                _ => {}
+            }
+        }
+    }
+}
+
+impl Leader {
+    /// Publishes a slice of the record's ready tasks.
+    fn rebuild_slice(&mut self, record: &record::Record, now: Now) {
+        let Rebuild::After(after) = self.rebuild else {
+            return;
+        };
+        let ready = record.ready_tasks(after, REBUILD_JOBS);
+        let last: Option<JobNumber> = ready.iter().map(|meta| meta.task.job).max();
+        for meta in ready {
+            self.dispatcher.publish(meta, now);
+        }
+        self.rebuild = match last {
+            Some(last) => Rebuild::After(Some(last)),
+            None => Rebuild::Done,
+        };
+        self.placement_due = true;
+    }
+
+    /// An entry of this leader is in the log.
+    fn proposed(&mut self, index: LogIndex, waiting: Waiting, command: &Command) {
+        if self.has_mutation(Mutation::AcknowledgeBeforeCommit)
+            && let (Waiting::Request(request), Command::Submit { .. }) = (&waiting, command)
+        {
+            let request = request.clone();
+            let reply = OperationReply::Submitted {
+                number: JobNumber(0),
+                known: false,
+            };
+            self.reply(&request.sender, request.id, Ok(reply));
+            return;
+        }
+        if let Waiting::Reservations(chosen) = &waiting {
+            self.reservations_in_flight += chosen.len();
+        }
+        self.waiting.insert(index, waiting);
+    }
+
+    /// The node took no entry: it is handing over or has lost its role.
+    fn not_proposed(
+        &mut self,
+        record: &record::Record,
+        waiting: Waiting,
+        command: &Command,
+        now: Now,
+    ) {
+        if let Waiting::Request(WaitingRequest { sender, id, .. }) = waiting {
+            self.reply(&sender, id, Err(refusal_unavailable()));
+        }
+        match command {
+            Command::CloseRuns { runs, .. } => {
+                for closed in runs {
+                    self.runs.close_failed(closed.run);
+                }
+            }
+            Command::Reserve { reservations, .. } => {
+                for reservation in reservations {
+                    self.release(record, reservation, now);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    /// The record answered an entry of this leader.
+    fn replied(
+        &mut self,
+        record: &record::Record,
+        waiting: Waiting,
+        reply: CommandReply,
+        now: Now,
+    ) {
+        match waiting {
+            Waiting::Nobody => {}
+            Waiting::Reservations(chosen) => {
+                self.reservations_in_flight =
+                    self.reservations_in_flight.saturating_sub(chosen.len());
+                self.placement_due = true;
+                if let CommandReply::Reserved { taken, refused } = reply {
+                    self.to_start.extend(taken);
+                    self.release_refused(record, &chosen, refused, now);
+                }
+            }
+            Waiting::Request(request) => {
+                let result = reply_of(reply, request.declares_lost);
+                self.reply(&request.sender, request.id, result);
+            }
+        }
+    }
+
+    fn changed(&mut self, record: &record::Record, change: Change, now: Now) {
+        self.placement_due = true;
+        match change {
+            Change::TaskReady(meta) => {
+                self.dispatcher.publish(meta, now);
+            }
+            Change::TaskEnded { task, open_runs } => {
+                self.dispatcher.remove(task);
+                for run in open_runs {
+                    self.runs.want_stop(run.run);
+                }
+            }
+            Change::RunOpened(run) => self.runs.reserved(run, now.monotonic),
+            Change::RunClosed { run, close, again } => {
+                self.run_closed(record, run, close, again, now)
+            }
+            Change::JobEnded {
+                key, state, waited, ..
+            } => self.job_ended(record, key, state, waited, now),
+            Change::ConfigurationChanged(_) => self.configuration_changed(record),
+            Change::RunnerDrainingChanged { runner, draining } => {
+                self.dispatcher.set_draining(&runner, draining);
+                self.runners.set_ordered_draining(&runner, draining);
+            }
+        }
+    }
+
+    fn read_gauges(&self, record: &record::Record) {
+        metrics::gauge!("cypressdrum_unfinished_jobs").set(record.unfinished_jobs() as f64);
+        metrics::gauge!("cypressdrum_open_runs").set(self.runs.len() as f64);
+        metrics::gauge!("cypressdrum_sessions").set(self.sessions.len() as f64);
+        metrics::gauge!("cypressdrum_runners").set(self.runners.len() as f64);
+        metrics::gauge!("cypressdrum_waiting_requests").set(self.waiting_requests() as f64);
+    }
+}
--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -8,5 +8,24 @@
 pub mod core;
 pub mod shell;
 
-pub use crate::core::{Coordinator, CoordinatorOptions, Effect, Input};
+mod admission;
+mod audit;
+mod budget;
+mod decisions;
+mod directory;
+mod disk;
+mod identification;
+mod leader;
+mod leadership;
+mod membership;
+mod orders;
+mod placement;
+mod reads;
+mod replica;
+mod requests;
+mod runners;
+mod runs;
+mod sessions;
+
+pub use crate::core::{Coordinator, CoordinatorOptions, Effect, Input, Mutation};
 pub use shell::{CoordinatorError, ShellOptions, run};
--- /dev/null
+++ b/crates/coordinator/src/orders.rs
@@ -0,0 +1,307 @@
+//! Orders to runners: one start, then voids and stops until all is known.
+//!
+//! A run's start leaves at most once, from the leader that reserved it. While
+//! it is not known whether it landed, the run is voided, again and again: a
+//! void is idempotent, and the runner refuses a start that crosses it late.
+//!
+//! When a silent runner's runs are given up. A runner that stops its own runs
+//! does so one run lease after it *sent* the heartbeat that was last
+//! confirmed. This leader received each heartbeat it confirmed after that
+//! moment, so waiting lease and margin from the reception is enough for its
+//! own confirmations. An earlier leader confirmed only under its lease, which
+//! had ended before this leader was elected; so for its confirmations, and
+//! for starts based on them, counting from the election is enough. A runner
+//! that declares no self-stop is never given up by the clock.
+//!
+//! The declaration is known from heartbeats only. A runner this leader never
+//! heard is taken as one that stops itself, which the runner's side of the
+//! protocol asks for by default.
+
+use crate::core::{Mutation, Sender};
+use crate::leader::Leader;
+use crate::runs::Phase;
+use peer::{DecisionEvent, OrderResult, PeerMessage};
+use record::{ClosedRun, Record};
+use std::collections::BTreeMap;
+use types::{
+    Milliseconds, Monotonic, Now, OpenRun, OrderAnswer, OrderKind, Outcome, RefusalReason,
+    RunClose, RunId, RunnerId, RunnerOrder, TaskMeta,
+};
+
+/// A start without an answer for this long is uncertain.
+const ORDER_TIMEOUT: Milliseconds = Milliseconds(2_000);
+/// Time between two voids or stops of one run.
+const REPEAT_INTERVAL: Milliseconds = Milliseconds(1_000);
+
+impl Leader {
+    /// Sends the starts of runs that the record took.
+    pub(crate) fn start_reserved(&mut self, record: &Record, now: Now) {
+        for run in std::mem::take(&mut self.to_start) {
+            let Some(tracked) = self.runs.get(run) else {
+                continue;
+            };
+            if tracked.phase != Phase::Reserved || tracked.closing {
+                continue;
+            }
+            match self.start_order(record, run, now.monotonic) {
+                Some(kind) => self.send_start(record, run, kind, now),
+                None => self.close(run, RunClose::Refused),
+            }
+        }
+    }
+
+    /// The start, if at this moment nothing speaks against it.
+    fn start_order(&self, record: &Record, run: RunId, now: Monotonic) -> Option<OrderKind> {
+        let tracked = self.runs.get(run)?;
+        if tracked.stop || record.open_run(run).is_none() {
+            return None;
+        }
+        let runner = self.runners.get(&tracked.run.runner)?;
+        let fit = runner.incarnation == tracked.run.incarnation && !runner.is_draining();
+        if !fit
+            || !self
+                .sessions
+                .is_fresh(runner.agent.address.node, now, self.options.session_lease)
+        {
+            return None;
+        }
+        Some(OrderKind::Start {
+            run: record.run_spec(run)?,
+            basis: runner.sequence,
+            lease: self.timings.run_lease,
+        })
+    }
+
+    fn send_start(&mut self, record: &Record, run: RunId, kind: OrderKind, now: Now) {
+        let Some(tracked) = self.runs.get_mut(run) else {
+            return;
+        };
+        tracked.phase = Phase::Ordered;
+        let open = tracked.run.clone();
+        self.send_order(&open, kind, now.monotonic);
+        self.note_ordered(record, &open, now);
+        metrics::counter!("cypressdrum_runs_ordered_total").increment(1);
+    }
+
+    /// Sends an order to the agent that serves the runner, if there is one.
+    fn send_order(&mut self, open: &OpenRun, kind: OrderKind, now: Monotonic) {
+        if let Some(tracked) = self.runs.get_mut(open.run) {
+            tracked.ordered_at = now;
+        }
+        let Some(runner) = self.runners.get(&open.runner) else {
+            return;
+        };
+        let agent = runner.agent.clone();
+        let lease = self.options.session_lease;
+        if !self.sessions.is_fresh(agent.address.node, now, lease) {
+            return;
+        }
+        self.next_order = self.next_order.next();
+        let order = RunnerOrder {
+            term: self.identity.term,
+            sequence: self.next_order,
+            runner: open.runner.clone(),
+            incarnation: open.incarnation,
+            kind,
+        };
+        self.orders.push((agent, order));
+    }
+
+    /// Sends a void, or a stop where the run is to end anyway: a runner that
+    /// does not know a run voids it when it is told to stop it.
+    pub(crate) fn send_void(&mut self, record: &Record, run: RunId, now: Monotonic) {
+        let Some(tracked) = self.runs.get(run) else {
+            return;
+        };
+        let open = tracked.run.clone();
+        let stop = tracked.stop;
+        if self.has_mutation(Mutation::CloseUnansweredStart) {
+            return self.close(run, RunClose::Refused);
+        }
+        if self.has_mutation(Mutation::ResendStartInsteadOfVoid)
+            && let Some(kind) = self.start_order(record, run, now)
+        {
+            return self.send_order(&open, kind, now);
+        }
+        let kind = match stop {
+            true => OrderKind::Stop { run },
+            false => OrderKind::Void { run },
+        };
+        self.send_order(&open, kind, now);
+    }
+
+    /// Takes what became of orders.
+    pub(crate) fn order_answered(&mut self, record: &Record, result: &OrderResult, now: Now) {
+        let run = result.order.kind.run();
+        let Some(tracked) = self.runs.get_mut(run) else {
+            return;
+        };
+        let bound = tracked.run.runner == result.order.runner
+            && tracked.run.incarnation == result.order.incarnation;
+        if !bound || tracked.closing {
+            return;
+        }
+        let start = matches!(result.order.kind, OrderKind::Start { .. });
+        match &result.answer {
+            OrderAnswer::Started
+            | OrderAnswer::Stopping
+            | OrderAnswer::Held
+            | OrderAnswer::Ended => tracked.phase = Phase::Held,
+            OrderAnswer::Voided => self.close(run, RunClose::Voided),
+            OrderAnswer::Refused(RefusalReason::KnownRun) | OrderAnswer::Unknown if start => {
+                tracked.phase = Phase::Uncertain;
+                self.send_void(record, run, now.monotonic);
+            }
+            // Its one start was refused, so it never began.
+            OrderAnswer::Refused(_) if start => self.close(run, RunClose::Refused),
+            // Not known yet: the sweep asks again.
+            OrderAnswer::Refused(_) | OrderAnswer::Unknown => {}
+        }
+    }
+
+    /// Closes a run through the log, once.
+    pub(crate) fn close(&mut self, run: RunId, close: RunClose) {
+        let Some(tracked) = self.runs.get_mut(run) else {
+            return;
+        };
+        if tracked.closing {
+            return;
+        }
+        tracked.closing = true;
+        let stopped = close == RunClose::Ended(Outcome::Stopped);
+        let close = match close {
+            _ if stopped && tracked.timed_out => RunClose::TimedOut,
+            other => other,
+        };
+        self.closes.push(ClosedRun { run, close });
+    }
+
+    /// Looks at all open runs: silence, missing answers, stops.
+    pub(crate) fn sweep_runs(&mut self, record: &Record, now: Now) {
+        let silent = self.silent_runners(now.monotonic);
+        let mut due = Vec::new();
+        for tracked in self.runs.iter().filter(|tracked| !tracked.closing) {
+            let waited = now.monotonic.since(tracked.ordered_at);
+            let duty = match tracked.phase {
+                _ if silent.contains_key(&tracked.run.runner) => Duty::GiveUp,
+                // Its lease lapsed before the start left; nobody sends it now.
+                Phase::Reserved if !self.to_start.contains(&tracked.run.run) => Duty::Drop,
+                Phase::Ordered if waited >= ORDER_TIMEOUT => Duty::Void,
+                Phase::Ordered | Phase::Held if tracked.stop && waited >= REPEAT_INTERVAL => {
+                    Duty::Stop
+                }
+                Phase::Uncertain if waited >= REPEAT_INTERVAL => Duty::Void,
+                _ => continue,
+            };
+            due.push((tracked.run.run, duty));
+        }
+        for (run, duty) in due {
+            match duty {
+                Duty::GiveUp => self.close(run, RunClose::Lost),
+                Duty::Drop => self.close(run, RunClose::Refused),
+                Duty::Stop => self.send_stop(run, now.monotonic),
+                Duty::Void => {
+                    if let Some(tracked) = self.runs.get_mut(run) {
+                        tracked.phase = Phase::Uncertain;
+                    }
+                    self.send_void(record, run, now.monotonic);
+                }
+            }
+        }
+    }
+
+    fn send_stop(&mut self, run: RunId, now: Monotonic) {
+        if let Some(tracked) = self.runs.get(run) {
+            let open = tracked.run.clone();
+            self.send_order(&open, OrderKind::Stop { run }, now);
+        }
+    }
+
+    /// Runners with open runs whose lease and margin are over.
+    fn silent_runners(&self, now: Monotonic) -> BTreeMap<RunnerId, Milliseconds> {
+        let full = self.timings.run_lease + self.timings.run_lease_margin;
+        let limit = match self.has_mutation(Mutation::ExpireRunsEarly) {
+            true => Milliseconds(self.timings.run_lease.0 / 10),
+            false => full,
+        };
+        let silence = |id: &RunnerId| match self.runners.get(id) {
+            Some(runner) if !runner.self_stop => None,
+            Some(runner) => Some(now.since(runner.heard.max(self.serving_since))),
+            None => Some(now.since(self.serving_since)),
+        };
+        self.runs
+            .runners()
+            .filter_map(|id| Some((id.clone(), silence(id)?)))
+            .filter(|(_, silence)| *silence > limit)
+            .collect()
+    }
+
+    /// Follows a closed run: the task may run again, or not.
+    pub(crate) fn run_closed(
+        &mut self,
+        record: &Record,
+        run: OpenRun,
+        close: RunClose,
+        again: Option<TaskMeta>,
+        now: Now,
+    ) {
+        self.runs.closed(run.run);
+        match again {
+            Some(meta) => self.dispatcher.reschedule(run.run, meta, now),
+            None => self.dispatcher.remove_run(run.run),
+        }
+        let done = close == RunClose::Ended(Outcome::Done);
+        if done || close.is_failure() {
+            self.dispatcher
+                .note_outcome(&run.runner, run.task, close.is_failure(), now);
+        }
+        let event = DecisionEvent::Closed {
+            run: run.run,
+            task: run.task,
+            runner: run.runner,
+            close,
+            at: now.wall,
+        };
+        self.decisions.push(record.job_key(run.task.job), event);
+        metrics::counter!("cypressdrum_runs_closed_total").increment(1);
+    }
+
+    /// Notes in the decision log that a start left.
+    fn note_ordered(&mut self, record: &Record, open: &OpenRun, now: Now) {
+        let event = DecisionEvent::Ordered {
+            run: open.run,
+            task: open.task,
+            runner: open.runner.clone(),
+            at: now.wall,
+        };
+        self.decisions.push(record.job_key(open.task.job), event);
+    }
+
+    /// Packs the orders collected for each agent into one message.
+    pub(crate) fn pack_orders(&mut self) {
+        let mut packed: Vec<(Sender, Vec<RunnerOrder>)> = Vec::new();
+        for (agent, order) in std::mem::take(&mut self.orders) {
+            match packed.iter_mut().find(|(known, _)| *known == agent) {
+                Some((_, orders)) => orders.push(order),
+                None => packed.push((agent, vec![order])),
+            }
+        }
+        let term = self.identity.term;
+        for (sender, orders) in packed {
+            let message = PeerMessage::Orders {
+                term,
+                agent: sender.address.node,
+                orders,
+            };
+            self.answer(&sender, message);
+        }
+    }
+}
+
+#[derive(Debug, Clone, Copy)]
+enum Duty {
+    GiveUp,
+    Drop,
+    Stop,
+    Void,
+}
--- /dev/null
+++ b/crates/coordinator/src/placement.rs
@@ -0,0 +1,96 @@
+//! The dispatch loop: room becomes reservations, reservations become entries.
+
+use crate::leader::{Leader, Rebuild, Waiting};
+use dispatch::DecisionKind;
+use peer::DecisionEvent;
+use record::{Command, Record, ReserveRefusal};
+use types::{JobNumber, Now, Reservation, RunId, TaskMeta, TaskRef};
+
+/// Reservations that may be on their way through the log.
+const MAX_RESERVATIONS_IN_FLIGHT: usize = 512;
+
+/// Asks the dispatcher for placements and proposes them as one command.
+pub(crate) fn place(leader: &mut Leader, record: &Record, now: Now) {
+    let room = MAX_RESERVATIONS_IN_FLIGHT.saturating_sub(leader.reservations_in_flight);
+    if !leader.placement_due || room == 0 || !leader.may_place(now) {
+        return;
+    }
+    leader.placement_due = false;
+    let mut reservations: Vec<Reservation> = Vec::new();
+    for decision in leader.dispatcher.place(now, room) {
+        let task = match &decision.kind {
+            DecisionKind::Placed {
+                reservation,
+                shadow,
+                ..
+            } => {
+                if !*shadow {
+                    reservations.push(reservation.clone());
+                }
+                reservation.task
+            }
+            DecisionKind::NotPlaced { task, .. } => *task,
+        };
+        let key = record.job_key(task.job);
+        leader
+            .decisions
+            .push(key, DecisionEvent::Dispatch(decision));
+    }
+    if reservations.is_empty() {
+        return;
+    }
+    let waiting = Waiting::Reservations(reservations.clone());
+    let at = now.wall;
+    leader.propose(Command::Reserve { reservations, at }, waiting);
+}
+
+impl Leader {
+    /// A fresh leader places when its view is rebuilt and the runners that
+    /// have open runs were heard, or were waited for long enough.
+    fn may_place(&self, now: Now) -> bool {
+        if self.rebuild != Rebuild::Done {
+            return false;
+        }
+        let waited = now.monotonic.since(self.elected_at) >= self.options.runner_wait;
+        waited
+            || self
+                .runs
+                .runners()
+                .all(|runner| self.runners.get(runner).is_some())
+    }
+
+    /// Takes reservations back that the record did not take: the task waits
+    /// again if the record says that it may start.
+    pub(crate) fn release_refused(
+        &mut self,
+        record: &Record,
+        reservations: &[Reservation],
+        refused: Vec<(RunId, ReserveRefusal)>,
+        now: Now,
+    ) {
+        for (run, reason) in refused {
+            tracing::debug!(%run, %reason, "the record refused a reservation");
+            let mut chosen = reservations.iter().filter(|chosen| chosen.run == run);
+            if let Some(reservation) = chosen.next() {
+                self.release(record, reservation, now);
+            }
+        }
+    }
+
+    /// Takes one reservation back that did not become a run.
+    pub(crate) fn release(&mut self, record: &Record, reservation: &Reservation, now: Now) {
+        match ready_task(record, reservation.task) {
+            Some(meta) => self.dispatcher.reschedule(reservation.run, meta, now),
+            None => self.dispatcher.remove_run(reservation.run),
+        }
+    }
+}
+
+/// The task, if the record says that it may start.
+fn ready_task(record: &Record, task: TaskRef) -> Option<TaskMeta> {
+    let before = task.job.0.checked_sub(1).map(JobNumber);
+    record
+        .ready_tasks(before, 1)
+        .into_iter()
+        .find(|meta| meta.task == task)
+}
--- /dev/null
+++ b/crates/coordinator/src/reads.rs
@@ -0,0 +1,220 @@
+//! Reads, answered from the record under the lease. All that is committed has
+//! been applied when an input is handled, so the answer holds what was
+//! acknowledged before.
+
+use crate::Coordinator;
+use crate::leader::Leader;
+use crate::requests::not_found;
+use peer::{JobFilter, MemberView, Operation, OperationReply, QueueView, Refusal, TenantView};
+use record::Record;
+use std::collections::BTreeMap;
+use types::{
+    Address, JobKey, JobNumber, JobState, Milliseconds, NodeId, Now, QueueName, Resources, Role,
+    TenantId, ZoneName,
+};
+
+/// Jobs on one page at most.
+const MAX_PAGE: usize = 1_000;
+/// Lines of an explanation at most.
+const MAX_EXPLAINED: usize = 50;
+
+/// What waits and runs, counted by queue or tenant.
+#[derive(Debug, Clone, Copy, Default)]
+struct Counts {
+    unfinished: u64,
+    ready: u64,
+    open: u64,
+    holds: Resources,
+}
+
+impl Leader {
+    /// Answers a read.
+    pub(crate) fn read(
+        &mut self,
+        record: &Record,
+        operation: Operation,
+        now: Now,
+    ) -> Result<OperationReply, Refusal> {
+        match operation {
+            Operation::GetJob(key) => record
+                .job(&key)
+                .map(|job| OperationReply::Job(Box::new(job)))
+                .ok_or_else(|| not_found(format!("job {key} is not known"))),
+            Operation::ListJobs(filter) => Ok(list_jobs(record, &filter)),
+            Operation::Explain(key) => self.explain(record, &key, now),
+            Operation::GetConfiguration => {
+                let (version, document) = record.configuration();
+                let document = document.clone();
+                Ok(OperationReply::Configuration { version, document })
+            }
+            Operation::ListRunners => Ok(OperationReply::Runners(self.dispatcher.runners(now))),
+            Operation::ListQueues => Ok(OperationReply::Queues(self.list_queues(record))),
+            Operation::ListTenants => Ok(OperationReply::Tenants(self.list_tenants(record))),
+            Operation::Decisions { after, limit } => {
+                let entries = self.decisions.after(after, limit as usize);
+                Ok(OperationReply::Decisions(entries))
+            }
+            _ => Err(not_found("this is no question".to_owned())),
+        }
+    }
+
+    /// A line for each task that may start, and each that runs.
+    fn explain(&self, record: &Record, key: &JobKey, now: Now) -> Result<OperationReply, Refusal> {
+        let (Some(number), Some(job)) = (record.job_number(key), record.job(key)) else {
+            return Err(not_found(format!("job {key} is not known")));
+        };
+        let mut lines = Vec::new();
+        if job.state.is_final() {
+            let reason = job.reason.unwrap_or_default();
+            lines.push(
+                format!("the job is {:?} {reason}", job.state)
+                    .trim()
+                    .to_owned(),
+            );
+        }
+        let before = number.0.checked_sub(1).map(JobNumber);
+        let ready = record.ready_tasks(before, 1);
+        for meta in ready.iter().filter(|meta| meta.task.job == number) {
+            let reason = self.dispatcher.explain(meta.task, now);
+            let reason = reason.map(|reason| reason.to_string());
+            let reason = reason.unwrap_or_else(|| "it is about to be placed".to_owned());
+            lines.push(format!("task {} waits: {reason}", meta.task));
+        }
+        for tracked in self.runs.iter().filter(|run| run.run.task.job == number) {
+            let (task, run, runner) = (tracked.run.task, tracked.run.run, &tracked.run.runner);
+            lines.push(format!("task {task} has run {run} on runner {runner}"));
+        }
+        lines.truncate(MAX_EXPLAINED);
+        Ok(OperationReply::Explained { lines })
+    }
+
+    fn list_queues(&self, record: &Record) -> Vec<QueueView> {
+        let counts: BTreeMap<QueueName, Counts> = self.count(record, |_, queue| queue.clone());
+        let document = record.configuration().1;
+        document
+            .queues
+            .iter()
+            .map(|(name, settings)| {
+                let counts = counts.get(name).copied().unwrap_or_default();
+                QueueView {
+                    queue: name.clone(),
+                    pool: settings.pool.clone(),
+                    mode: settings.mode,
+                    unfinished_jobs: counts.unfinished,
+                    ready_tasks: counts.ready,
+                    open_runs: counts.open,
+                }
+            })
+            .collect()
+    }
+
+    fn list_tenants(&self, record: &Record) -> Vec<TenantView> {
+        let counts: BTreeMap<TenantId, Counts> = self.count(record, |tenant, _| tenant.clone());
+        let document = record.configuration().1;
+        document
+            .tenants
+            .iter()
+            .map(|(name, settings)| {
+                let counts = counts.get(name).copied().unwrap_or_default();
+                let spent = self.budgets.spent(name);
+                TenantView {
+                    tenant: name.clone(),
+                    unfinished_jobs: counts.unfinished,
+                    ready_tasks: counts.ready,
+                    holds: counts.holds,
+                    ceiling: settings.ceiling,
+                    ended_jobs: spent.ended,
+                    late_jobs: spent.late,
+                    failed_jobs: spent.failed,
+                    budget_exceeded: spent.exceeds(&settings.error_budget),
+                }
+            })
+            .collect()
+    }
+
+    /// Counts by a key drawn from tenant and queue. Walks all unfinished work:
+    /// for operators' questions only.
+    fn count<K: Ord>(
+        &self,
+        record: &Record,
+        key: impl Fn(&TenantId, &QueueName) -> K,
+    ) -> BTreeMap<K, Counts> {
+        let mut counts: BTreeMap<K, Counts> = BTreeMap::new();
+        for state in [JobState::Waiting, JobState::Running] {
+            for (_, job) in record.jobs(None, Some(state), None, usize::MAX) {
+                let entry = counts.entry(key(&job.tenant, &job.queue)).or_default();
+                entry.unfinished += 1;
+            }
+        }
+        for meta in record.ready_tasks(None, usize::MAX) {
+            let entry = counts.entry(key(&meta.tenant, &meta.queue)).or_default();
+            entry.ready += 1;
+        }
+        for tracked in self.runs.iter() {
+            let run = &tracked.run;
+            let entry = counts.entry(key(&run.tenant, &run.queue)).or_default();
+            entry.open += 1;
+            entry.holds = entry.holds.plus(&run.resources);
+        }
+        counts
+    }
+}
+
+fn list_jobs(record: &Record, filter: &JobFilter) -> OperationReply {
+    let limit = (filter.limit as usize).clamp(1, MAX_PAGE);
+    let page = record.jobs(filter.tenant.as_ref(), filter.state, filter.after, limit);
+    let full = page.len() == limit;
+    let next = page.last().map(|(number, _)| *number).filter(|_| full);
+    let jobs = page.into_iter().map(|(_, job)| job).collect();
+    OperationReply::Jobs { jobs, next }
+}
+
+impl Coordinator {
+    /// Coordinators of the membership, then all sessions.
+    pub(crate) fn list_members(&self, now: Now) -> Vec<MemberView> {
+        let (Some(leader), Some(replica)) = (&self.leader, &self.replica) else {
+            return Vec::new();
+        };
+        let status = replica.node.status(now.monotonic);
+        let version = replica.record.configuration().0;
+        let standing = |node: NodeId| match node {
+            _ if node == self.own.node => "leader",
+            _ if status.membership.voters.contains_key(&node) => "voter",
+            _ => "learner",
+        };
+        let silences: BTreeMap<NodeId, Milliseconds> = status.silence.iter().copied().collect();
+        let voters = status.membership.voters.iter();
+        let mut views: Vec<MemberView> = voters
+            .chain(status.membership.learners.iter())
+            .filter_map(|(node, socket)| {
+                let own = *node == self.own.node;
+                Some(MemberView {
+                    address: self.member_address(*node, *socket)?,
+                    standing: standing(*node).to_owned(),
+                    silence: silences.get(node).copied().unwrap_or_default(),
+                    configuration: if own { version } else { Default::default() },
+                })
+            })
+            .collect();
+        views.extend(leader.sessions.iter().map(|session| MemberView {
+            address: session.sender.address.clone(),
+            standing: "session".to_owned(),
+            silence: now.monotonic.since(session.heard),
+            configuration: session.configuration,
+        }));
+        views
+    }
+
+    /// A member's address; its zone is not known before it was heard.
+    fn member_address(&self, node: NodeId, socket: std::net::SocketAddr) -> Option<Address> {
+        if let Some(address) = self.directory.address(node) {
+            return Some(address.clone());
+        }
+        Some(Address {
+            node,
+            role: Role::Coordinator,
+            zone: ZoneName::new("unknown").ok()?,
+            socket,
+        })
+    }
+}
--- /dev/null
+++ b/crates/coordinator/src/runners.rs
@@ -0,0 +1,229 @@
+//! Heartbeats of runners: what each life of a runner holds and has ended.
+
+use crate::Coordinator;
+use crate::core::Sender;
+use crate::leader::Leader;
+use crate::runs::Phase;
+use peer::{AgentReport, OrderResult, PeerMessage, RunnerUpdate};
+use record::Record;
+use std::collections::{BTreeMap, BTreeSet};
+use types::{
+    EndedRun, HeartbeatSequence, HeldRun, Milliseconds, Monotonic, Now, RunClose, RunId, RunnerId,
+    RunnerIncarnation, RunnerReport,
+};
+
+/// A run this far past its time limit is stopped by the leader; its runner
+/// should have done so by itself.
+const TIME_LIMIT_GRACE: Milliseconds = Milliseconds(1_000);
+
+/// A runner as this leader heard it.
+#[derive(Debug, Clone)]
+pub(crate) struct RunnerState {
+    /// The agent its newest heartbeat came by.
+    pub(crate) agent: Sender,
+    pub(crate) incarnation: RunnerIncarnation,
+    /// Newest heartbeat of that life.
+    pub(crate) sequence: HeartbeatSequence,
+    /// When that arrived here.
+    pub(crate) heard: Monotonic,
+    pub(crate) self_stop: bool,
+    reports_draining: bool,
+    ordered_draining: bool,
+}
+
+impl RunnerState {
+    /// True when it, or an operator, says that it drains.
+    pub(crate) fn is_draining(&self) -> bool {
+        self.reports_draining || self.ordered_draining
+    }
+}
+
+/// What a heartbeat is, beside those before it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Freshness {
+    /// Of an earlier life, or overtaken by a later one.
+    Old,
+    /// The newest known, once more.
+    Repeated,
+    /// Newer than any before.
+    New,
+}
+
+/// Runners this leader has heard.
+#[derive(Debug, Default)]
+pub(crate) struct Runners {
+    runners: BTreeMap<RunnerId, RunnerState>,
+}
+
+impl Runners {
+    pub(crate) fn get(&self, runner: &RunnerId) -> Option<&RunnerState> {
+        self.runners.get(runner)
+    }
+
+    pub(crate) fn len(&self) -> usize {
+        self.runners.len()
+    }
+
+    pub(crate) fn set_ordered_draining(&mut self, runner: &RunnerId, draining: bool) {
+        if let Some(state) = self.runners.get_mut(runner) {
+            state.ordered_draining = draining;
+        }
+    }
+
+    fn freshness(&self, report: &RunnerReport) -> Freshness {
+        let Some(known) = self.runners.get(&report.runner) else {
+            return Freshness::New;
+        };
+        let known = (known.incarnation, known.sequence);
+        match (report.incarnation, report.sequence).cmp(&known) {
+            std::cmp::Ordering::Less => Freshness::Old,
+            std::cmp::Ordering::Equal => Freshness::Repeated,
+            std::cmp::Ordering::Greater => Freshness::New,
+        }
+    }
+
+    fn heard(
+        &mut self,
+        agent: &Sender,
+        report: &RunnerReport,
+        ordered_draining: bool,
+        now: Monotonic,
+    ) {
+        let state = RunnerState {
+            agent: agent.clone(),
+            incarnation: report.incarnation,
+            sequence: report.sequence,
+            heard: now,
+            self_stop: report.self_stop,
+            reports_draining: report.draining,
+            ordered_draining,
+        };
+        self.runners.insert(report.runner.clone(), state);
+    }
+}
+
+impl Coordinator {
+    /// Takes heartbeats, if this process may act as the leader.
+    pub(crate) fn report_received(&mut self, now: Now, sender: &Sender, report: AgentReport) {
+        if !self.is_serving(now) {
+            return;
+        }
+        let (Some(leader), Some(replica)) = (&mut self.leader, &self.replica) else {
+            return;
+        };
+        leader.sessions.heard(sender, now.monotonic);
+        for report in &report.reports {
+            leader.heartbeat(&replica.record, sender, report, now);
+        }
+    }
+
+    /// Takes answers to orders, if this process may act as the leader.
+    pub(crate) fn results_received(
+        &mut self,
+        now: Now,
+        sender: &Sender,
+        results: Vec<OrderResult>,
+    ) {
+        if !self.is_serving(now) {
+            return;
+        }
+        let (Some(leader), Some(replica)) = (&mut self.leader, &self.replica) else {
+            return;
+        };
+        leader.sessions.heard(sender, now.monotonic);
+        for result in &results {
+            leader.order_answered(&replica.record, result, now);
+        }
+    }
+}
+
+impl Leader {
+    fn heartbeat(&mut self, record: &Record, agent: &Sender, report: &RunnerReport, now: Now) {
+        match self.runners.freshness(report) {
+            Freshness::Old => return,
+            // The answer may have been lost.
+            Freshness::Repeated => {}
+            Freshness::New => {
+                let draining = match self.runners.get(&report.runner) {
+                    Some(known) => known.ordered_draining,
+                    None => record.draining_runners().contains(&report.runner),
+                };
+                self.runners.heard(agent, report, draining, now.monotonic);
+                self.dispatcher.heartbeat(report, now);
+                self.placement_due = true;
+                self.compare_runs(record, report, now);
+            }
+        }
+        self.confirm(record, agent, report);
+    }
+
+    /// Compares the runs bound to the runner with what it holds and has ended.
+    fn compare_runs(&mut self, record: &Record, report: &RunnerReport, now: Now) {
+        let ended: BTreeMap<RunId, &EndedRun> = report
+            .ended
+            .iter()
+            .map(|ended| (ended.run, ended))
+            .collect();
+        let held: BTreeMap<RunId, &HeldRun> =
+            report.held.iter().map(|held| (held.run, held)).collect();
+        for run in self.runs.of_runner(&report.runner) {
+            let Some(tracked) = self.runs.get(run) else {
+                continue;
+            };
+            let bound_to = tracked.run.incarnation;
+            if let Some(ended) = ended.get(&run) {
+                self.close(run, RunClose::Ended(ended.outcome.clone()));
+            } else if bound_to < report.incarnation {
+                // It died with that life.
+                self.close(run, RunClose::Lost);
+            } else if let Some(held) = held.get(&run) {
+                self.run_held(run, held);
+            } else if bound_to == report.incarnation {
+                self.run_absent(record, run, now);
+            }
+        }
+    }
+
+    fn run_held(&mut self, run: RunId, held: &HeldRun) {
+        let Some(tracked) = self.runs.get_mut(run) else {
+            return;
+        };
+        tracked.phase = Phase::Held;
+        let limit = tracked.run.time_limit + TIME_LIMIT_GRACE;
+        if held.age > limit && !tracked.timed_out {
+            tracked.timed_out = true;
+            self.runs.want_stop(run);
+        }
+    }
+
+    /// The runner neither holds the run nor has ended it. A start under way
+    /// may still land, so that one waits for its answer; any other run cannot
+    /// be told from one that never began, and is voided.
+    fn run_absent(&mut self, record: &Record, run: RunId, now: Now) {
+        let Some(tracked) = self.runs.get_mut(run) else {
+            return;
+        };
+        if tracked.phase == Phase::Held && !tracked.closing {
+            tracked.phase = Phase::Uncertain;
+            self.send_void(record, run, now.monotonic);
+        }
+    }
+
+    /// Answers a heartbeat: the run lease, ends the record has, runs to stop.
+    fn confirm(&mut self, record: &Record, agent: &Sender, report: &RunnerReport) {
+        let closed = |run: &RunId| record.open_run(*run).is_none();
+        let ended = report.ended.iter().map(|ended| ended.run);
+        let held = report.held.iter().map(|held| held.run);
+        let stop: BTreeSet<RunId> = held.filter(|run| closed(run)).collect();
+        let update = RunnerUpdate {
+            term: self.identity.term,
+            runner: report.runner.clone(),
+            incarnation: report.incarnation,
+            confirmed: report.sequence,
+            lease: self.timings.run_lease,
+            recorded: ended.filter(closed).collect(),
+            stop: stop.into_iter().collect(),
+        };
+        self.answer(agent, PeerMessage::RunnerUpdate(update));
+    }
+}
--- /dev/null
+++ b/crates/coordinator/src/sessions.rs
@@ -0,0 +1,210 @@
+//! Sessions of gateways, agents and joining coordinators with the leader.
+
+use crate::Coordinator;
+use crate::core::{Effect, Sender};
+use crate::leader::Leader;
+use peer::{Bootstrap, Hello, PeerMessage, SessionLease};
+use record::Record;
+use std::collections::BTreeMap;
+use types::{Address, ConfigurationVersion, Milliseconds, Monotonic, NodeId, Now, Role};
+
+/// A process that said hello.
+#[derive(Debug, Clone)]
+pub(crate) struct Session {
+    pub(crate) sender: Sender,
+    pub(crate) heard: Monotonic,
+    pub(crate) configuration: ConfigurationVersion,
+}
+
+/// Sessions by identity.
+#[derive(Debug, Default)]
+pub(crate) struct Sessions {
+    sessions: BTreeMap<NodeId, Session>,
+}
+
+impl Sessions {
+    fn hello(&mut self, sender: &Sender, configuration: ConfigurationVersion, now: Monotonic) {
+        // A restarted process has another identity on the same socket.
+        let (node, socket) = (sender.address.node, sender.address.socket);
+        self.sessions
+            .retain(|id, session| *id == node || session.sender.address.socket != socket);
+        let session = Session {
+            sender: sender.clone(),
+            heard: now,
+            configuration,
+        };
+        self.sessions.insert(node, session);
+    }
+
+    /// Another message of the process than a hello: it is alive.
+    pub(crate) fn heard(&mut self, sender: &Sender, now: Monotonic) {
+        if let Some(session) = self.sessions.get_mut(&sender.address.node) {
+            session.heard = now;
+            session.sender = sender.clone();
+        }
+    }
+
+    /// True while the session lasts.
+    pub(crate) fn is_fresh(&self, node: NodeId, now: Monotonic, lease: Milliseconds) -> bool {
+        self.sessions
+            .get(&node)
+            .is_some_and(|session| now.since(session.heard) <= lease)
+    }
+
+    pub(crate) fn len(&self) -> usize {
+        self.sessions.len()
+    }
+
+    pub(crate) fn iter(&self) -> impl Iterator<Item = &Session> {
+        self.sessions.values()
+    }
+
+    /// Addresses of gateways and agents.
+    fn others(&self) -> Vec<Address> {
+        self.sessions
+            .values()
+            .map(|session| &session.sender.address)
+            .filter(|address| address.role != Role::Coordinator)
+            .cloned()
+            .collect()
+    }
+}
+
+impl Coordinator {
+    /// Takes a hello: a lease from the leader, a hint from anyone else.
+    pub(crate) fn hello_received(
+        &mut self,
+        now: Now,
+        sender: &Sender,
+        hello: Hello,
+        effects: &mut Vec<Effect>,
+    ) {
+        let Some(replica) = &self.replica else {
+            return;
+        };
+        if hello
+            .cluster
+            .is_some_and(|cluster| cluster != replica.cluster)
+        {
+            return;
+        }
+        if !self.is_serving(now) {
+            return self.point_to_leader(now, sender, effects);
+        }
+        if sender.address.role == Role::Coordinator && !self.admit(now, sender, &hello) {
+            return;
+        }
+        let coordinators = self.live_coordinators(now);
+        let (Some(leader), Some(replica)) = (&mut self.leader, &self.replica) else {
+            return;
+        };
+        leader.hello(&replica.record, sender, &hello, coordinators, now);
+    }
+
+    /// Tells who leads, as far as this process knows.
+    pub(crate) fn point_to_leader(&self, now: Now, sender: &Sender, effects: &mut Vec<Effect>) {
+        let leader = self.known_leader(now);
+        let (to, message) = sender.answer(&self.own, PeerMessage::NotLeader { leader });
+        effects.push(Effect::Send { to, message });
+    }
+
+    /// Notes a coordinator that asks to be taken in. False when a lease would
+    /// mislead it: an empty process that is a voter by the first proposal must
+    /// take that proposal, to know its voters.
+    fn admit(&mut self, now: Now, sender: &Sender, hello: &Hello) -> bool {
+        let (Some(leader), Some(replica)) = (&mut self.leader, &self.replica) else {
+            return false;
+        };
+        let node = sender.address.node;
+        let membership = replica.node.status(now.monotonic).membership;
+        if membership.socket(node).is_none() {
+            if hello.cluster.is_some() {
+                leader.joiners.note(&sender.address, now.monotonic);
+            }
+            return true;
+        }
+        if hello.cluster.is_some() || !membership.voters.contains_key(&node) {
+            return true;
+        }
+        let voters = match self.identification.attached() {
+            Some((_, initial)) if initial.voters.contains_key(&node) => initial,
+            _ => membership,
+        };
+        let cluster = replica.cluster;
+        let propose = PeerMessage::Bootstrap(Bootstrap::Propose { cluster, voters });
+        leader.answer(sender, propose);
+        false
+    }
+
+    /// Coordinators of the membership that were heard a short while ago.
+    fn live_coordinators(&self, now: Now) -> Vec<Address> {
+        let Some(status) = self.status(now) else {
+            return Vec::new();
+        };
+        self.directory
+            .alive(now.monotonic)
+            .into_iter()
+            .filter(|address| status.membership.socket(address.node).is_some())
+            .collect()
+    }
+}
+
+impl Leader {
+    fn hello(
+        &mut self,
+        record: &Record,
+        sender: &Sender,
+        hello: &Hello,
+        coordinators: Vec<Address>,
+        now: Now,
+    ) {
+        if hello.leaving {
+            self.sessions.sessions.remove(&sender.address.node);
+            return;
+        }
+        self.sessions
+            .hello(sender, hello.configuration, now.monotonic);
+        let (version, document) = record.configuration();
+        let lease = SessionLease {
+            term: self.identity.term,
+            leader: self.identity.own.clone(),
+            cluster: self.identity.cluster,
+            sequence: hello.sequence,
+            lease: self.options.session_lease,
+            configuration: version,
+            coordinators,
+            others: self.sessions.others(),
+        };
+        self.answer(sender, PeerMessage::Lease(lease));
+        if hello.configuration < version && sender.address.role != Role::Coordinator {
+            let document = document.clone();
+            self.answer(sender, PeerMessage::Configuration { version, document });
+        }
+    }
+
+    /// Ends sessions of processes silent over their lease.
+    pub(crate) fn expire_sessions(&mut self, now: Monotonic) {
+        let lease = self.options.session_lease;
+        self.sessions
+            .sessions
+            .retain(|_, session| now.since(session.heard) <= lease);
+    }
+
+    /// Another configuration is in force: dispatcher, admission and every
+    /// session get it at once.
+    pub(crate) fn configuration_changed(&mut self, record: &Record) {
+        let (version, document) = record.configuration();
+        self.timings = document.timings.clone();
+        self.dispatcher.configure(document);
+        let replicas: Vec<Sender> = self
+            .sessions
+            .iter()
+            .map(|session| session.sender.clone())
+            .filter(|sender| sender.address.role != Role::Coordinator)
+            .collect();
+        for sender in replicas {
+            let document = document.clone();
+            self.answer(&sender, PeerMessage::Configuration { version, document });
+        }
+    }
+}
--- a/crates/coordinator/src/shell.rs
+++ b/crates/coordinator/src/shell.rs
@@ -1,10 +1,26 @@
 //! The coordinator's tokio shell: sockets, disk thread, clock.
+//!
+//! One task owns the core and feeds it one input at a time, with the clock
+//! read just before. The disk has a thread of its own, which writes in order
+//! and joins what has piled up meanwhile into one sync. A failed write or sync
+//! ends the process: nothing may be promised after it.
 
-use crate::CoordinatorOptions;
+use crate::disk::{DiskJob, DiskThread};
+use crate::{Coordinator, CoordinatorOptions, Effect, Input};
+use admin::Readiness;
+use peer::{Envelope, PeerMessage, Transport, clock};
 use std::net::SocketAddr;
 use std::path::PathBuf;
+use std::time::Duration;
+use storage::{RealDisk, Store};
 use thiserror::Error;
-use tokio::sync::watch;
+use tokio::sync::{mpsc, watch};
+use tokio::task::JoinHandle;
+use types::{Milliseconds, NodeId, Now};
+
+/// Sends that were decided longer ago than this are dropped: the process was
+/// frozen in between, and what it held may no longer be true.
+const OLDEST_SEND: Milliseconds = Milliseconds(250);
 
 /// What the shell needs beyond the core's settings.
 #[derive(Debug, Clone)]
@@ -40,6 +56,12 @@
         /// Why.
         source: std::io::Error,
     },
+    /// The disk's thread cannot be started.
+    #[error("cannot start the thread of the disk: {source}")]
+    Thread {
+        /// Why.
+        source: std::io::Error,
+    },
 }
 
 /// Runs a coordinator until `stop` turns true and all is handed over.
@@ -47,6 +69,146 @@
     options: ShellOptions,
     stop: watch::Receiver<bool>,
 ) -> Result<(), CoordinatorError> {
-    let _ = (options, stop);
-    todo!()
+    let opened = Store::open(RealDisk::open(&options.data)?)?;
+    if opened.cut_bytes > 0 {
+        tracing::warn!(bytes = opened.cut_bytes, "cut a torn tail of the log");
+    }
+    let mut core_options = options.core;
+    core_options.address.node = match &opened.identity {
+        Some(identity) => identity.node,
+        None => NodeId(rand::random()),
+    };
+    let own = core_options.address.clone();
+    let admin_routes = serve_admin(options.admin_listen).await?;
+    let (transport, incoming) =
+        Transport::start(options.transport, options.cluster_key, own).await?;
+    let core = Coordinator::new(
+        core_options,
+        opened.identity,
+        opened.recovered,
+        clock::now(),
+    );
+    let mut shell = Shell {
+        core,
+        transport,
+        incoming,
+        disk: DiskThread::start(opened.store)
+            .map_err(|source| CoordinatorError::Thread { source })?,
+        readiness: admin_routes.readiness.clone(),
+        stop,
+        grace: Duration::from_millis(options.grace.0),
+        stopped: false,
+    };
+    let result = shell.serve().await;
+    admin_routes.server.abort();
+    result
+}
+
+struct AdminRoutes {
+    readiness: Readiness,
+    server: JoinHandle<()>,
+}
+
+async fn serve_admin(listen: SocketAddr) -> Result<AdminRoutes, CoordinatorError> {
+    let listener = tokio::net::TcpListener::bind(listen)
+        .await
+        .map_err(|source| CoordinatorError::Admin { listen, source })?;
+    let readiness = Readiness::starting();
+    let routes = admin::routes(readiness.clone());
+    let server = tokio::spawn(async move {
+        if let Err(error) = axum::serve(listener, routes).await {
+            tracing::error!(%error, "the admin listener ended");
+        }
+    });
+    Ok(AdminRoutes { readiness, server })
+}
+
+struct Shell {
+    core: Coordinator,
+    transport: Transport,
+    incoming: mpsc::Receiver<Envelope>,
+    disk: DiskThread,
+    readiness: Readiness,
+    stop: watch::Receiver<bool>,
+    grace: Duration,
+    stopped: bool,
+}
+
+impl Shell {
+    async fn serve(&mut self) -> Result<(), CoordinatorError> {
+        let mut deadline = None;
+        self.handle(Input::Tick);
+        while !self.stopped {
+            let until_wakeup = self.until_wakeup();
+            let input = tokio::select! {
+                biased;
+                done = self.disk.done() => match done {
+                    Some(done) => done?,
+                    None => return Ok(()),
+                },
+                () = stop_wanted(&mut self.stop), if deadline.is_none() => {
+                    deadline = Some(tokio::time::Instant::now() + self.grace);
+                    Input::Stop
+                }
+                () = sleep_until(deadline), if deadline.is_some() => return Ok(()),
+                envelope = self.incoming.recv() => match envelope {
+                    Some(envelope) => Input::Peer(envelope),
+                    None => return Ok(()),
+                },
+                () = tokio::time::sleep(until_wakeup) => Input::Tick,
+            };
+            self.handle(input);
+        }
+        Ok(())
+    }
+
+    fn until_wakeup(&self) -> Duration {
+        let now = clock::now().monotonic;
+        Duration::from_millis(self.core.next_wakeup().since(now).0)
+    }
+
+    fn handle(&mut self, input: Input) {
+        let now = clock::now();
+        let mut effects = Vec::new();
+        self.core.handle(now, input, &mut effects);
+        for effect in effects {
+            self.carry_out(now, effect);
+        }
+    }
+
+    fn carry_out(&mut self, decided: Now, effect: Effect) {
+        match effect {
+            Effect::Send { to, message } => self.send(decided, to, message),
+            Effect::Persist { number, batch } => self.disk.submit(DiskJob::Batch { number, batch }),
+            Effect::SaveIdentity(identity) => self.disk.submit(DiskJob::Identity(identity)),
+            Effect::Ready(Ok(())) => self.readiness.set_ready(),
+            Effect::Ready(Err(reason)) => self.readiness.set_not_ready(&reason),
+            Effect::Decision(entry) => tracing::debug!(target: "decisions", ?entry),
+            Effect::Stopped => self.stopped = true,
+        }
+    }
+
+    /// Messages may be lost, so one that a freeze made old is not sent.
+    fn send(&self, decided: Now, to: SocketAddr, message: PeerMessage) {
+        let age = clock::now().monotonic.since(decided.monotonic);
+        if age <= OLDEST_SEND {
+            self.transport.send(to, message);
+        } else {
+            tracing::warn!(%age, "dropped a message held through a freeze");
+        }
+    }
+}
+
+/// Ends when the process is asked to stop; a lost sender asks nothing.
+async fn stop_wanted(stop: &mut watch::Receiver<bool>) {
+    if stop.wait_for(|wanted| *wanted).await.is_err() {
+        std::future::pending::<()>().await;
+    }
+}
+
+async fn sleep_until(deadline: Option<tokio::time::Instant>) {
+    match deadline {
+        Some(deadline) => tokio::time::sleep_until(deadline).await,
+        None => std::future::pending().await,
+    }
 }
--- /dev/null
+++ b/crates/coordinator/tests/common/agent.rs
@@ -0,0 +1,206 @@
+//! An agent with one runner, scripted: it keeps tombstones and ended runs as
+//! a runner must, and loses or holds back what it is told to.
+
+use super::{address, document};
+use peer::{AgentReport, Envelope, Hello, OrderResult, PeerMessage, RunnerUpdate};
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use types::{
+    Address, ConfigurationVersion, EndedRun, HeartbeatSequence, HeldRun, Milliseconds, OrderAnswer,
+    OrderKind, Outcome, PoolName, RackName, RefusalReason, Role, RunId, RunnerId,
+    RunnerIncarnation, RunnerOrder, RunnerReport,
+};
+
+const INTERVAL: u64 = 100;
+
+pub struct ScriptedAgent {
+    pub address: Address,
+    pub runner: RunnerId,
+    pub incarnation: u64,
+    pub held: BTreeMap<RunId, u64>,
+    pub ended: Vec<EndedRun>,
+    pub tombstones: BTreeSet<RunId>,
+    pub started: Vec<RunId>,
+    pub updates: Vec<RunnerUpdate>,
+    /// Sends neither hellos nor heartbeats.
+    pub silent: bool,
+    pub draining: bool,
+    pub self_stop: bool,
+    /// Starts are kept aside instead of carried out.
+    pub hold_starts: bool,
+    pub kept_starts: Vec<(SocketAddr, RunnerOrder)>,
+    /// Answers to starts are lost.
+    pub lose_answers: bool,
+    /// All messages go by this member.
+    pub via: Option<SocketAddr>,
+    sequence: u64,
+    next: u64,
+}
+
+impl ScriptedAgent {
+    pub fn new(number: u16, now: u64) -> Self {
+        Self {
+            address: address(500 + u64::from(number), Role::Agent, 7_000 + number),
+            runner: RunnerId::new(format!("runner-{number}")).unwrap(),
+            incarnation: 1,
+            held: BTreeMap::new(),
+            ended: Vec::new(),
+            tombstones: BTreeSet::new(),
+            started: Vec::new(),
+            updates: Vec::new(),
+            silent: false,
+            draining: false,
+            self_stop: true,
+            hold_starts: false,
+            kept_starts: Vec::new(),
+            lose_answers: false,
+            via: None,
+            sequence: 0,
+            next: now,
+        }
+    }
+
+    /// A hello and a heartbeat to every coordinator; all but the leader pass
+    /// over them.
+    pub fn tick(&mut self, now: u64, to: &[SocketAddr]) -> Vec<(SocketAddr, PeerMessage)> {
+        if self.silent || now < self.next {
+            return Vec::new();
+        }
+        self.next = now + INTERVAL;
+        self.sequence += 1;
+        let hello = PeerMessage::Hello(Hello {
+            sequence: self.sequence,
+            configuration: ConfigurationVersion(1),
+            runners: vec![self.runner.clone()],
+            leaving: false,
+            cluster: None,
+        });
+        let report = PeerMessage::AgentReport(AgentReport {
+            reports: vec![self.report(now)],
+        });
+        let messages = to.iter().flat_map(|to| [(*to, hello.clone()), (*to, report.clone())]);
+        messages.map(|(to, message)| self.route(to, message)).collect()
+    }
+
+    fn route(&self, to: SocketAddr, message: PeerMessage) -> (SocketAddr, PeerMessage) {
+        match self.via {
+            None => (to, message),
+            Some(via) => {
+                let relay = peer::Relay {
+                    origin: self.address.clone(),
+                    destination: to,
+                    body: Box::new(message),
+                };
+                (via, PeerMessage::Relay(relay))
+            }
+        }
+    }
+
+    fn report(&self, now: u64) -> RunnerReport {
+        let held = self.held.iter().map(|(run, since)| HeldRun {
+            run: *run,
+            age: Milliseconds(now - since),
+        });
+        RunnerReport {
+            runner: self.runner.clone(),
+            incarnation: RunnerIncarnation(self.incarnation),
+            sequence: HeartbeatSequence(self.sequence),
+            pool: PoolName::new("pool").unwrap(),
+            rack: RackName::new("rack").unwrap(),
+            labels: BTreeMap::new(),
+            capacity: document::slots(8),
+            free: document::slots(8 - self.held.len() as u32),
+            draining: self.draining,
+            self_stop: self.self_stop,
+            held: held.collect(),
+            ended: self.ended.clone(),
+        }
+    }
+
+    pub fn receive(&mut self, now: u64, envelope: Envelope) -> Vec<(SocketAddr, PeerMessage)> {
+        if self.silent {
+            return Vec::new();
+        }
+        let (from, body) = match envelope.body {
+            PeerMessage::Relay(relay) => (relay.origin.socket, *relay.body),
+            body => (envelope.from.socket, body),
+        };
+        match body {
+            PeerMessage::Orders { orders, .. } => orders
+                .into_iter()
+                .filter_map(|order| self.order(now, from, order))
+                .collect(),
+            PeerMessage::RunnerUpdate(update) => {
+                self.ended.retain(|ended| !update.recorded.contains(&ended.run));
+                for run in &update.stop {
+                    self.held.remove(run);
+                }
+                self.updates.push(update);
+                Vec::new()
+            }
+            _ => Vec::new(),
+        }
+    }
+
+    fn order(
+        &mut self,
+        now: u64,
+        from: SocketAddr,
+        order: RunnerOrder,
+    ) -> Option<(SocketAddr, PeerMessage)> {
+        let start = matches!(order.kind, OrderKind::Start { .. });
+        if start && self.hold_starts {
+            self.kept_starts.push((from, order));
+            return None;
+        }
+        let answer = self.carry_out(now, &order);
+        if start && self.lose_answers {
+            return None;
+        }
+        let results = vec![OrderResult { order, answer }];
+        Some(self.route(from, PeerMessage::OrderResults { results }))
+    }
+
+    /// What a runner does with an order.
+    pub fn carry_out(&mut self, now: u64, order: &RunnerOrder) -> OrderAnswer {
+        let run = order.kind.run();
+        if order.incarnation.0 != self.incarnation {
+            return OrderAnswer::Refused(RefusalReason::OtherIncarnation);
+        }
+        let held = self.held.contains_key(&run);
+        let ended = self.ended.iter().any(|ended| ended.run == run);
+        match order.kind {
+            OrderKind::Start { .. } if held || ended || self.tombstones.contains(&run) => {
+                OrderAnswer::Refused(RefusalReason::KnownRun)
+            }
+            OrderKind::Start { .. } => {
+                self.held.insert(run, now);
+                self.started.push(run);
+                OrderAnswer::Started
+            }
+            OrderKind::Stop { .. } if held => {
+                self.end(run, Outcome::Stopped);
+                OrderAnswer::Stopping
+            }
+            OrderKind::Void { .. } if held => OrderAnswer::Held,
+            _ if ended => OrderAnswer::Ended,
+            _ => {
+                self.tombstones.insert(run);
+                OrderAnswer::Voided
+            }
+        }
+    }
+
+    /// Ends a held run.
+    pub fn end(&mut self, run: RunId, outcome: Outcome) {
+        self.held.remove(&run);
+        self.ended.push(EndedRun { run, outcome });
+    }
+
+    /// Ends everything it holds.
+    pub fn end_all(&mut self, outcome: Outcome) {
+        for run in self.held.keys().copied().collect::<Vec<_>>() {
+            self.end(run, outcome.clone());
+        }
+    }
+}
--- /dev/null
+++ b/crates/coordinator/tests/common/mod.rs
@@ -0,0 +1,444 @@
+//! A small world for the coordinator's core: virtual time, a network without
+//! loss, disks in memory, scripted agents with their runners.
+#![allow(dead_code)] // Each test file uses its own part of the world.
+
+pub mod agent;
+pub mod document;
+
+use agent::ScriptedAgent;
+use coordinator::{Coordinator, CoordinatorOptions, Effect, Input};
+use peer::{
+    Envelope, Operation, OperationReply, PeerMessage, Refusal, Reply, Request, RequestId,
+};
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use storage::{MemoryDisk, Store};
+use types::{Address, Milliseconds, Monotonic, NodeId, Now, Role, WallTime, ZoneName};
+
+const LATENCY: u64 = 1;
+/// Wall time at the start of the world.
+const WALL_START: u64 = 1_700_000_000_000;
+const GATEWAY_PORT: u16 = 9_000;
+
+pub fn socket(port: u16) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], port))
+}
+
+pub fn address(node: u64, role: Role, port: u16) -> Address {
+    Address {
+        node: NodeId(node),
+        role,
+        zone: ZoneName::new("a").unwrap(),
+        socket: socket(port),
+    }
+}
+
+/// A coordinator with its disk.
+pub struct Server {
+    pub core: Option<Coordinator>,
+    pub port: u16,
+    pub store: Option<Store<MemoryDisk>>,
+    /// While true its syncs do not end.
+    pub disk_held: bool,
+    held_syncs: Vec<u64>,
+    /// While true nothing reaches it and its clock does not tick.
+    pub frozen: bool,
+    waiting: Vec<Input>,
+    pub next_identity: u64,
+    pub stopped: bool,
+}
+
+pub struct World {
+    pub now: u64,
+    pub servers: Vec<Server>,
+    pub agents: Vec<ScriptedAgent>,
+    pub replies: BTreeMap<u64, Result<OperationReply, Refusal>>,
+    /// Every message sent, with the port of its sender.
+    pub sent: Vec<(u16, PeerMessage)>,
+    /// Ports whose messages are lost, both ways.
+    pub cut: BTreeSet<u16>,
+    pub options: CoordinatorOptions,
+    mail: BTreeMap<(u64, u64), (SocketAddr, Envelope)>,
+    next_mail: u64,
+    next_request: u64,
+}
+
+impl World {
+    /// `count` empty coordinators on ports from 8000, none started.
+    pub fn new(count: u16) -> Self {
+        let seeds: Vec<SocketAddr> = (0..count).map(|n| socket(8_000 + n)).collect();
+        let servers = (0..count).map(|n| Server {
+            core: None,
+            port: 8_000 + n,
+            store: None,
+            disk_held: false,
+            held_syncs: Vec::new(),
+            frozen: false,
+            waiting: Vec::new(),
+            next_identity: 1 + u64::from(n),
+            stopped: false,
+        });
+        Self {
+            now: 1_000,
+            servers: servers.collect(),
+            agents: Vec::new(),
+            replies: BTreeMap::new(),
+            sent: Vec::new(),
+            cut: BTreeSet::new(),
+            options: options(seeds),
+            mail: BTreeMap::new(),
+            next_mail: 0,
+            next_request: 0,
+        }
+    }
+
+    /// Three coordinators with a leader and a configuration.
+    pub fn served() -> Self {
+        let mut world = Self::new(3);
+        for server in 0..3 {
+            world.start(server);
+        }
+        world.run(4_000);
+        assert!(world.leader().is_some(), "no leader after 4 s");
+        let put = world.put_configuration(1, document::document());
+        world.run(200);
+        assert!(matches!(world.replies.get(&put), Some(Ok(_))));
+        world
+    }
+
+    pub fn clock(&self) -> Now {
+        Now {
+            monotonic: Monotonic(self.now),
+            wall: WallTime(WALL_START + self.now),
+        }
+    }
+
+    /// Starts a coordinator from its disk, or from an empty one.
+    pub fn start(&mut self, server: usize) {
+        let now = self.clock();
+        let mut options = self.options.clone();
+        let server = &mut self.servers[server];
+        let disk = match server.store.take() {
+            Some(store) => store.into_disk(),
+            None => MemoryDisk::new(),
+        };
+        let opened = Store::open(disk).unwrap();
+        options.address = address(server.next_identity, Role::Coordinator, server.port);
+        server.store = Some(opened.store);
+        server.core = Some(Coordinator::new(
+            options,
+            opened.identity,
+            opened.recovered,
+            now,
+        ));
+        server.stopped = false;
+    }
+
+    /// Ends a coordinator without warning; its disk stays.
+    pub fn kill(&mut self, server: usize) {
+        let server = &mut self.servers[server];
+        server.core = None;
+        server.held_syncs.clear();
+        server.waiting.clear();
+    }
+
+    /// Empties the disk of a killed coordinator.
+    pub fn wipe(&mut self, server: usize) {
+        let server = &mut self.servers[server];
+        server.store = None;
+        server.next_identity += 100;
+    }
+
+    /// The coordinator that leads and may act.
+    pub fn leader(&self) -> Option<usize> {
+        let now = self.clock();
+        (0..self.servers.len()).find(|server| {
+            let server = &self.servers[*server];
+            let serves = server.core.as_ref().is_some_and(|core| core.is_serving(now));
+            serves && !server.frozen
+        })
+    }
+
+    pub fn core(&self, server: usize) -> &Coordinator {
+        self.servers[server].core.as_ref().unwrap()
+    }
+
+    pub fn status(&self, server: usize) -> Option<consensus::Status> {
+        self.servers[server].core.as_ref()?.status(self.clock())
+    }
+
+    pub fn record(&self) -> &record::Record {
+        let leader = self.leader().expect("no leader");
+        self.core(leader).record().unwrap()
+    }
+
+    /// Lets time pass, a millisecond a step.
+    pub fn run(&mut self, milliseconds: u64) {
+        for _ in 0..milliseconds {
+            self.now += 1;
+            self.deliver();
+            self.tick_agents();
+            for server in 0..self.servers.len() {
+                let due = self.servers[server]
+                    .core
+                    .as_ref()
+                    .is_some_and(|core| core.next_wakeup().0 <= self.now);
+                if due && !self.servers[server].frozen {
+                    self.input(server, Input::Tick);
+                }
+            }
+        }
+    }
+
+    /// Runs until the condition holds; fails after `limit` milliseconds.
+    pub fn run_until(&mut self, limit: u64, what: &str, holds: impl Fn(&Self) -> bool) {
+        for _ in 0..limit {
+            if holds(self) {
+                return;
+            }
+            self.run(1);
+        }
+        panic!("not within {limit} ms: {what}");
+    }
+
+    fn tick_agents(&mut self) {
+        let coordinators: Vec<SocketAddr> =
+            self.servers.iter().map(|s| socket(s.port)).collect();
+        let mut out = Vec::new();
+        for agent in &mut self.agents {
+            let port = agent.address.socket.port();
+            for (to, message) in agent.tick(self.now, &coordinators) {
+                out.push((port, agent.address.clone(), to, message));
+            }
+        }
+        for (port, from, to, message) in out {
+            self.post(port, from, to, message);
+        }
+    }
+
+    fn post(&mut self, port: u16, from: Address, to: SocketAddr, message: PeerMessage) {
+        self.sent.push((port, message.clone()));
+        if self.cut.contains(&port) || self.cut.contains(&to.port()) {
+            return;
+        }
+        self.next_mail += 1;
+        let envelope = Envelope {
+            from,
+            via: None,
+            body: message,
+        };
+        self.mail
+            .insert((self.now + LATENCY, self.next_mail), (to, envelope));
+    }
+
+    fn deliver(&mut self) {
+        while let Some(entry) = self.mail.first_entry() {
+            if entry.key().0 > self.now {
+                return;
+            }
+            let (to, envelope) = entry.remove();
+            if self.cut.contains(&to.port()) {
+                continue;
+            }
+            self.deliver_one(to, envelope);
+        }
+    }
+
+    fn deliver_one(&mut self, to: SocketAddr, envelope: Envelope) {
+        if let Some(server) = self.servers.iter().position(|s| socket(s.port) == to) {
+            self.input(server, Input::Peer(envelope));
+        } else if let Some(agent) = self.agents.iter_mut().find(|a| a.address.socket == to) {
+            let now = self.now;
+            let port = agent.address.socket.port();
+            let from = agent.address.clone();
+            for (to, message) in agent.receive(now, envelope) {
+                self.post(port, from.clone(), to, message);
+            }
+        } else if to.port() == GATEWAY_PORT
+            && let PeerMessage::Reply(Reply { id, result }) = open(envelope.body)
+        {
+            self.replies.insert(id.0, result);
+        }
+    }
+
+    /// Gives an input to a coordinator and carries out the effects.
+    pub fn input(&mut self, server: usize, input: Input) {
+        if self.servers[server].core.is_none() {
+            return;
+        }
+        if self.servers[server].frozen {
+            if !matches!(input, Input::Tick) {
+                self.servers[server].waiting.push(input);
+            }
+            return;
+        }
+        let mut inputs = vec![input];
+        while !inputs.is_empty() {
+            let input = inputs.remove(0);
+            let effects = self.effects(server, input);
+            for effect in effects {
+                inputs.extend(self.carry_out(server, effect));
+            }
+        }
+    }
+
+    /// Wakes a frozen coordinator: what waited comes at once, in order.
+    /// Gives the effects of all of it, without carrying out its messages.
+    pub fn wake(&mut self, server: usize) -> Vec<Effect> {
+        self.servers[server].frozen = false;
+        let mut all = Vec::new();
+        for input in std::mem::take(&mut self.servers[server].waiting) {
+            all.extend(self.effects(server, input));
+        }
+        all
+    }
+
+    fn effects(&mut self, server: usize, input: Input) -> Vec<Effect> {
+        let now = self.clock();
+        let mut effects = Vec::new();
+        if let Some(core) = &mut self.servers[server].core {
+            core.handle(now, input, &mut effects);
+        }
+        effects
+    }
+
+    fn carry_out(&mut self, server: usize, effect: Effect) -> Option<Input> {
+        let port = self.servers[server].port;
+        match effect {
+            Effect::Send { to, message } => {
+                let node = self.servers[server].next_identity;
+                self.post(port, address(node, Role::Coordinator, port), to, message);
+                None
+            }
+            Effect::Persist { number, batch } => {
+                let server = &mut self.servers[server];
+                if server.disk_held {
+                    server.held_syncs.push(number);
+                }
+                server.store.as_mut().unwrap().write(&batch).unwrap();
+                (!server.disk_held).then_some(Input::Persisted { number })
+            }
+            Effect::SaveIdentity(identity) => {
+                let server = &mut self.servers[server];
+                let store = server.store.as_mut().unwrap();
+                store.save_identity(&identity).unwrap();
+                Some(Input::IdentitySaved)
+            }
+            Effect::Stopped => {
+                self.servers[server].stopped = true;
+                None
+            }
+            Effect::Ready(_) | Effect::Decision(_) => None,
+        }
+    }
+
+    /// Ends the syncs that were held.
+    pub fn release_disk(&mut self, server: usize) {
+        self.servers[server].disk_held = false;
+        for number in std::mem::take(&mut self.servers[server].held_syncs) {
+            self.input(server, Input::Persisted { number });
+        }
+    }
+
+    /// Sends a request to the leader; gives its number.
+    pub fn ask(&mut self, operation: Operation) -> u64 {
+        let leader = self.leader().expect("no leader to ask");
+        self.next_request += 1;
+        let request = PeerMessage::Request(Request {
+            id: RequestId(self.next_request),
+            time_left: Milliseconds(10_000),
+            operation,
+        });
+        let gateway = address(900, Role::Gateway, GATEWAY_PORT);
+        let to = socket(self.servers[leader].port);
+        self.post(GATEWAY_PORT, gateway, to, request);
+        self.next_request
+    }
+
+    pub fn put_configuration(
+        &mut self,
+        version: u64,
+        document: configuration::ClusterConfiguration,
+    ) -> u64 {
+        let version = types::ConfigurationVersion(version);
+        self.ask(Operation::PutConfiguration { version, document })
+    }
+
+    /// Asks and gives the answer.
+    pub fn answer(&mut self, operation: Operation) -> Result<OperationReply, Refusal> {
+        let id = self.ask(operation);
+        self.run_until(2_000, "an answer", |world| world.replies.contains_key(&id));
+        self.replies[&id].clone()
+    }
+
+    /// Submits a job of one task and waits for the acknowledgement.
+    pub fn submit(&mut self, job: &str) {
+        let answer = self.answer(Operation::Submit(document::job(job)));
+        assert!(
+            matches!(answer, Ok(OperationReply::Submitted { .. })),
+            "{answer:?}"
+        );
+    }
+
+    pub fn job(&self, job: &str) -> types::JobView {
+        self.record().job(&document::key(job)).expect("unknown job")
+    }
+
+    /// Adds an agent with one runner and lets it be heard.
+    pub fn add_agent(&mut self, number: u16) {
+        self.agents.push(ScriptedAgent::new(number, self.now));
+        self.run(1_000);
+    }
+
+    /// All orders that coordinators sent, in order.
+    pub fn orders(&self) -> Vec<types::RunnerOrder> {
+        let sent = self.sent.iter();
+        sent.filter_map(|(_, message)| match message {
+            PeerMessage::Orders { orders, .. } => Some(orders.clone()),
+            _ => None,
+        })
+        .flatten()
+        .collect()
+    }
+
+    /// Start orders sent so far.
+    pub fn starts(&self) -> Vec<types::RunId> {
+        let starts = self.orders().into_iter().filter_map(|order| match order.kind {
+            types::OrderKind::Start { run, .. } => Some(run.run),
+            _ => None,
+        });
+        starts.collect()
+    }
+
+    /// True when no run identifier was sent in two starts.
+    pub fn each_start_is_sent_once(&self) -> bool {
+        let starts = self.starts();
+        let distinct: BTreeSet<_> = starts.iter().collect();
+        distinct.len() == starts.len()
+    }
+}
+
+fn open(message: PeerMessage) -> PeerMessage {
+    match message {
+        PeerMessage::Relay(relay) => *relay.body,
+        other => other,
+    }
+}
+
+fn options(seeds: Vec<SocketAddr>) -> CoordinatorOptions {
+    CoordinatorOptions {
+        address: address(0, Role::Coordinator, 0),
+        seeds,
+        initial_coordinators: 3,
+        consensus: consensus::Options::default(),
+        dispatcher: dispatch::DispatcherOptions::default(),
+        session_lease: Milliseconds(2_000),
+        replace_voter_after: Milliseconds(3_000),
+        runner_wait: Milliseconds(2_000),
+        snapshot_every: 1_000,
+        max_waiting_requests: 100,
+        decisions_kept: 100,
+        seed: 7,
+        mutation: None,
+    }
+}
