Test the coordinator's core in a small world and explain from the record

After: refused runs stay bound for a moment instead of being placed again at once, leases name a bounded number of others, mutations are proven seen.

--- a/crates/coordinator/src/directory.rs
+++ b/crates/coordinator/src/directory.rs
@@ -9,6 +9,8 @@
 const ALIVE_WITHIN: Milliseconds = Milliseconds(5_000);
 /// A process silent for this long is forgotten.
 const FORGET_AFTER: Milliseconds = Milliseconds(60_000);
+/// Processes named to others at once.
+const MAX_NAMED: usize = 32;
 /// Processes kept at most; the longest silent goes first.
 const MAX_KNOWN: usize = 4_096;
 
@@ -92,14 +94,23 @@
         self.known.get(&node).map(|known| &known.address)
     }
 
-    /// Processes heard a short while ago, this one first.
+    /// Processes heard a short while ago: this one, the other coordinators,
+    /// and some of the rest.
     pub(crate) fn alive(&self, now: Monotonic) -> Vec<Address> {
-        let others = self
-            .known
-            .values()
-            .filter(|known| known.heard && now.since(known.last) <= ALIVE_WITHIN)
-            .map(|known| known.address.clone());
-        std::iter::once(self.own.clone()).chain(others).collect()
+        let alive = || {
+            self.known
+                .values()
+                .filter(|known| known.heard && now.since(known.last) <= ALIVE_WITHIN)
+                .map(|known| &known.address)
+        };
+        let coordinators = alive().filter(|address| address.role == Role::Coordinator);
+        let rest = alive().filter(|address| address.role != Role::Coordinator);
+        std::iter::once(&self.own)
+            .chain(coordinators)
+            .chain(rest)
+            .take(MAX_NAMED)
+            .cloned()
+            .collect()
     }
 
     /// Sockets of all other coordinators known.
--- a/crates/coordinator/src/leader.rs
+++ b/crates/coordinator/src/leader.rs
@@ -14,6 +14,7 @@
 use crate::core::{Mutation, Sender};
 use crate::decisions::DecisionLog;
 use crate::membership::Joiners;
+use crate::placement::RefusedRun;
 use crate::runners::Runners;
 use crate::runs::Runs;
 use crate::sessions::Sessions;
@@ -22,7 +23,7 @@
 use dispatch::Dispatcher;
 use peer::{OperationReply, PeerMessage, Refusal, Reply, RequestId};
 use record::{ClosedRun, Command, Record};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 use types::{
     Address, ClusterId, JobNumber, LogIndex, Monotonic, Now, OrderSequence, Reservation, RunId,
@@ -105,6 +106,8 @@
     pub(crate) orders: Vec<(Sender, RunnerOrder)>,
     pub(crate) messages: Vec<(SocketAddr, PeerMessage)>,
     pub(crate) placement_due: bool,
+    /// Refused runs that stay bound in the view for a moment.
+    pub(crate) refused: VecDeque<RefusedRun>,
     pub(crate) timers: Timers,
 }
 
@@ -175,6 +178,7 @@
             orders: Vec::new(),
             messages: Vec::new(),
             placement_due: true,
+            refused: VecDeque::new(),
             timers: Timers::new(now.monotonic),
             identity,
             options,
--- a/crates/coordinator/src/leadership.rs
+++ b/crates/coordinator/src/leadership.rs
@@ -103,6 +103,7 @@
             leader.drop_late_requests(now.monotonic);
             leader.expire_sessions(now.monotonic);
             leader.sweep_runs(record, now);
+            leader.release_due(record, now);
         }
         audit::audit_when_due(leader, record, now);
         audit::forget_when_due(leader, record, now);
@@ -237,7 +238,7 @@
             }
             Command::Reserve { reservations, .. } => {
                 for reservation in reservations {
-                    self.release(record, reservation, now);
+                    self.release(record, reservation.run, reservation.task, now);
                 }
             }
             _ => {}
@@ -260,7 +261,7 @@
                 self.placement_due = true;
                 if let CommandReply::Reserved { taken, refused } = reply {
                     self.to_start.extend(taken);
-                    self.release_refused(record, &chosen, refused, now);
+                    self.release_refused(&chosen, refused, now);
                 }
             }
             Waiting::Request(request) => {
--- a/crates/coordinator/src/orders.rs
+++ b/crates/coordinator/src/orders.rs
@@ -247,6 +247,9 @@
     ) {
         self.runs.closed(run.run);
         match again {
+            Some(_) if close == RunClose::Refused => {
+                self.release_later(run.run, run.task, now.monotonic);
+            }
             Some(meta) => self.dispatcher.reschedule(run.run, meta, now),
             None => self.dispatcher.remove_run(run.run),
         }
--- a/crates/coordinator/src/placement.rs
+++ b/crates/coordinator/src/placement.rs
@@ -4,11 +4,22 @@
 use dispatch::DecisionKind;
 use peer::DecisionEvent;
 use record::{Command, Record, ReserveRefusal};
-use types::{JobNumber, Now, Reservation, RunId, TaskMeta, TaskRef};
+use types::{JobNumber, Milliseconds, Monotonic, Now, Reservation, RunId, TaskMeta, TaskRef};
 
 /// Reservations that may be on their way through the log.
 const MAX_RESERVATIONS_IN_FLIGHT: usize = 512;
 
+/// How long a refused run stays bound in the view.
+const REFUSED_WAIT: Milliseconds = Milliseconds(200);
+
+/// A run that the record or its runner refused.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct RefusedRun {
+    run: RunId,
+    task: TaskRef,
+    due: Monotonic,
+}
+
 /// Asks the dispatcher for placements and proposes them as one command.
 pub(crate) fn place(leader: &mut Leader, record: &Record, now: Now) {
     let room = MAX_RESERVATIONS_IN_FLIGHT.saturating_sub(leader.reservations_in_flight);
@@ -59,11 +70,9 @@
                 .all(|runner| self.runners.get(runner).is_some())
     }
 
-    /// Takes reservations back that the record did not take: the task waits
-    /// again if the record says that it may start.
+    /// Takes reservations back that the record did not take.
     pub(crate) fn release_refused(
         &mut self,
-        record: &Record,
         reservations: &[Reservation],
         refused: Vec<(RunId, ReserveRefusal)>,
         now: Now,
@@ -72,16 +81,35 @@
             tracing::debug!(%run, %reason, "the record refused a reservation");
             let mut chosen = reservations.iter().filter(|chosen| chosen.run == run);
             if let Some(reservation) = chosen.next() {
-                self.release(record, reservation, now);
+                self.release_later(run, reservation.task, now.monotonic);
+            }
+        }
+    }
+
+    /// Leaves a refused run bound in the view for a moment. Whoever refused it
+    /// knows something that the view does not yet; placed again at once, the
+    /// task would go the same way, over and over.
+    pub(crate) fn release_later(&mut self, run: RunId, task: TaskRef, now: Monotonic) {
+        let due = now + REFUSED_WAIT;
+        self.refused.push_back(RefusedRun { run, task, due });
+    }
+
+    /// Frees refused runs whose moment is over.
+    pub(crate) fn release_due(&mut self, record: &Record, now: Now) {
+        while let Some(first) = self.refused.front().copied() {
+            if first.due > now.monotonic {
+                return;
             }
+            self.refused.pop_front();
+            self.release(record, first.run, first.task, now);
         }
     }
 
-    /// Takes one reservation back that did not become a run.
-    pub(crate) fn release(&mut self, record: &Record, reservation: &Reservation, now: Now) {
-        match ready_task(record, reservation.task) {
-            Some(meta) => self.dispatcher.reschedule(reservation.run, meta, now),
-            None => self.dispatcher.remove_run(reservation.run),
+    /// Takes a run out of the view; its task waits again if it may start.
+    pub(crate) fn release(&mut self, record: &Record, run: RunId, task: TaskRef, now: Now) {
+        match ready_task(record, task) {
+            Some(meta) => self.dispatcher.reschedule(run, meta, now),
+            None => self.dispatcher.remove_run(run),
         }
     }
 }
--- a/crates/coordinator/src/reads.rs
+++ b/crates/coordinator/src/reads.rs
@@ -5,12 +5,13 @@
 use crate::Coordinator;
 use crate::leader::Leader;
 use crate::requests::not_found;
+use dispatch::NotPlacedReason;
 use peer::{JobFilter, MemberView, Operation, OperationReply, QueueView, Refusal, TenantView};
 use record::Record;
 use std::collections::BTreeMap;
 use types::{
-    Address, JobKey, JobNumber, JobState, Milliseconds, NodeId, Now, QueueName, Resources, Role,
-    TenantId, ZoneName,
+    Address, JobKey, Milliseconds, NodeId, Now, QueueName, Role, TaskRef, TaskState, TenantId,
+    ZoneName,
 };
 
 /// Jobs on one page at most.
@@ -21,10 +22,8 @@
 /// What waits and runs, counted by queue or tenant.
 #[derive(Debug, Clone, Copy, Default)]
 struct Counts {
-    unfinished: u64,
     ready: u64,
     open: u64,
-    holds: Resources,
 }
 
 impl Leader {
@@ -72,13 +71,17 @@
                     .to_owned(),
             );
         }
-        let before = number.0.checked_sub(1).map(JobNumber);
-        let ready = record.ready_tasks(before, 1);
-        for meta in ready.iter().filter(|meta| meta.task.job == number) {
-            let reason = self.dispatcher.explain(meta.task, now);
-            let reason = reason.map(|reason| reason.to_string());
-            let reason = reason.unwrap_or_else(|| "it is about to be placed".to_owned());
-            lines.push(format!("task {} waits: {reason}", meta.task));
+        for standing in record.task_states(key).unwrap_or_default() {
+            let task = standing.task;
+            let reason = match standing.state {
+                TaskState::Blocked => NotPlacedReason::WaitingForStep.to_string(),
+                TaskState::Ready => self.waits_because(task, now),
+                _ => continue,
+            };
+            lines.push(format!("task {task} waits: {reason}"));
+            if lines.len() >= MAX_EXPLAINED {
+                break;
+            }
         }
         for tracked in self.runs.iter().filter(|run| run.run.task.job == number) {
             let (task, run, runner) = (tracked.run.task, tracked.run.run, &tracked.run.runner);
@@ -88,6 +91,13 @@
         Ok(OperationReply::Explained { lines })
     }
 
+    fn waits_because(&self, task: TaskRef, now: Now) -> String {
+        match self.dispatcher.explain(task, now) {
+            Some(reason) => reason.to_string(),
+            None => "it is about to be placed".to_owned(),
+        }
+    }
+
     fn list_queues(&self, record: &Record) -> Vec<QueueView> {
         let counts: BTreeMap<QueueName, Counts> = self.count(record, |_, queue| queue.clone());
         let document = record.configuration().1;
@@ -100,7 +110,7 @@
                     queue: name.clone(),
                     pool: settings.pool.clone(),
                     mode: settings.mode,
-                    unfinished_jobs: counts.unfinished,
+                    unfinished_jobs: record.unfinished_of_queue(name),
                     ready_tasks: counts.ready,
                     open_runs: counts.open,
                 }
@@ -119,9 +129,9 @@
                 let spent = self.budgets.spent(name);
                 TenantView {
                     tenant: name.clone(),
-                    unfinished_jobs: counts.unfinished,
+                    unfinished_jobs: record.unfinished_of_tenant(name),
                     ready_tasks: counts.ready,
-                    holds: counts.holds,
+                    holds: record.tenant_holdings(name),
                     ceiling: settings.ceiling,
                     ended_jobs: spent.ended,
                     late_jobs: spent.late,
@@ -132,20 +142,14 @@
             .collect()
     }
 
-    /// Counts by a key drawn from tenant and queue. Walks all unfinished work:
-    /// for operators' questions only.
+    /// Counts by a key drawn from tenant and queue. Walks all ready tasks and
+    /// open runs: for operators' questions only.
     fn count<K: Ord>(
         &self,
         record: &Record,
         key: impl Fn(&TenantId, &QueueName) -> K,
     ) -> BTreeMap<K, Counts> {
         let mut counts: BTreeMap<K, Counts> = BTreeMap::new();
-        for state in [JobState::Waiting, JobState::Running] {
-            for (_, job) in record.jobs(None, Some(state), None, usize::MAX) {
-                let entry = counts.entry(key(&job.tenant, &job.queue)).or_default();
-                entry.unfinished += 1;
-            }
-        }
         for meta in record.ready_tasks(None, usize::MAX) {
             let entry = counts.entry(key(&meta.tenant, &meta.queue)).or_default();
             entry.ready += 1;
@@ -154,7 +158,6 @@
             let run = &tracked.run;
             let entry = counts.entry(key(&run.tenant, &run.queue)).or_default();
             entry.open += 1;
-            entry.holds = entry.holds.plus(&run.resources);
         }
         counts
     }
--- a/crates/coordinator/src/runners.rs
+++ b/crates/coordinator/src/runners.rs
@@ -111,6 +111,15 @@
         let (Some(leader), Some(replica)) = (&mut self.leader, &self.replica) else {
             return;
         };
+        // Without a session no order could be sent to it: its room would only
+        // draw reservations that must be taken back.
+        let lease = leader.options.session_lease;
+        if !leader
+            .sessions
+            .is_fresh(sender.address.node, now.monotonic, lease)
+        {
+            return;
+        }
         leader.sessions.heard(sender, now.monotonic);
         for report in &report.reports {
             leader.heartbeat(&replica.record, sender, report, now);
--- a/crates/coordinator/src/sessions.rs
+++ b/crates/coordinator/src/sessions.rs
@@ -6,8 +6,12 @@
 use peer::{Bootstrap, Hello, PeerMessage, SessionLease};
 use record::Record;
 use std::collections::BTreeMap;
+use std::ops::Bound;
 use types::{Address, ConfigurationVersion, Milliseconds, Monotonic, NodeId, Now, Role};
 
+/// Gateways and agents named in one lease. They serve as further seeds only.
+const MAX_OTHERS: usize = 16;
+
 /// A process that said hello.
 #[derive(Debug, Clone)]
 pub(crate) struct Session {
@@ -59,12 +63,18 @@
         self.sessions.values()
     }
 
-    /// Addresses of gateways and agents.
-    fn others(&self) -> Vec<Address> {
-        self.sessions
-            .values()
-            .map(|session| &session.sender.address)
+    /// Addresses of some gateways and agents: those that follow the asking one
+    /// by identity, so that each process is named to a few others.
+    fn others(&self, asking: NodeId) -> Vec<Address> {
+        let after = self
+            .sessions
+            .range((Bound::Excluded(asking), Bound::Unbounded));
+        let before = self.sessions.range(..asking);
+        after
+            .chain(before)
+            .map(|(_, session)| &session.sender.address)
             .filter(|address| address.role != Role::Coordinator)
+            .take(MAX_OTHERS)
             .cloned()
             .collect()
     }
@@ -173,7 +183,7 @@
             lease: self.options.session_lease,
             configuration: version,
             coordinators,
-            others: self.sessions.others(),
+            others: self.sessions.others(sender.address.node),
         };
         self.answer(sender, PeerMessage::Lease(lease));
         if hello.configuration < version && sender.address.role != Role::Coordinator {
--- a/crates/coordinator/tests/common/agent.rs
+++ b/crates/coordinator/tests/common/agent.rs
@@ -78,8 +78,12 @@
         let report = PeerMessage::AgentReport(AgentReport {
             reports: vec![self.report(now)],
         });
-        let messages = to.iter().flat_map(|to| [(*to, hello.clone()), (*to, report.clone())]);
-        messages.map(|(to, message)| self.route(to, message)).collect()
+        let messages = to
+            .iter()
+            .flat_map(|to| [(*to, hello.clone()), (*to, report.clone())]);
+        messages
+            .map(|(to, message)| self.route(to, message))
+            .collect()
     }
 
     fn route(&self, to: SocketAddr, message: PeerMessage) -> (SocketAddr, PeerMessage) {
@@ -131,7 +135,8 @@
                 .filter_map(|order| self.order(now, from, order))
                 .collect(),
             PeerMessage::RunnerUpdate(update) => {
-                self.ended.retain(|ended| !update.recorded.contains(&ended.run));
+                self.ended
+                    .retain(|ended| !update.recorded.contains(&ended.run));
                 for run in &update.stop {
                     self.held.remove(run);
                 }
--- a/crates/coordinator/tests/common/mod.rs
+++ b/crates/coordinator/tests/common/mod.rs
@@ -7,9 +7,7 @@
 
 use agent::ScriptedAgent;
 use coordinator::{Coordinator, CoordinatorOptions, Effect, Input};
-use peer::{
-    Envelope, Operation, OperationReply, PeerMessage, Refusal, Reply, Request, RequestId,
-};
+use peer::{Envelope, Operation, OperationReply, PeerMessage, Refusal, Reply, Request, RequestId};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use storage::{MemoryDisk, Store};
@@ -48,6 +46,30 @@
     pub stopped: bool,
 }
 
+impl Server {
+    fn new(port: u16, next_identity: u64) -> Self {
+        Self {
+            core: None,
+            port,
+            store: None,
+            disk_held: false,
+            held_syncs: Vec::new(),
+            frozen: false,
+            waiting: Vec::new(),
+            next_identity,
+            stopped: false,
+        }
+    }
+
+    /// One more coordinator with a disk that was taken from another.
+    pub fn from_disk(port: u16, store: Option<Store<MemoryDisk>>) -> Self {
+        Self {
+            store,
+            ..Self::new(port, u64::from(port - 7_999))
+        }
+    }
+}
+
 pub struct World {
     pub now: u64,
     pub servers: Vec<Server>,
@@ -67,17 +89,7 @@
     /// `count` empty coordinators on ports from 8000, none started.
     pub fn new(count: u16) -> Self {
         let seeds: Vec<SocketAddr> = (0..count).map(|n| socket(8_000 + n)).collect();
-        let servers = (0..count).map(|n| Server {
-            core: None,
-            port: 8_000 + n,
-            store: None,
-            disk_held: false,
-            held_syncs: Vec::new(),
-            frozen: false,
-            waiting: Vec::new(),
-            next_identity: 1 + u64::from(n),
-            stopped: false,
-        });
+        let servers = (0..count).map(|n| Server::new(8_000 + n, 1 + u64::from(n)));
         Self {
             now: 1_000,
             servers: servers.collect(),
@@ -154,7 +166,10 @@
         let now = self.clock();
         (0..self.servers.len()).find(|server| {
             let server = &self.servers[*server];
-            let serves = server.core.as_ref().is_some_and(|core| core.is_serving(now));
+            let serves = server
+                .core
+                .as_ref()
+                .is_some_and(|core| core.is_serving(now));
             serves && !server.frozen
         })
     }
@@ -202,8 +217,7 @@
     }
 
     fn tick_agents(&mut self) {
-        let coordinators: Vec<SocketAddr> =
-            self.servers.iter().map(|s| socket(s.port)).collect();
+        let coordinators: Vec<SocketAddr> = self.servers.iter().map(|s| socket(s.port)).collect();
         let mut out = Vec::new();
         for agent in &mut self.agents {
             let port = agent.address.socket.port();
@@ -403,10 +417,13 @@
 
     /// Start orders sent so far.
     pub fn starts(&self) -> Vec<types::RunId> {
-        let starts = self.orders().into_iter().filter_map(|order| match order.kind {
-            types::OrderKind::Start { run, .. } => Some(run.run),
-            _ => None,
-        });
+        let starts = self
+            .orders()
+            .into_iter()
+            .filter_map(|order| match order.kind {
+                types::OrderKind::Start { run, .. } => Some(run.run),
+                _ => None,
+            });
         starts.collect()
     }
 
--- /dev/null
+++ b/crates/coordinator/tests/requests.rs
@@ -0,0 +1,214 @@
+//! Requests: acknowledgement, refusal, configuration, reads.
+
+mod common;
+
+use common::{World, document};
+use peer::{Operation, OperationReply, RefusalCode};
+use record::CancelSelector;
+use types::{ConfigurationVersion, JobState, Milliseconds};
+
+#[test]
+fn a_submit_is_acknowledged_only_after_a_majority_has_synced() {
+    let mut world = World::served();
+    let leader = world.leader().unwrap();
+    let followers = [(leader + 1) % 3, (leader + 2) % 3];
+    for follower in followers {
+        world.servers[follower].disk_held = true;
+    }
+    let id = world.ask(Operation::Submit(document::job("job")));
+    world.run(300);
+    assert!(!world.replies.contains_key(&id));
+    world.release_disk(followers[0]);
+    world.run(50);
+    assert!(matches!(
+        world.replies.get(&id),
+        Some(Ok(OperationReply::Submitted { known: false, .. }))
+    ));
+}
+
+#[test]
+fn a_resent_submit_is_the_same_job_and_other_content_a_conflict() {
+    let mut world = World::served();
+    let first = world.answer(Operation::Submit(document::job("job")));
+    let Ok(OperationReply::Submitted { number, .. }) = first else {
+        panic!("{first:?}");
+    };
+    let again = world.answer(Operation::Submit(document::job("job")));
+    let known = true;
+    assert_eq!(again, Ok(OperationReply::Submitted { number, known }));
+    let mut other = document::job("job");
+    other.steps[0].tasks = 2;
+    let conflict = world.answer(Operation::Submit(other)).unwrap_err();
+    assert_eq!(conflict.code, RefusalCode::Conflict);
+}
+
+#[test]
+fn a_tenant_over_its_rate_is_refused_at_once_with_the_time_to_come_back() {
+    let mut world = World::served();
+    let mut slow = document::document();
+    let contract = slow.tenants.get_mut(&document::tenant()).unwrap();
+    contract.submits_per_second = 2;
+    contract.submit_burst = 1;
+    let put = world.put_configuration(2, slow);
+    world.run(100);
+    assert!(world.replies[&put].is_ok());
+    world.submit("first");
+    let id = world.ask(Operation::Submit(document::job("second")));
+    world.run(3);
+    let refusal = world.replies[&id].clone().unwrap_err();
+    assert_eq!(refusal.code, RefusalCode::Overloaded);
+    let wait = refusal.retry_after.unwrap();
+    assert!(
+        wait > Milliseconds(0) && wait <= Milliseconds(500),
+        "{wait}"
+    );
+    world.run(wait.0);
+    world.submit("second");
+}
+
+#[test]
+fn more_requests_than_may_wait_are_refused_at_once() {
+    let mut world = World::new(3);
+    world.options.max_waiting_requests = 5;
+    (0..3).for_each(|server| world.start(server));
+    world.run(4_000);
+    world.put_configuration(1, document::document());
+    world.run(100);
+    for server in 0..3 {
+        world.servers[server].disk_held = true;
+    }
+    let ids: Vec<u64> = (0..8)
+        .map(|n| world.ask(Operation::Submit(document::job(&format!("job-{n}")))))
+        .collect();
+    world.run(3);
+    let refused = ids.iter().filter(|id| {
+        matches!(world.replies.get(id), Some(Err(refusal))
+            if refusal.code == RefusalCode::Overloaded && refusal.retry_after.is_some())
+    });
+    assert_eq!(refused.count(), 3);
+}
+
+#[test]
+fn of_two_configurations_under_one_version_exactly_one_wins() {
+    let mut world = World::served();
+    let mut first = document::document();
+    first.timings.run_lease = Milliseconds(11_000);
+    let mut second = document::document();
+    second.timings.run_lease = Milliseconds(12_000);
+    let ids = [
+        world.put_configuration(2, first.clone()),
+        world.put_configuration(2, second),
+    ];
+    world.run(100);
+    assert!(world.replies[&ids[0]].is_ok());
+    let lost = world.replies[&ids[1]].clone().unwrap_err();
+    assert_eq!(lost.code, RefusalCode::Conflict);
+    let version = ConfigurationVersion(2);
+    let again = world.answer(Operation::PutConfiguration {
+        version,
+        document: first,
+    });
+    let known = true;
+    assert_eq!(again, Ok(OperationReply::Configured { version, known }));
+}
+
+#[test]
+fn a_leader_that_lost_its_lease_answers_waiting_requests_at_once() {
+    let mut world = World::served();
+    let leader = world.leader().unwrap();
+    let followers = [(leader + 1) % 3, (leader + 2) % 3];
+    for follower in followers {
+        world.cut.insert(8_000 + follower as u16);
+    }
+    let id = world.ask(Operation::Submit(document::job("job")));
+    world.run(1_500);
+    let refusal = world.replies[&id].clone().unwrap_err();
+    assert_eq!(refusal.code, RefusalCode::Unavailable);
+    assert!(refusal.retry_after.is_some());
+    assert_eq!(world.leader(), None);
+}
+
+#[test]
+fn a_cancelled_job_is_cancelled_and_its_run_is_stopped() {
+    let mut world = World::served();
+    world.add_agent(1);
+    world.submit("job");
+    world.run(200);
+    assert_eq!(world.agents[0].held.len(), 1);
+    let selector = CancelSelector::Jobs(vec![document::key("job")]);
+    let answer = world.answer(Operation::Cancel(selector));
+    assert!(matches!(
+        answer,
+        Ok(OperationReply::Cancelled { cancelled: 1, .. })
+    ));
+    world.run(1_000);
+    assert!(world.agents[0].held.is_empty());
+    assert_eq!(world.job("job").state, JobState::Cancelled);
+    assert!(world.record().open_runs().is_empty());
+}
+
+#[test]
+fn a_drained_runner_gets_nothing_new() {
+    let mut world = World::served();
+    world.add_agent(1);
+    let runner = world.agents[0].runner.clone();
+    let draining = true;
+    let answer = world.answer(Operation::DrainRunner { runner, draining });
+    assert_eq!(answer, Ok(OperationReply::Accepted));
+    world.submit("job");
+    world.run(2_000);
+    assert!(world.starts().is_empty());
+    world.add_agent(2);
+    world.run(500);
+    assert_eq!(world.agents[1].held.len(), 1);
+}
+
+#[test]
+fn a_member_behind_a_relay_is_served_through_it() {
+    let mut world = World::served();
+    let follower = (world.leader().unwrap() + 1) % 3;
+    let mut agent = common::agent::ScriptedAgent::new(1, world.now);
+    agent.via = Some(common::socket(8_000 + follower as u16));
+    world.agents.push(agent);
+    world.run(1_000);
+    world.submit("job");
+    world.run(500);
+    assert_eq!(world.agents[0].started.len(), 1);
+    assert!(!world.agents[0].updates.is_empty());
+}
+
+#[test]
+fn reads_show_queues_tenants_members_runners_and_decisions() {
+    let mut world = World::served();
+    world.add_agent(1);
+    world.submit("job");
+    world.run(300);
+    let Ok(OperationReply::Queues(queues)) = world.answer(Operation::ListQueues) else {
+        panic!("no queues");
+    };
+    assert_eq!((queues[0].unfinished_jobs, queues[0].open_runs), (1, 1));
+    let Ok(OperationReply::Tenants(tenants)) = world.answer(Operation::ListTenants) else {
+        panic!("no tenants");
+    };
+    assert_eq!(tenants[0].holds, document::slots(1));
+    let Ok(OperationReply::Members(members)) = world.answer(Operation::ListMembers) else {
+        panic!("no members");
+    };
+    assert_eq!(members.len(), 4);
+    let Ok(OperationReply::Runners(runners)) = world.answer(Operation::ListRunners) else {
+        panic!("no runners");
+    };
+    assert_eq!(runners.len(), 1);
+    let log = Operation::Decisions {
+        after: 0,
+        limit: 10,
+    };
+    let Ok(OperationReply::Decisions(decisions)) = world.answer(log) else {
+        panic!("no decisions");
+    };
+    assert!(decisions.len() >= 2);
+    assert!(matches!(
+        world.answer(Operation::Explain(document::key("job"))),
+        Ok(OperationReply::Explained { lines }) if lines.len() == 1
+    ));
+}
--- /dev/null
+++ b/crates/coordinator/tests/runs.rs
@@ -0,0 +1,257 @@
+//! Runs: one start, voids, lease expiry, leader changes, freezes.
+
+mod common;
+
+use common::{World, document};
+use coordinator::Effect;
+use peer::PeerMessage;
+use types::{JobState, OrderAnswer, Outcome, RefusalReason};
+
+fn with_runner() -> World {
+    let mut world = World::served();
+    world.add_agent(1);
+    world
+}
+
+#[test]
+fn a_task_is_started_once_and_its_end_is_recorded() {
+    let mut world = with_runner();
+    world.submit("job");
+    world.run(5_000);
+    assert_eq!(world.starts().len(), 1);
+    world.agents[0].end_all(Outcome::Done);
+    world.run(500);
+    assert_eq!(world.job("job").state, JobState::Done);
+    assert!(world.agents[0].ended.is_empty(), "the record has it");
+    world.run(5_000);
+    assert_eq!(world.starts().len(), 1);
+}
+
+#[test]
+fn a_lost_answer_is_followed_by_a_void_and_no_second_start() {
+    let mut world = with_runner();
+    world.agents[0].lose_answers = true;
+    world.submit("job");
+    // Heartbeats would tell; only the void may.
+    world.run_until(100, "the start", |world| {
+        !world.agents[0].started.is_empty()
+    });
+    world.agents[0].silent = true;
+    world.run(1_500);
+    world.agents[0].silent = false;
+    world.run(4_000);
+    world.agents[0].end_all(Outcome::Done);
+    world.run(500);
+    assert_eq!(world.agents[0].started.len(), 1);
+    assert_eq!(world.starts().len(), 1);
+    assert_eq!(world.job("job").state, JobState::Done);
+}
+
+#[test]
+fn a_start_that_never_arrives_is_voided_and_the_task_gets_a_new_run() {
+    let mut world = with_runner();
+    world.agents[0].hold_starts = true;
+    world.submit("job");
+    world.run(1_000);
+    world.agents[0].hold_starts = false;
+    world.run_until(4_000, "another run", |world| {
+        world.agents[0].started.len() == 1
+    });
+    assert_eq!(world.starts().len(), 2);
+    assert!(world.each_start_is_sent_once());
+    // The first start crosses late: its tombstone refuses it.
+    let (_, late) = world.agents[0].kept_starts[0].clone();
+    let now = world.now;
+    assert_eq!(
+        world.agents[0].carry_out(now, &late),
+        OrderAnswer::Refused(RefusalReason::KnownRun)
+    );
+    assert_eq!(world.agents[0].held.len(), 1);
+}
+
+#[test]
+fn a_silent_runner_s_run_is_lost_after_lease_and_margin_and_stays_closed() {
+    let mut world = with_runner();
+    world.submit("job");
+    world.run(500);
+    let old = world.agents[0].started[0];
+    world.agents[0].silent = true;
+    world.add_agent(2);
+    world.run(10_500);
+    assert!(
+        world.agents[1].started.is_empty(),
+        "lease and margin not over"
+    );
+    world.run_until(2_000, "the task on another runner", |world| {
+        world.agents[1].started.len() == 1
+    });
+    // The old run ends late; it reopens and finishes nothing.
+    world.agents[0].end_all(Outcome::Done);
+    world.agents[0].silent = false;
+    world.run(1_000);
+    assert_eq!(world.job("job").state, JobState::Running);
+    assert!(
+        world.agents[0].ended.is_empty(),
+        "confirmed, for it is closed"
+    );
+    assert!(world.record().open_run(old).is_none());
+    world.agents[1].end_all(Outcome::Done);
+    world.run(500);
+    assert_eq!(world.job("job").state, JobState::Done);
+}
+
+#[test]
+fn a_runner_without_self_stop_keeps_its_runs_until_declared_lost() {
+    let mut world = with_runner();
+    world.agents[0].self_stop = false;
+    world.submit("job");
+    world.run(500);
+    world.agents[0].silent = true;
+    world.run(60_000);
+    assert_eq!(world.record().open_runs().len(), 1);
+    let runner = world.agents[0].runner.clone();
+    let answer = world.answer(peer::Operation::DeclareRunnerLost { runner });
+    assert!(matches!(answer, Ok(peer::OperationReply::RunsLost { runs }) if runs.len() == 1));
+    assert!(world.record().open_runs().is_empty());
+}
+
+#[test]
+fn runs_of_an_earlier_life_are_lost_with_it() {
+    let mut world = with_runner();
+    world.submit("job");
+    world.run(500);
+    let agent = &mut world.agents[0];
+    agent.incarnation = 2;
+    agent.held.clear();
+    world.run(1_000);
+    assert_eq!(world.agents[0].started.len(), 2);
+    assert!(world.each_start_is_sent_once());
+}
+
+#[test]
+fn a_new_leader_voids_runs_whose_start_is_not_known_to_have_landed() {
+    let mut world = with_runner();
+    world.agents[0].hold_starts = true;
+    world.submit("job");
+    world.run_until(500, "the start", |world| {
+        !world.agents[0].kept_starts.is_empty()
+    });
+    let old = world.starts()[0];
+    let leader = world.leader().unwrap();
+    world.kill(leader);
+    world.agents[0].hold_starts = false;
+    world.run_until(8_000, "another run", |world| {
+        !world.agents[0].started.is_empty()
+    });
+    assert!(world.agents[0].tombstones.contains(&old));
+    assert!(world.each_start_is_sent_once());
+}
+
+#[test]
+fn a_new_leader_keeps_runs_that_go_on() {
+    let mut world = with_runner();
+    world.submit("job");
+    world.run(500);
+    let leader = world.leader().unwrap();
+    world.kill(leader);
+    world.run(20_000);
+    assert_eq!(world.starts().len(), 1);
+    world.agents[0].end_all(Outcome::Done);
+    world.run(500);
+    assert_eq!(world.job("job").state, JobState::Done);
+}
+
+#[test]
+fn a_new_leader_waits_lease_and_margin_for_a_runner_it_never_heard() {
+    let mut world = with_runner();
+    world.submit("job");
+    world.run(500);
+    world.agents[0].silent = true;
+    let leader = world.leader().unwrap();
+    world.kill(leader);
+    world.run_until(5_000, "a new leader", |world| world.leader().is_some());
+    world.run(11_500);
+    assert_eq!(world.record().open_runs().len(), 1);
+    world.run(1_000);
+    assert!(world.record().open_runs().is_empty());
+}
+
+/// What only a leader under its lease may say.
+fn is_act_of_a_leader(effect: &Effect) -> bool {
+    matches!(
+        effect,
+        Effect::Send {
+            message: PeerMessage::Orders { .. }
+                | PeerMessage::RunnerUpdate(_)
+                | PeerMessage::Lease(_)
+                | PeerMessage::Configuration { .. }
+                | PeerMessage::Reply(peer::Reply { result: Ok(_), .. }),
+            ..
+        }
+    )
+}
+
+#[test]
+fn a_leader_that_wakes_from_a_freeze_does_nothing_it_had_in_hand() {
+    let mut world = with_runner();
+    let frozen = world.leader().unwrap();
+    // A submit, reports and syncs are under way when it freezes.
+    world.ask(peer::Operation::Submit(document::job("job")));
+    world.servers[frozen].frozen = true;
+    world.run(25_000);
+    assert!(world.leader().is_some_and(|leader| leader != frozen));
+    let effects = world.wake(frozen);
+    assert!(!effects.iter().any(is_act_of_a_leader));
+}
+
+#[test]
+fn a_reservation_committed_after_a_lapse_of_the_lease_is_not_started() {
+    let mut world = with_runner();
+    let leader = world.leader().unwrap();
+    let followers = [(leader + 1) % 3, (leader + 2) % 3];
+    world.submit("job");
+    // The reservation waits for the disks while the lease lapses.
+    for follower in followers {
+        world.servers[follower].disk_held = true;
+    }
+    world.run(3_000);
+    for follower in followers {
+        world.release_disk(follower);
+    }
+    world.run(5_000);
+    assert!(world.each_start_is_sent_once());
+    assert_eq!(world.agents[0].held.len(), 1);
+}
+
+#[test]
+fn a_run_past_its_time_limit_is_stopped_and_counts_as_a_failure() {
+    let mut world = with_runner();
+    let mut job = document::job("job");
+    job.steps[0].time_limit = types::Milliseconds(1_000);
+    job.steps[0].allowed_failures = 0;
+    world.answer(peer::Operation::Submit(job)).unwrap();
+    world.run(4_000);
+    assert_eq!(world.job("job").state, JobState::Failed);
+    assert!(world.agents[0].held.is_empty());
+}
+
+#[test]
+fn snapshots_carry_a_member_that_was_away() {
+    let mut world = World::new(3);
+    world.options.snapshot_every = 20;
+    world.options.consensus.retained_entries = 5;
+    (0..3).for_each(|server| world.start(server));
+    world.run(4_000);
+    world.put_configuration(1, document::document());
+    world.run(100);
+    let away = (world.leader().unwrap() + 1) % 3;
+    world.kill(away);
+    for number in 0..60 {
+        world.submit(&format!("job-{number}"));
+    }
+    world.start(away);
+    world.run(2_000);
+    let record = world.core(away).record().unwrap();
+    assert!(record.job(&document::key("job-59")).is_some());
+    assert_eq!(record, world.record());
+}
