--- a/crates/coordinator/src/core.rs
+++ b/crates/coordinator/src/core.rs
@@ -9,7 +9,7 @@
 use crate::identification::Identification;
 use crate::leader::Leader;
 use crate::replica::Replica;
-use consensus::{RaftRole, Recovered};
+use consensus::Recovered;
 use peer::{Envelope, PeerMessage, Relay};
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -19,8 +19,6 @@
 
 /// Longest time between two looks at the core's own timers.
 const TICK_INTERVAL: Milliseconds = Milliseconds(50);
-/// Longest wait for a successor after a polite stop.
-const HANDOVER_WAIT: Milliseconds = Milliseconds(2_000);
 /// Rounds of proposing and applying within one input.
 const MAX_ROUNDS: usize = 8;
 
@@ -128,9 +126,9 @@
     pub(crate) random: ChaCha8Rng,
     /// Why it serves no more, when its log or snapshot could not be read.
     pub(crate) fault: Option<String>,
-    handover: Option<Monotonic>,
-    stopped: bool,
-    readiness: Option<Result<(), String>>,
+    pub(crate) handover: Option<Monotonic>,
+    pub(crate) stopped: bool,
+    pub(crate) readiness: Option<Result<(), String>>,
     last_input: Monotonic,
 }
 
@@ -309,85 +307,6 @@
         });
         None
     }
-
-    fn begin_stop(&mut self, now: Now) {
-        if self.handover.is_some() {
-            return;
-        }
-        let successor = self
-            .replica
-            .as_mut()
-            .and_then(|replica| replica.node.transfer_leadership(now.monotonic));
-        let wait = match successor {
-            Some(_) => HANDOVER_WAIT,
-            None => Milliseconds(0),
-        };
-        self.handover = Some(now.monotonic + wait);
-    }
-
-    fn finish_stop(&mut self, now: Now, effects: &mut Vec<Effect>) {
-        let Some(deadline) = self.handover else {
-            return;
-        };
-        let leads = self
-            .status(now)
-            .is_some_and(|status| status.role == RaftRole::Leader);
-        if !leads || now.monotonic >= deadline {
-            self.stopped = true;
-            effects.push(Effect::Stopped);
-        }
-    }
-
-    fn report_readiness(&mut self, now: Now, effects: &mut Vec<Effect>) {
-        let readiness = self.readiness_now(now);
-        if self.readiness.as_ref() != Some(&readiness) {
-            self.readiness = Some(readiness.clone());
-            effects.push(Effect::Ready(readiness));
-        }
-    }
-
-    fn readiness_now(&self, now: Now) -> Result<(), String> {
-        if let Some(fault) = &self.fault {
-            return Err(fault.clone());
-        }
-        if self.handover.is_some() {
-            return Err("stopping".to_owned());
-        }
-        let Some(status) = self.status(now) else {
-            return Err("belongs to no cluster yet".to_owned());
-        };
-        if status.membership.socket(self.own.node).is_none() {
-            return Err("waits to be taken in by the cluster".to_owned());
-        }
-        let leads = self.is_serving(now);
-        let follows = status.leader.is_some_and(|leader| leader != self.own.node);
-        if leads || follows {
-            Ok(())
-        } else {
-            Err("knows no leader".to_owned())
-        }
-    }
-
-    /// After unreadable state nothing is done any more but to say so.
-    fn handle_faulted(&mut self, input: &Input, effects: &mut Vec<Effect>) {
-        let reason = self.fault.clone().unwrap_or_default();
-        if self.readiness != Some(Err(reason.clone())) {
-            self.readiness = Some(Err(reason.clone()));
-            effects.push(Effect::Ready(Err(reason)));
-        }
-        if matches!(input, Input::Stop) {
-            self.stopped = true;
-            effects.push(Effect::Stopped);
-        }
-    }
-
-    /// Serves no more, for this reason. The log or snapshot of a majority
-    /// cannot be skipped, so there is nothing to go on with.
-    pub(crate) fn fail(&mut self, reason: String) {
-        tracing::error!(reason, "the coordinator stops serving");
-        self.fault = Some(reason);
-        self.leader = None;
-    }
 }
 
 /// Whom a message came from, and by which member.
--- a/crates/coordinator/src/identification.rs
+++ b/crates/coordinator/src/identification.rs
@@ -1,59 +1,38 @@
-//! Who this process is: first identity, first start of a cluster, joining.
+//! Who this process is: its identity, discovery, joining a cluster.
 //!
 //! A process without an identity saves one before it says anything. Without a
 //! cluster it looks round through its seeds. As soon as anyone it reaches
-//! knows a cluster it asks that cluster's leader to be taken in and never
-//! founds one. Only when exactly the expected number of coordinators, itself
-//! included, have announced themselves as empty does the one with the lowest
-//! identity draw a cluster and name all of them as voters.
-//!
-//! A proposal is taken by saving it; each process saves at most one, ever. The
-//! founder saves its own before it sends it. From then on any process that has
-//! saved it sends it again to voters it has heard no consensus message from.
-//! So a founder that dies half-way leaves the others able to finish: whoever
-//! saved it passes it on, and a voter whose disk was lost comes back under
-//! another identity, is not in the list, and joins as a learner. Two proposals
-//! cannot both gather a majority, since their voters overlap or the expected
-//! number of empty processes would have been exceeded.
+//! knows a cluster it asks that cluster's leader to be taken in, and never
+//! founds one. How a cluster is founded: [`crate::first_start`].
 
 use crate::Coordinator;
 use crate::core::{Effect, Sender};
+use crate::first_start::Announced;
 use consensus::{Membership, Recovered};
 use peer::{Bootstrap, Hello, Members, PeerMessage, SessionLease};
-use rand::Rng;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use storage::Identity;
-use types::{Address, ClusterId, Milliseconds, Monotonic, NodeId, Now, Role};
+use types::{Address, ClusterId, Milliseconds, Monotonic, NodeId, Now};
 
 /// Time between two rounds of discovery, announcements and hellos.
 const ROUND_INTERVAL: Milliseconds = Milliseconds(200);
-/// An announcement counts for this long.
-const ANNOUNCEMENT_VALID: Milliseconds = Milliseconds(1_500);
-
-/// An empty coordinator that said it is there.
-#[derive(Debug)]
-struct Announced {
-    address: Address,
-    expected: u32,
-    at: Monotonic,
-}
 
 /// The identity and what leads to it.
 #[derive(Debug)]
 pub(crate) struct Identification {
     /// On disk; none until the first save ended.
-    identity: Option<Identity>,
+    pub(crate) identity: Option<Identity>,
     /// Being saved.
     saving: Option<Identity>,
     /// Told once the proposal is on disk.
-    proposer: Option<SocketAddr>,
-    announced: BTreeMap<NodeId, Announced>,
+    pub(crate) proposer: Option<SocketAddr>,
+    pub(crate) announced: BTreeMap<NodeId, Announced>,
     /// A cluster that someone reachable knows.
-    seen: Option<ClusterId>,
+    pub(crate) seen: Option<ClusterId>,
     leader: Option<Address>,
     /// Initial voters that need the proposal no more.
-    settled: BTreeSet<NodeId>,
+    pub(crate) settled: BTreeSet<NodeId>,
     hello_sequence: u64,
     next_round: Monotonic,
     node: NodeId,
@@ -81,12 +60,12 @@
         Some((identity.cluster?, identity.initial.clone()))
     }
 
-    fn cluster(&self) -> Option<ClusterId> {
+    pub(crate) fn cluster(&self) -> Option<ClusterId> {
         self.identity.as_ref().and_then(|identity| identity.cluster)
     }
 
     /// True while it has an identity on disk, no cluster, and chose none.
-    fn is_empty(&self) -> bool {
+    pub(crate) fn is_empty(&self) -> bool {
         self.saving.is_none()
             && self
                 .identity
@@ -108,7 +87,12 @@
         self.settled.insert(node);
     }
 
-    fn save(&mut self, cluster: Option<ClusterId>, initial: Membership, effects: &mut Vec<Effect>) {
+    pub(crate) fn save(
+        &mut self,
+        cluster: Option<ClusterId>,
+        initial: Membership,
+        effects: &mut Vec<Effect>,
+    ) {
         let identity = Identity {
             node: self.node,
             cluster,
@@ -117,34 +101,6 @@
         self.saving = Some(identity.clone());
         effects.push(Effect::SaveIdentity(identity));
     }
-
-    /// The voters, if all expected empty coordinators are here now and this
-    /// process is the one to propose.
-    fn voters_to_propose(
-        &mut self,
-        own: &Address,
-        expected: u32,
-        now: Monotonic,
-    ) -> Option<Membership> {
-        self.announced
-            .retain(|_, announced| now.since(announced.at) <= ANNOUNCEMENT_VALID);
-        let present = self.announced.len() + 1;
-        let agreed = self.announced.values().all(|a| a.expected == expected);
-        let lowest = self.announced.keys().all(|node| *node > own.node);
-        if present != expected as usize || !agreed || !lowest {
-            return None;
-        }
-        let mut voters: BTreeMap<NodeId, SocketAddr> = self
-            .announced
-            .iter()
-            .map(|(node, announced)| (*node, announced.address.socket))
-            .collect();
-        voters.insert(own.node, own.socket);
-        Some(Membership {
-            voters,
-            learners: BTreeMap::new(),
-        })
-    }
 }
 
 impl Coordinator {
@@ -194,53 +150,6 @@
         }
     }
 
-    fn propose_cluster(&mut self, now: Now, effects: &mut Vec<Effect>) {
-        if self.identification.seen.is_some() || !self.identification.is_empty() {
-            return;
-        }
-        let expected = self.options.initial_coordinators;
-        let own = self.own.clone();
-        let Some(voters) = self
-            .identification
-            .voters_to_propose(&own, expected, now.monotonic)
-        else {
-            return;
-        };
-        let cluster = ClusterId(self.random.random());
-        tracing::info!(%cluster, "all initial coordinators are here and empty: founding a cluster");
-        self.identification.save(Some(cluster), voters, effects);
-    }
-
-    /// Sends the saved proposal to voters that seem not to have it.
-    fn pass_proposal_on(&mut self, now: Now, effects: &mut Vec<Effect>) {
-        let Some((cluster, voters)) = self.identification.attached() else {
-            return;
-        };
-        let missing: Vec<(NodeId, SocketAddr)> = voters
-            .voters
-            .iter()
-            .filter(|(node, _)| {
-                **node != self.own.node && !self.identification.settled.contains(*node)
-            })
-            .map(|(node, socket)| (*node, *socket))
-            .collect();
-        if missing.is_empty() {
-            return;
-        }
-        let Some(status) = self.status(now) else {
-            return;
-        };
-        for (node, to) in missing {
-            if status.membership.socket(node).is_some() {
-                let voters = voters.clone();
-                effects.push(Effect::Send {
-                    to,
-                    message: PeerMessage::Bootstrap(Bootstrap::Propose { cluster, voters }),
-                });
-            }
-        }
-    }
-
     /// With a cluster but outside its membership, or without word from a
     /// leader: looks for the leader. A voter that was replaced while it was
     /// away learns so by asking to be taken in again.
@@ -356,89 +265,6 @@
         self.identification.hint_leader(members.leader);
     }
 
-    pub(crate) fn bootstrap_received(
-        &mut self,
-        now: Now,
-        sender: &Sender,
-        bootstrap: Bootstrap,
-        effects: &mut Vec<Effect>,
-    ) {
-        if sender.via.is_some() || sender.address.role != Role::Coordinator {
-            return;
-        }
-        match bootstrap {
-            Bootstrap::Announce { expected } => {
-                self.announce_received(now, sender, expected, effects)
-            }
-            Bootstrap::Propose { cluster, voters } => {
-                self.proposal_received(sender, cluster, voters, effects)
-            }
-            Bootstrap::Accept { cluster } => {
-                if self.identification.cluster() == Some(cluster) {
-                    self.identification.settled(sender.address.node);
-                }
-            }
-        }
-    }
-
-    fn announce_received(
-        &mut self,
-        now: Now,
-        sender: &Sender,
-        expected: u32,
-        effects: &mut Vec<Effect>,
-    ) {
-        let Some((cluster, voters)) = self.identification.attached() else {
-            let announced = Announced {
-                address: sender.address.clone(),
-                expected,
-                at: now.monotonic,
-            };
-            // An identity that lost its socket is gone.
-            let socket = sender.address.socket;
-            self.identification
-                .announced
-                .retain(|_, other| other.address.socket != socket);
-            self.identification
-                .announced
-                .insert(sender.address.node, announced);
-            return;
-        };
-        if voters.voters.contains_key(&sender.address.node) {
-            effects.push(Effect::Send {
-                to: sender.address.socket,
-                message: PeerMessage::Bootstrap(Bootstrap::Propose { cluster, voters }),
-            });
-        } else {
-            self.answer_discover(now, sender, effects);
-        }
-    }
-
-    /// Takes a proposal that names this identity, unless one was taken before.
-    fn proposal_received(
-        &mut self,
-        sender: &Sender,
-        cluster: ClusterId,
-        voters: Membership,
-        effects: &mut Vec<Effect>,
-    ) {
-        let accept = PeerMessage::Bootstrap(Bootstrap::Accept { cluster });
-        if self.identification.cluster() == Some(cluster) {
-            effects.push(Effect::Send {
-                to: sender.address.socket,
-                message: accept,
-            });
-            return;
-        }
-        let named = voters.voters.get(&self.own.node) == Some(&self.own.socket);
-        let other_seen = self.identification.seen.is_some_and(|seen| seen != cluster);
-        if !named || other_seen || !self.identification.is_empty() {
-            return;
-        }
-        self.identification.proposer = Some(sender.address.socket);
-        self.identification.save(Some(cluster), voters, effects);
-    }
-
     /// A leader answered: an empty process takes its cluster as its own.
     pub(crate) fn lease_received(&mut self, lease: SessionLease, effects: &mut Vec<Effect>) {
         if self
--- a/crates/coordinator/src/leadership.rs
+++ b/crates/coordinator/src/leadership.rs
@@ -173,9 +173,7 @@
             }
             let own_term = entry.term == leader.identity.term;
             match leader.waiting.remove(&entry.index) {
-                Some(waiting) if own_term => {
-                    leader.replied(&replica.record, waiting, entry.applied.reply, now)
-                }
+                Some(waiting) if own_term => leader.replied(waiting, entry.applied.reply, now),
                 _ => {}
             }
         }
@@ -246,13 +244,7 @@
     }
 
     /// The record answered an entry of this leader.
-    fn replied(
-        &mut self,
-        record: &record::Record,
-        waiting: Waiting,
-        reply: CommandReply,
-        now: Now,
-    ) {
+    fn replied(&mut self, waiting: Waiting, reply: CommandReply, now: Now) {
         match waiting {
             Waiting::Nobody => {}
             Waiting::Reservations(chosen) => {
--- a/crates/coordinator/tests/first_start.rs
+++ b/crates/coordinator/tests/first_start.rs
@@ -35,6 +35,16 @@
     assert!(world.status(0).is_none());
 }
 
+#[test]
+fn one_empty_coordinator_too_many_stops_the_first_start() {
+    let mut world = World::new(4);
+    (0..4).for_each(|server| world.start(server));
+    world.run(10_000);
+    assert!((0..4).all(|server| world.status(server).is_none()));
+    world.kill(3);
+    world.run_until(5_000, "a leader", |world| world.leader().is_some());
+}
+
 #[test]
 fn a_proposal_whose_founder_dies_half_way_is_finished_by_the_others() {
     let mut world = World::new(3);
