Send a lost append again once, not once for each refusal

Cause: a follower refuses every append behind a lost one, and each refusal made the leader send the lost one again, up to half a megabyte each.

Ruled out: numbering the appends, which would change the messages.

Change: a refusal counts only if its hint lies before what was tried last; one that does not is an old one, and heartbeats cover a lost probe.

Before: two refusals of one loss caused two appends.

--- a/crates/consensus/src/progress.rs
+++ b/crates/consensus/src/progress.rs
@@ -180,13 +180,15 @@
     }
 
     /// Notes that an append was refused; `hint` is where the logs may still
-    /// be equal. A refusal that says nothing new is an old one.
+    /// be equal, and lies before what was tried. Any other refusal is an old
+    /// one: the appends behind a lost one are all refused, and must not each
+    /// have the lost one sent again.
     pub fn fail(&mut self, hint: LogIndex) {
-        if matches!(self.sending, Sending::Snapshot(_)) {
+        let tried = before(self.next);
+        if matches!(self.sending, Sending::Snapshot(_)) || hint >= tried {
             return;
         }
-        let tried = before(self.next);
-        self.next = after(hint.min(before(tried)).max(self.matched));
+        self.next = after(hint.max(self.matched));
         self.sending = Sending::Probe { waiting: false };
     }
 }
--- a/crates/consensus/tests/node.rs
+++ b/crates/consensus/tests/node.rs
@@ -184,6 +184,33 @@
     assert_eq!(node.propose_membership(now, next), Ok(LogIndex(4)));
 }
 
+/// One lost append makes the follower refuse all that are behind it.
+#[test]
+fn refusals_of_one_loss_cause_one_append() {
+    let (mut node, now) = new_leader();
+    node.step(now, LEADER, acknowledge(3));
+    for _ in 0..3 {
+        node.propose(now, vec![0; 100]).expect("it leads");
+        persist_all(&mut node, now);
+    }
+    let mut appends = 0;
+    for _ in 0..2 {
+        let refusal = Message::AppendReply {
+            term: Term(4),
+            success: false,
+            index: LogIndex(3),
+            round: 1,
+        };
+        node.step(now, LEADER, refusal);
+        appends += persist_all(&mut node, now)
+            .iter()
+            .flat_map(|ready| &ready.messages)
+            .filter(|outgoing| outgoing.to == LEADER)
+            .count();
+    }
+    assert_eq!(appends, 1);
+}
+
 /// The same node may lead again by the time the answer arrives, and must not
 /// take an earlier term's round for one of its own.
 #[test]
