Run three coordinators with real sockets and disks in a test

The shell takes the clock and the transport of the peer crate; the stand-in for the clock is gone. Before: the shell had never run. After: first start, a configuration, a polite stop of all and the return from the disks.

--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -11,7 +11,6 @@
 mod admission;
 mod audit;
 mod budget;
-mod clock;
 mod decisions;
 mod directory;
 mod disk;
--- a/crates/coordinator/src/shell.rs
+++ b/crates/coordinator/src/shell.rs
@@ -5,11 +5,10 @@
 //! and joins what has piled up meanwhile into one sync. A failed write or sync
 //! ends the process: nothing may be promised after it.
 
-use crate::clock;
 use crate::disk::{DiskJob, DiskThread};
 use crate::{Coordinator, CoordinatorOptions, Effect, Input};
 use admin::Readiness;
-use peer::{Envelope, PeerMessage, Transport};
+use peer::{Envelope, PeerMessage, Transport, clock};
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::time::Duration;
@@ -83,6 +82,7 @@
     let admin_routes = serve_admin(options.admin_listen).await?;
     let (transport, incoming) =
         Transport::start(options.transport, options.cluster_key, own).await?;
+    core_options.address = transport.own().clone();
     let core = Coordinator::new(
         core_options,
         opened.identity,
@@ -101,6 +101,7 @@
         stopped: false,
     };
     let result = shell.serve().await;
+    shell.transport.shutdown().await;
     admin_routes.server.abort();
     result
 }
--- /dev/null
+++ b/crates/coordinator/tests/shell.rs
@@ -0,0 +1,184 @@
+//! Three coordinators with real sockets, disks and clocks on loopback: a first
+//! start, a configuration, a polite stop of all, and what their disks kept.
+
+mod common;
+
+use common::document;
+use consensus::Options;
+use coordinator::{CoordinatorError, CoordinatorOptions, ShellOptions};
+use peer::{
+    ClusterKey, Envelope, Operation, OperationReply, PeerMessage, Reply, Request, RequestId,
+    Transport, TransportOptions,
+};
+use std::net::{SocketAddr, TcpListener};
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+use tokio::sync::{mpsc, watch};
+use tokio::task::JoinHandle;
+use types::{Address, ConfigurationVersion, Milliseconds, NodeId, Role, ZoneName};
+
+/// Only guards against a test that hangs.
+const PATIENCE: Duration = Duration::from_secs(60);
+
+/// Sockets that were free a moment ago.
+fn free_sockets(count: usize) -> Vec<SocketAddr> {
+    let listeners: Vec<TcpListener> = (0..count)
+        .map(|_| TcpListener::bind("127.0.0.1:0").unwrap())
+        .collect();
+    let sockets = listeners
+        .iter()
+        .map(|listener| listener.local_addr().unwrap());
+    sockets.collect()
+}
+
+fn address(role: Role, socket: SocketAddr) -> Address {
+    Address {
+        node: NodeId(99),
+        role,
+        zone: ZoneName::new("a").unwrap(),
+        socket,
+    }
+}
+
+fn transport_options(listen: SocketAddr) -> TransportOptions {
+    TransportOptions {
+        listen,
+        queue_length: 256,
+        max_frame_bytes: 4 << 20,
+    }
+}
+
+fn shell_options(peer: SocketAddr, seeds: &[SocketAddr], data: PathBuf) -> ShellOptions {
+    ShellOptions {
+        core: CoordinatorOptions {
+            address: address(Role::Coordinator, peer),
+            seeds: seeds.to_vec(),
+            initial_coordinators: 3,
+            consensus: Options::default(),
+            dispatcher: dispatch::DispatcherOptions::default(),
+            session_lease: Milliseconds(2_000),
+            replace_voter_after: Milliseconds(3_000),
+            runner_wait: Milliseconds(2_000),
+            snapshot_every: 100,
+            max_waiting_requests: 100,
+            decisions_kept: 100,
+            seed: 1,
+            mutation: None,
+        },
+        transport: transport_options(peer),
+        cluster_key: ClusterKey::new("a key of the tests"),
+        admin_listen: SocketAddr::from(([127, 0, 0, 1], 0)),
+        data,
+        grace: Milliseconds(5_000),
+    }
+}
+
+struct Fleet {
+    stop: watch::Sender<bool>,
+    tasks: Vec<JoinHandle<Result<(), CoordinatorError>>>,
+}
+
+fn start_fleet(peers: &[SocketAddr], folder: &Path) -> Fleet {
+    let (stop, stopped) = watch::channel(false);
+    let tasks = peers.iter().enumerate().map(|(number, peer)| {
+        let data = folder.join(number.to_string());
+        let options = shell_options(*peer, peers, data);
+        tokio::spawn(coordinator::run(options, stopped.clone()))
+    });
+    Fleet {
+        tasks: tasks.collect(),
+        stop,
+    }
+}
+
+impl Fleet {
+    async fn end(self) {
+        self.stop.send_replace(true);
+        for task in self.tasks {
+            task.await.unwrap().unwrap();
+        }
+    }
+}
+
+struct Client {
+    transport: Transport,
+    inbox: mpsc::Receiver<Envelope>,
+    next: u64,
+}
+
+impl Client {
+    async fn start() -> Self {
+        let listen = SocketAddr::from(([127, 0, 0, 1], 0));
+        let options = transport_options(listen);
+        let key = ClusterKey::new("a key of the tests");
+        let (transport, inbox) = Transport::start(options, key, address(Role::Gateway, listen))
+            .await
+            .unwrap();
+        Self {
+            transport,
+            inbox,
+            next: 0,
+        }
+    }
+
+    /// Sends to every coordinator until one, the leader, answers.
+    async fn ask(&mut self, peers: &[SocketAddr], operation: Operation) -> OperationReply {
+        loop {
+            self.next += 1;
+            for peer in peers {
+                let request = Request {
+                    id: RequestId(self.next),
+                    time_left: Milliseconds(5_000),
+                    operation: operation.clone(),
+                };
+                self.transport.send(*peer, PeerMessage::Request(request));
+            }
+            let round = tokio::time::timeout(Duration::from_millis(300), self.accepted());
+            if let Ok(reply) = round.await {
+                return reply;
+            }
+        }
+    }
+
+    async fn accepted(&mut self) -> OperationReply {
+        loop {
+            let envelope = self.inbox.recv().await.unwrap();
+            if let PeerMessage::Reply(Reply {
+                result: Ok(reply), ..
+            }) = envelope.body
+            {
+                return reply;
+            }
+        }
+    }
+}
+
+async fn first_start_stop_and_return(folder: &Path) {
+    let peers = free_sockets(3);
+    let mut client = Client::start().await;
+    let fleet = start_fleet(&peers, folder);
+    let version = ConfigurationVersion(1);
+    let put = Operation::PutConfiguration {
+        version,
+        document: document::document(),
+    };
+    let reply = client.ask(&peers, put).await;
+    assert!(matches!(reply, OperationReply::Configured { .. }));
+    fleet.end().await;
+
+    let fleet = start_fleet(&peers, folder);
+    let reply = client.ask(&peers, Operation::GetConfiguration).await;
+    let document = document::document();
+    assert_eq!(reply, OperationReply::Configuration { version, document });
+    fleet.end().await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn three_real_coordinators_start_stop_and_come_back_with_what_they_had() {
+    let name = format!("coordinator-shell-{}", std::process::id());
+    let folder = std::env::temp_dir().join(name);
+    let run = first_start_stop_and_return(&folder);
+    let result = tokio::time::timeout(PATIENCE, run).await;
+    std::fs::remove_dir_all(&folder).unwrap();
+    result.expect("the test hangs");
+}
