Run a stand-in runner as a server

The lab needs runners that are processes' peers: heartbeats to an agent every 200 ms and at once after a run ended, orders over HTTP, and a history of what really happened. Killing one ends it without a goodbye and takes its runs with it.

Ruled out: several heartbeats on their way at once (answers could cross, and an older one would give back what a newer one took).

--- /dev/null
+++ b/crates/standin/src/shell/driver.rs
@@ -0,0 +1,140 @@
+//! The task that owns the runner's core.
+
+use super::Command;
+use super::heartbeat::AgentClient;
+use super::orders::Ordered;
+use crate::runner::{Runner, RunnerEvent, RunnerInstruction, RunnerOptions};
+use std::time::Duration;
+use tokio::sync::mpsc;
+use tokio::task::JoinSet;
+use types::{Milliseconds, Monotonic, Outcome};
+
+/// Time between heartbeats.
+const HEARTBEAT_INTERVAL: Milliseconds = Milliseconds(200);
+/// Least time between two heartbeats when runs end one after another.
+const HEARTBEAT_SPACING: Milliseconds = Milliseconds(20);
+
+/// The core with everything around it.
+pub struct Driver {
+    runner: Runner,
+    agent: AgentClient,
+    events: mpsc::UnboundedSender<RunnerEvent>,
+    /// At most one heartbeat waits for its answer, so answers keep their order.
+    sending: JoinSet<Option<RunnerInstruction>>,
+    last_heartbeat: Option<Monotonic>,
+    /// A run ended or the runner drains: the agent should know at once.
+    has_news: bool,
+}
+
+impl Driver {
+    /// A driver of a fresh runner.
+    pub fn new(
+        options: RunnerOptions,
+        agent: AgentClient,
+        events: mpsc::UnboundedSender<RunnerEvent>,
+    ) -> Self {
+        Self {
+            runner: Runner::new(options, now()),
+            agent,
+            events,
+            sending: JoinSet::new(),
+            last_heartbeat: None,
+            has_news: false,
+        }
+    }
+
+    /// Runs until it is killed, or its handle is gone and nothing can order it.
+    pub async fn run(
+        mut self,
+        mut commands: mpsc::Receiver<Command>,
+        mut orders: mpsc::Receiver<Ordered>,
+    ) {
+        loop {
+            self.advance();
+            let pause = self.pause();
+            tokio::select! {
+                Some(command) = commands.recv() => match command {
+                    Command::Drain => self.drain(),
+                    Command::Behave(behaviour) => self.runner.behave(behaviour),
+                    Command::Kill => return self.die(),
+                },
+                Some((order, answer)) = orders.recv() => {
+                    let (given, events) = self.runner.order(now(), &order);
+                    self.tell(events);
+                    // An agent that went away gets no answer.
+                    let _ = answer.send(given);
+                }
+                Some(answered) = self.sending.join_next() => {
+                    if let Ok(Some(instruction)) = answered {
+                        let events = self.runner.heartbeat_answered(now(), &instruction);
+                        self.tell(events);
+                    }
+                }
+                () = tokio::time::sleep(pause) => {}
+            }
+        }
+    }
+
+    /// Looks at leases and work first, then sends a heartbeat if one is due.
+    fn advance(&mut self) {
+        let events = self.runner.tick(now());
+        self.tell(events);
+        let due = self.next_heartbeat().is_some_and(|due| now() >= due);
+        if !due {
+            return;
+        }
+        let sent_at = now();
+        let report = self.runner.heartbeat(sent_at);
+        self.last_heartbeat = Some(sent_at);
+        self.has_news = false;
+        let agent = self.agent.clone();
+        self.sending.spawn(async move { agent.send(report).await });
+    }
+
+    /// When the next heartbeat is due; none while one is on its way.
+    fn next_heartbeat(&self) -> Option<Monotonic> {
+        if !self.sending.is_empty() {
+            return None;
+        }
+        let spacing = if self.has_news {
+            HEARTBEAT_SPACING
+        } else {
+            HEARTBEAT_INTERVAL
+        };
+        let first = Monotonic::default();
+        Some(self.last_heartbeat.map_or(first, |last| last + spacing))
+    }
+
+    fn pause(&self) -> Duration {
+        let wakeups = [self.next_heartbeat(), self.runner.next_wakeup()];
+        let next = wakeups.into_iter().flatten().min();
+        let pause = next.map_or(HEARTBEAT_INTERVAL, |next| next.since(now()));
+        Duration::from_millis(pause.0)
+    }
+
+    fn drain(&mut self) {
+        self.runner.drain();
+        self.has_news = true;
+    }
+
+    fn die(&mut self) {
+        let events = self.runner.tick(now());
+        self.tell(events);
+        for run in self.runner.held() {
+            let outcome = Outcome::Stopped;
+            self.tell(vec![RunnerEvent::Ended { run, outcome }]);
+        }
+    }
+
+    fn tell(&mut self, events: Vec<RunnerEvent>) {
+        for event in events {
+            self.has_news |= matches!(event, RunnerEvent::Ended { .. });
+            // Nobody has to listen to the history.
+            let _ = self.events.send(event);
+        }
+    }
+}
+
+fn now() -> Monotonic {
+    peer::clock::now().monotonic
+}
