Run the agent: runners' HTTP, delivery of orders, the core's task

One task owns the core; handlers ask it over a bounded channel and are refused at once when that is full. A heartbeat needs a runner's key, checked against a configuration replica that is fresh. Orders go to the runner's own machine alone, each sent at most once; anything but a readable answer is unknown. A delivery looks at the clock once more before it sends, since the process may have been frozen after the core decided.

Ruled out: sending an order again after a connection failed (it may have arrived); taking heartbeats while no key can be checked.

--- a/crates/agent/src/shell.rs
+++ b/crates/agent/src/shell.rs
@@ -1,10 +1,27 @@
 //! The agent's tokio shell: peer socket, the runner's HTTP, clock.
 
-use crate::AgentOptions;
+mod delivery;
+mod driver;
+mod http;
+mod key;
+mod question;
+
+use crate::{Agent, AgentOptions};
+use admin::Readiness;
+use delivery::Courier;
+use driver::Driver;
+use std::future::IntoFuture;
 use std::net::SocketAddr;
+use std::time::Duration;
 use thiserror::Error;
+use tokio::net::TcpListener;
 use tokio::sync::watch;
 
+/// Part of the grace time kept for closing HTTP connections.
+const CLOSING_PART: u32 = 4;
+/// Time for the last messages to leave before the transport closes.
+const FAREWELL: Duration = Duration::from_millis(50);
+
 /// What the shell needs beyond the core's settings.
 #[derive(Debug, Clone)]
 pub struct ShellOptions {
@@ -34,10 +51,65 @@
         /// Why.
         source: std::io::Error,
     },
+    /// The HTTP client for orders cannot be made.
+    #[error("cannot make the client for orders: {0}")]
+    Client(#[from] reqwest::Error),
 }
 
 /// Runs an agent until `stop` turns true.
 pub async fn run(options: ShellOptions, stop: watch::Receiver<bool>) -> Result<(), AgentError> {
-    let _ = (options, stop);
-    todo!()
+    let listen = options.http_listen;
+    let listener = TcpListener::bind(listen)
+        .await
+        .map_err(|source| AgentError::Http { listen, source })?;
+    run_on(listener, options, stop).await
+}
+
+/// As [`run`], on an HTTP socket that is bound already.
+///
+/// After the stop no new order is taken; answers to delivered ones are awaited
+/// and passed on, within the grace time. Runners are served until then.
+pub async fn run_on(
+    listener: TcpListener,
+    options: ShellOptions,
+    stop: watch::Receiver<bool>,
+) -> Result<(), AgentError> {
+    let listen = options.http_listen;
+    let mut core = options.core;
+    let courier = Courier::new(core.order_timeout, core.freeze_after)?;
+    let own = core.address.clone();
+    let started = peer::Transport::start(options.transport, options.cluster_key, own);
+    let (transport, arriving) = started.await?;
+    // A port of 0 in the settings stands for the one that was found.
+    core.address = transport.own().clone();
+    let readiness = Readiness::starting();
+    let (questions, inbox) = question::channel();
+    let agent = Agent::new(core, peer::clock::now());
+    let driver = Driver::new(agent, transport.clone(), courier, readiness.clone());
+    let (finished, finished_seen) = watch::channel(false);
+    let grace = Duration::from_millis(options.grace.0);
+    let closing = grace / CLOSING_PART;
+
+    let service =
+        http::router(questions, readiness).into_make_service_with_connect_info::<SocketAddr>();
+    let serving = axum::serve(listener, service)
+        .with_graceful_shutdown(turned_true(finished_seen))
+        .into_future();
+    let driving = async {
+        driver.run(inbox, arriving, stop, grace - closing).await;
+        tokio::time::sleep(FAREWELL.min(closing)).await;
+        finished.send_replace(true);
+        tokio::time::sleep(closing).await;
+    };
+    let ended = tokio::select! {
+        ended = serving => ended.map_err(|source| AgentError::Http { listen, source }),
+        () = driving => Ok(()),
+    };
+    transport.shutdown().await;
+    ended
+}
+
+/// Waits until the value is true, or can never become it any more.
+async fn turned_true(mut value: watch::Receiver<bool>) {
+    let _ = value.wait_for(|value| *value).await;
 }
--- /dev/null
+++ b/crates/agent/src/shell/delivery.rs
@@ -0,0 +1,80 @@
+//! Delivery of orders to runners, each sent at most once.
+
+use api::runner::{OrderAnswerBody, OrderBody, OrdersUrl};
+use reqwest::{Client, Response, StatusCode};
+use std::time::Duration;
+use types::{Milliseconds, Monotonic, OrderAnswer, RunnerOrder};
+
+/// Longest answer of a runner, in bytes.
+const MAX_ANSWER_BYTES: usize = 64 * 1024;
+/// Longest time to open a connection to a runner on this machine.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Carries orders over HTTP.
+#[derive(Debug, Clone)]
+pub struct Courier {
+    client: Client,
+    freeze_after: Milliseconds,
+}
+
+impl Courier {
+    /// A courier that waits this long for an answer, and gives up an order
+    /// that it could not send for `freeze_after`.
+    pub fn new(timeout: Milliseconds, freeze_after: Milliseconds) -> Result<Self, reqwest::Error> {
+        let client = Client::builder()
+            .no_proxy()
+            .redirect(reqwest::redirect::Policy::none())
+            .connect_timeout(CONNECT_TIMEOUT)
+            .timeout(Duration::from_millis(timeout.0))
+            .build()?;
+        Ok(Self {
+            client,
+            freeze_after,
+        })
+    }
+
+    /// Sends an order that the core gave out at `issued_at`, and waits for the
+    /// answer. Anything but a readable answer is unknown: the order may or may
+    /// not have arrived, and is never sent again.
+    pub async fn deliver(
+        &self,
+        url: Option<&OrdersUrl>,
+        order: &RunnerOrder,
+        issued_at: Monotonic,
+    ) -> OrderAnswer {
+        // The process may have been frozen since the core looked at the clock.
+        let waited = peer::clock::now().monotonic.since(issued_at);
+        let answer = match url {
+            Some(url) if waited < self.freeze_after => self.send(url, order).await,
+            _ => None,
+        };
+        if answer.is_none() {
+            tracing::warn!(runner = %order.runner, run = %order.kind.run(), "no answer to an order");
+        }
+        answer.unwrap_or(OrderAnswer::Unknown)
+    }
+
+    async fn send(&self, url: &OrdersUrl, order: &RunnerOrder) -> Option<OrderAnswer> {
+        let body = OrderBody::from(order);
+        let request = self.client.post(url.to_string()).json(&body);
+        let response = request.send().await.ok()?;
+        if response.status() != StatusCode::OK {
+            return None;
+        }
+        let bytes = read_bounded(response).await?;
+        let body: OrderAnswerBody = api::runner::read(&bytes).ok()?;
+        OrderAnswer::try_from(body).ok()
+    }
+}
+
+/// The body, unless it is too long or breaks off.
+async fn read_bounded(mut response: Response) -> Option<Vec<u8>> {
+    let mut bytes = Vec::new();
+    while let Some(chunk) = response.chunk().await.ok()? {
+        if bytes.len() + chunk.len() > MAX_ANSWER_BYTES {
+            return None;
+        }
+        bytes.extend_from_slice(&chunk);
+    }
+    Some(bytes)
+}
--- /dev/null
+++ b/crates/agent/src/shell/driver.rs
@@ -0,0 +1,191 @@
+//! The task that owns the core: it reads the clock, gives inputs, does effects.
+
+use super::delivery::Courier;
+use super::key::authorize;
+use super::question::Question;
+use super::turned_true;
+use crate::{Agent, Effect, Input};
+use admin::Readiness;
+use api::runner::OrdersUrl;
+use peer::{Envelope, Transport};
+use std::collections::BTreeMap;
+use std::time::Duration;
+use tokio::sync::{mpsc, watch};
+use tokio::task::JoinSet;
+use types::{Monotonic, Now, OrderAnswer, RunnerId, RunnerOrder};
+
+/// Runners whose URL is remembered; as many as the core serves. The one heard
+/// longest ago goes first.
+const MAX_URLS: usize = 256;
+
+/// Where a runner takes orders.
+#[derive(Debug)]
+struct KnownUrl {
+    url: OrdersUrl,
+    heard_at: Monotonic,
+}
+
+/// The core with everything that its effects need.
+pub struct Driver {
+    agent: Agent,
+    transport: Transport,
+    courier: Courier,
+    readiness: Readiness,
+    orders_urls: BTreeMap<RunnerId, KnownUrl>,
+    deliveries: JoinSet<(RunnerOrder, OrderAnswer)>,
+    stopped: bool,
+}
+
+impl Driver {
+    /// A driver of a fresh agent.
+    pub fn new(agent: Agent, transport: Transport, courier: Courier, readiness: Readiness) -> Self {
+        Self {
+            agent,
+            transport,
+            courier,
+            readiness,
+            orders_urls: BTreeMap::new(),
+            deliveries: JoinSet::new(),
+            stopped: false,
+        }
+    }
+
+    /// Runs until the core has stopped, at most `grace` after `stop`.
+    pub async fn run(
+        mut self,
+        mut questions: mpsc::Receiver<Question>,
+        mut arriving: mpsc::Receiver<Envelope>,
+        stop: watch::Receiver<bool>,
+        grace: Duration,
+    ) {
+        self.drive(&mut questions, &mut arriving, turned_true(stop))
+            .await;
+        self.input(Input::Stop);
+        let stopping = self.drive(&mut questions, &mut arriving, std::future::pending());
+        if tokio::time::timeout(grace, stopping).await.is_err() {
+            tracing::warn!("stopped without answers to all orders");
+        }
+    }
+
+    /// Gives inputs until the core has stopped or `until` comes.
+    async fn drive(
+        &mut self,
+        questions: &mut mpsc::Receiver<Question>,
+        arriving: &mut mpsc::Receiver<Envelope>,
+        until: impl Future<Output = ()>,
+    ) {
+        tokio::pin!(until);
+        while !self.stopped {
+            let pause = self.pause();
+            tokio::select! {
+                () = &mut until => return,
+                Some(envelope) = arriving.recv() => self.input(Input::Peer(envelope)),
+                Some(question) = questions.recv() => self.answer(question),
+                Some(delivered) = self.deliveries.join_next() => {
+                    // A delivery that panicked is given up by the core in time.
+                    if let Ok((order, answer)) = delivered {
+                        self.answered(order, answer);
+                    }
+                }
+                () = tokio::time::sleep(pause) => self.input(Input::Tick),
+            }
+        }
+    }
+
+    /// Time until the core wants a tick.
+    fn pause(&self) -> Duration {
+        let now = peer::clock::now().monotonic;
+        Duration::from_millis(self.agent.next_wakeup().since(now).0)
+    }
+
+    fn answered(&mut self, order: RunnerOrder, answer: OrderAnswer) {
+        metrics::counter!(
+            "cypressdrum_agent_orders_total",
+            "answer" => answer_name(&answer)
+        )
+        .increment(1);
+        self.input(Input::Answered { order, answer });
+    }
+
+    fn answer(&mut self, question: Question) {
+        match question {
+            Question::Authorize { token, answer } => {
+                let configuration = self.agent.configuration(peer::clock::now());
+                // A handler that is gone needs no answer.
+                let _ = answer.send(authorize(configuration, token.as_deref()));
+            }
+            Question::Heartbeat {
+                report,
+                orders_url,
+                answer,
+            } => {
+                let runner = report.runner.clone();
+                self.remember_url(&runner, orders_url);
+                self.input(Input::Heartbeat(report));
+                let _ = answer.send(self.agent.heartbeat_answer(&runner));
+            }
+        }
+    }
+
+    fn remember_url(&mut self, runner: &RunnerId, url: OrdersUrl) {
+        let heard_at = peer::clock::now().monotonic;
+        let known = KnownUrl { url, heard_at };
+        self.orders_urls.insert(runner.clone(), known);
+        if self.orders_urls.len() > MAX_URLS {
+            let oldest = self
+                .orders_urls
+                .iter()
+                .min_by_key(|(_, known)| known.heard_at);
+            let oldest = oldest.map(|(runner, _)| runner.clone());
+            oldest.and_then(|runner| self.orders_urls.remove(&runner));
+        }
+    }
+
+    fn input(&mut self, input: Input) {
+        let now = peer::clock::now();
+        let mut effects = Vec::new();
+        self.agent.handle(now, input, &mut effects);
+        for effect in effects {
+            self.perform(now, effect);
+        }
+    }
+
+    fn perform(&mut self, now: Now, effect: Effect) {
+        match effect {
+            Effect::Send { to, message } => self.transport.send(to, message),
+            Effect::Deliver { order } => self.deliver(now, order),
+            Effect::Ready(Ok(())) => {
+                tracing::info!("ready");
+                self.readiness.set_ready();
+            }
+            Effect::Ready(Err(reason)) => {
+                tracing::info!(%reason, "not ready");
+                self.readiness.set_not_ready(&reason);
+            }
+            Effect::Stopped => self.stopped = true,
+        }
+    }
+
+    fn deliver(&mut self, now: Now, order: RunnerOrder) {
+        let courier = self.courier.clone();
+        let known = self.orders_urls.get(&order.runner);
+        let url = known.map(|known| known.url.clone());
+        self.deliveries.spawn(async move {
+            let delivery = courier.deliver(url.as_ref(), &order, now.monotonic);
+            let answer = delivery.await;
+            (order, answer)
+        });
+    }
+}
+
+fn answer_name(answer: &OrderAnswer) -> &'static str {
+    match answer {
+        OrderAnswer::Started => "started",
+        OrderAnswer::Stopping => "stopping",
+        OrderAnswer::Voided => "voided",
+        OrderAnswer::Held => "held",
+        OrderAnswer::Ended => "ended",
+        OrderAnswer::Refused(_) => "refused",
+        OrderAnswer::Unknown => "unknown",
+    }
+}
--- /dev/null
+++ b/crates/agent/src/shell/key.rs
@@ -0,0 +1,41 @@
+//! Who may send heartbeats.
+
+use super::question::refusal;
+use configuration::{ClusterConfiguration, KeyRole, authenticate, requires_keys};
+use peer::{Refusal, RefusalCode};
+use types::Milliseconds;
+
+/// When to come back while the configuration is not known.
+const RETRY_AFTER: Milliseconds = Milliseconds(500);
+
+/// Checks a token against the configuration replica; `None` while that is too
+/// old, and then nobody is let in, since a key may have been revoked.
+pub fn authorize(
+    configuration: Option<&ClusterConfiguration>,
+    token: Option<&str>,
+) -> Result<(), Refusal> {
+    let Some(configuration) = configuration else {
+        return Err(refusal(
+            RefusalCode::Unavailable,
+            "the configuration is not known now, so no key can be checked",
+            Some(RETRY_AFTER),
+        ));
+    };
+    if !requires_keys(configuration) {
+        return Ok(());
+    }
+    let key = token.and_then(|token| authenticate(configuration, token));
+    match key.map(|key| &key.role) {
+        Some(KeyRole::Runner | KeyRole::Operator) => Ok(()),
+        Some(KeyRole::Caller(_)) => Err(refusal(
+            RefusalCode::Forbidden,
+            "this key is a caller's; heartbeats need a runner's",
+            None,
+        )),
+        None => Err(refusal(
+            RefusalCode::Unauthenticated,
+            "a bearer key of a runner is needed",
+            None,
+        )),
+    }
+}
--- /dev/null
+++ b/crates/agent/src/shell/question.rs
@@ -0,0 +1,102 @@
+//! What HTTP handlers ask of the task that owns the core.
+
+use crate::HeartbeatAnswer;
+use api::runner::OrdersUrl;
+use peer::{Refusal, RefusalCode};
+use tokio::sync::{mpsc, oneshot};
+use types::{Milliseconds, RunnerReport};
+
+/// Questions that may wait for the core; more are refused at once.
+const MAX_WAITING: usize = 512;
+/// When a refused runner should come back.
+const RETRY_AFTER: Milliseconds = Milliseconds(500);
+
+/// A question with the way back for its answer.
+#[derive(Debug)]
+pub enum Question {
+    /// May the bearer of this token send heartbeats?
+    Authorize {
+        /// The token, if there was one.
+        token: Option<String>,
+        /// Where the answer goes.
+        answer: oneshot::Sender<Result<(), Refusal>>,
+    },
+    /// A heartbeat of an authorized runner.
+    Heartbeat {
+        /// The heartbeat.
+        report: RunnerReport,
+        /// Where the runner takes orders.
+        orders_url: OrdersUrl,
+        /// Where the answer goes.
+        answer: oneshot::Sender<HeartbeatAnswer>,
+    },
+}
+
+/// The handlers' end.
+#[derive(Debug, Clone)]
+pub struct Questions {
+    sender: mpsc::Sender<Question>,
+}
+
+/// Both ends of the way to the core.
+pub fn channel() -> (Questions, mpsc::Receiver<Question>) {
+    let (sender, receiver) = mpsc::channel(MAX_WAITING);
+    (Questions { sender }, receiver)
+}
+
+impl Questions {
+    /// Asks whether the bearer of a token may send heartbeats.
+    pub async fn authorize(&self, token: Option<String>) -> Result<(), Refusal> {
+        let (answer, answered) = oneshot::channel();
+        self.ask(Question::Authorize { token, answer })?;
+        answered.await.unwrap_or_else(|_| Err(stopping()))
+    }
+
+    /// Hands in a heartbeat.
+    pub async fn heartbeat(
+        &self,
+        report: RunnerReport,
+        orders_url: OrdersUrl,
+    ) -> Result<HeartbeatAnswer, Refusal> {
+        let (answer, answered) = oneshot::channel();
+        self.ask(Question::Heartbeat {
+            report,
+            orders_url,
+            answer,
+        })?;
+        answered.await.map_err(|_| stopping())
+    }
+
+    fn ask(&self, question: Question) -> Result<(), Refusal> {
+        self.sender.try_send(question).map_err(|error| match error {
+            mpsc::error::TrySendError::Full(_) => refusal(
+                RefusalCode::Overloaded,
+                "too many heartbeats wait for this agent",
+                Some(RETRY_AFTER),
+            ),
+            mpsc::error::TrySendError::Closed(_) => stopping(),
+        })
+    }
+}
+
+fn stopping() -> Refusal {
+    refusal(
+        RefusalCode::Unavailable,
+        "the agent is stopping",
+        Some(RETRY_AFTER),
+    )
+}
+
+/// A refusal without problems of a configuration.
+pub fn refusal(
+    code: RefusalCode,
+    message: impl Into<String>,
+    retry_after: Option<Milliseconds>,
+) -> Refusal {
+    Refusal {
+        code,
+        message: message.into(),
+        retry_after,
+        problems: Vec::new(),
+    }
+}
