Serve the gateway over HTTP

Cause: the shell was a signature. Ruled out: a lock round the core shared by handlers (a task that owns it reads the clock in one place); following the decision log by number alone, which goes silent after a change of leader, since each leader numbers from 1. Change: routes, refusals with Retry-After in whole seconds, deadlines from a header, bounded bodies, connections and queue, abandoned requests told to the core, a stop that finishes what waits and refuses the rest in time. New dependency: futures-util, for bodies that grow. Before: todo.

--- a/crates/api/src/decision.rs
+++ b/crates/api/src/decision.rs
@@ -18,6 +18,9 @@
     /// Number of the last line seen; 0 for the oldest kept.
     #[serde(default)]
     pub after: u64,
+    /// Term of that line. With it, a reader that comes back after a change of
+    /// leader gets the new leader's lines from the beginning.
+    pub term: Option<u64>,
     /// Whether to go on with new lines as they come.
     #[serde(default)]
     pub follow: bool,
--- a/crates/gateway/src/shell.rs
+++ b/crates/gateway/src/shell.rs
@@ -1,10 +1,25 @@
 //! The gateway's tokio shell: peer socket, HTTP, clock.
 
-use crate::GatewayOptions;
+mod connection;
+mod driver;
+mod http;
+mod requests;
+
+use crate::{Gateway, GatewayOptions};
+use admin::Readiness;
+use connection::LimitedListener;
+use driver::Driver;
+use http::Server;
+use std::future::IntoFuture;
 use std::net::SocketAddr;
+use std::time::Duration;
 use thiserror::Error;
+use tokio::net::TcpListener;
 use tokio::sync::watch;
 
+/// Part of the grace time kept for closing HTTP connections.
+const CLOSING_PART: u32 = 4;
+
 /// What the shell needs beyond the core's settings.
 #[derive(Debug, Clone)]
 pub struct ShellOptions {
@@ -38,6 +53,56 @@
 
 /// Runs a gateway until `stop` turns true.
 pub async fn run(options: ShellOptions, stop: watch::Receiver<bool>) -> Result<(), GatewayError> {
-    let _ = (options, stop);
-    todo!()
+    let listen = options.http_listen;
+    let listener = TcpListener::bind(listen)
+        .await
+        .map_err(|source| GatewayError::Http { listen, source })?;
+    run_on(listener, options, stop).await
+}
+
+/// As [`run`], on an HTTP socket that is bound already.
+///
+/// After the stop, waiting requests are finished and new ones refused; when
+/// the grace time is nearly over, what still waits is refused as well, and
+/// connections that do not end are cut off.
+pub async fn run_on(
+    listener: TcpListener,
+    options: ShellOptions,
+    stop: watch::Receiver<bool>,
+) -> Result<(), GatewayError> {
+    let listen = options.http_listen;
+    let own = options.core.address.clone();
+    let started = peer::Transport::start(options.transport, options.cluster_key, own.clone());
+    let (transport, arriving) = started.await?;
+    let readiness = Readiness::starting();
+    let (requests, inbox) = requests::channel();
+    let gateway = Gateway::new(options.core, peer::clock::now());
+    let driver = Driver::new(gateway, transport.clone(), readiness.clone());
+    let server = Server::new(requests, own.node, stop.clone());
+    let (finished, finished_seen) = watch::channel(false);
+    let grace = Duration::from_millis(options.grace.0);
+    let closing = grace / CLOSING_PART;
+
+    let serving = axum::serve(
+        LimitedListener::new(listener),
+        http::router(server, readiness),
+    )
+    .with_graceful_shutdown(turned_true(finished_seen))
+    .into_future();
+    let driving = async {
+        driver.run(inbox, arriving, stop, grace - closing).await;
+        finished.send_replace(true);
+        tokio::time::sleep(closing).await;
+    };
+    let ended = tokio::select! {
+        ended = serving => ended.map_err(|source| GatewayError::Http { listen, source }),
+        () = driving => Ok(()),
+    };
+    transport.shutdown().await;
+    ended
+}
+
+/// Waits until the value is true, or can never become it any more.
+async fn turned_true(mut value: watch::Receiver<bool>) {
+    let _ = value.wait_for(|value| *value).await;
 }
--- /dev/null
+++ b/crates/gateway/src/shell/connection.rs
@@ -0,0 +1,89 @@
+//! A listener that holds back new connections while too many are open.
+
+use axum::serve::Listener;
+use std::io;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::{Context, Poll};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+
+/// HTTP connections open at once; further ones wait in the kernel's queue.
+const MAX_CONNECTIONS: usize = 2_048;
+
+/// Accepts while fewer than [`MAX_CONNECTIONS`] are open.
+#[derive(Debug)]
+pub struct LimitedListener {
+    listener: TcpListener,
+    places: Arc<Semaphore>,
+}
+
+impl LimitedListener {
+    /// Limits a bound listener.
+    pub fn new(listener: TcpListener) -> Self {
+        Self {
+            listener,
+            places: Arc::new(Semaphore::new(MAX_CONNECTIONS)),
+        }
+    }
+}
+
+impl Listener for LimitedListener {
+    type Io = LimitedStream;
+    type Addr = SocketAddr;
+
+    async fn accept(&mut self) -> (LimitedStream, SocketAddr) {
+        // The semaphore is never closed, so there is always a place in time.
+        let place = self.places.clone().acquire_owned().await.ok();
+        let (stream, peer) = Listener::accept(&mut self.listener).await;
+        if let Err(problem) = stream.set_nodelay(true) {
+            tracing::debug!(%problem, "cannot set TCP_NODELAY");
+        }
+        let stream = LimitedStream {
+            stream,
+            _place: place,
+        };
+        (stream, peer)
+    }
+
+    fn local_addr(&self) -> io::Result<SocketAddr> {
+        self.listener.local_addr()
+    }
+}
+
+/// A connection that gives its place back when it is dropped.
+#[derive(Debug)]
+pub struct LimitedStream {
+    stream: TcpStream,
+    _place: Option<OwnedSemaphorePermit>,
+}
+
+impl AsyncRead for LimitedStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_read(context, buffer)
+    }
+}
+
+impl AsyncWrite for LimitedStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(context, bytes)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(context)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(context)
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/shell/driver.rs
@@ -0,0 +1,126 @@
+//! The task that owns the core: it reads the clock, hands in what happens and
+//! carries out what comes back.
+
+use crate::shell::requests::{Answer, Inbox, Question};
+use crate::{Effect, Gateway, Input, TicketId};
+use admin::Readiness;
+use peer::{Envelope, Transport};
+use std::collections::BTreeMap;
+use std::time::Duration;
+use tokio::sync::{mpsc, oneshot, watch};
+use tokio::time::Instant;
+
+/// Longest sleep: tokio's clock may stand still where the core's counts on.
+const LONGEST_SLEEP: Duration = Duration::from_millis(250);
+
+/// The core with all that its effects need.
+pub struct Driver {
+    gateway: Gateway,
+    transport: Transport,
+    readiness: Readiness,
+    answers: BTreeMap<TicketId, oneshot::Sender<Answer>>,
+    stopped: bool,
+}
+
+impl Driver {
+    /// A driver that has not begun.
+    pub fn new(gateway: Gateway, transport: Transport, readiness: Readiness) -> Self {
+        Self {
+            gateway,
+            transport,
+            readiness,
+            answers: BTreeMap::new(),
+            stopped: false,
+        }
+    }
+
+    /// Runs until the core has stopped after `stop` turned true, or `grace`
+    /// after that. What waits then is dropped, which refuses it.
+    pub async fn run(
+        mut self,
+        mut inbox: Inbox,
+        mut arriving: mpsc::Receiver<Envelope>,
+        mut stop: watch::Receiver<bool>,
+        grace: Duration,
+    ) {
+        let mut ends_at: Option<Instant> = None;
+        self.input(Input::Tick);
+        while !self.stopped && ends_at.is_none_or(|end| Instant::now() < end) {
+            tokio::select! {
+                () = tokio::time::sleep(self.sleep_length(ends_at)) => self.input(Input::Tick),
+                Some(envelope) = arriving.recv() => self.input(Input::Peer(envelope)),
+                Some(question) = inbox.questions.recv() => self.take_question(question),
+                Some(ticket) = inbox.abandoned.recv() => self.abandon(ticket),
+                _ = stop.wait_for(|stop| *stop), if ends_at.is_none() => {
+                    tracing::info!("stopping");
+                    ends_at = Some(Instant::now() + grace);
+                    self.input(Input::Stop);
+                }
+            }
+        }
+        if !self.stopped {
+            let waiting = self.answers.len();
+            tracing::warn!(waiting, "the grace time is over");
+        }
+    }
+
+    fn sleep_length(&self, ends_at: Option<Instant>) -> Duration {
+        let now = peer::clock::now().monotonic;
+        let until_wakeup = Duration::from_millis(self.gateway.next_wakeup().since(now).0);
+        let sleep = until_wakeup.min(LONGEST_SLEEP);
+        match ends_at {
+            Some(end) => sleep.min(end.saturating_duration_since(Instant::now())),
+            None => sleep,
+        }
+    }
+
+    fn take_question(&mut self, question: Question) {
+        if question.answer.is_closed() {
+            return;
+        }
+        self.answers.insert(question.ticket, question.answer);
+        let now = peer::clock::now().monotonic;
+        self.input(Input::Request {
+            ticket: question.ticket,
+            caller: question.caller,
+            time_left: question.deadline.since(now),
+            operation: question.operation,
+        });
+    }
+
+    fn abandon(&mut self, ticket: TicketId) {
+        if self.answers.remove(&ticket).is_some() {
+            self.input(Input::Abandoned { ticket });
+        }
+    }
+
+    fn input(&mut self, input: Input) {
+        let mut effects = Vec::new();
+        self.gateway.handle(peer::clock::now(), input, &mut effects);
+        for effect in effects {
+            self.carry_out(effect);
+        }
+        metrics::gauge!("cypressdrum_gateway_waiting_requests").set(self.answers.len() as f64);
+    }
+
+    fn carry_out(&mut self, effect: Effect) {
+        match effect {
+            Effect::Send { to, message } => self.transport.send(to, message),
+            Effect::Respond { ticket, result } => {
+                if let Some(answer) = self.answers.remove(&ticket) {
+                    // An error means that the caller went away meanwhile.
+                    let _ = answer.send(result);
+                }
+            }
+            Effect::Ready(Ok(())) => {
+                tracing::info!("ready");
+                self.readiness.set_ready();
+            }
+            Effect::Ready(Err(reason)) => {
+                tracing::info!(reason, "not ready");
+                self.readiness.set_not_ready(&reason);
+            }
+            Effect::Stopped => self.stopped = true,
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/shell/http.rs
@@ -0,0 +1,138 @@
+//! The HTTP interface: routes, and what all handlers share.
+
+mod answer;
+mod asker;
+mod decisions;
+mod jobs;
+mod operator;
+
+use crate::shell::requests::Requests;
+use admin::Readiness;
+use answer::{Failure, refuse};
+use api::route;
+use asker::Asker;
+use axum::Router;
+use axum::extract::DefaultBodyLimit;
+use axum::http::StatusCode;
+use axum::routing::{get, post, put};
+use peer::{Operation, OperationReply, RefusalCode};
+use std::time::Instant;
+use tokio::sync::watch;
+use types::NodeId;
+
+/// Longest body, in bytes; a longer one gets 413.
+pub const MAX_BODY_BYTES: usize = 4 * 1024 * 1024;
+
+/// What every handler has.
+#[derive(Debug, Clone)]
+pub struct Server {
+    requests: Requests,
+    node: NodeId,
+    stop: watch::Receiver<bool>,
+}
+
+impl Server {
+    /// A server that asks through `requests` and names itself `node`.
+    pub fn new(requests: Requests, node: NodeId, stop: watch::Receiver<bool>) -> Self {
+        Self {
+            requests,
+            node,
+            stop,
+        }
+    }
+
+    /// Asks, and notes how it went.
+    async fn ask(&self, asker: &Asker, operation: Operation) -> Result<OperationReply, Failure> {
+        let name = operation_name(&operation);
+        let begun = Instant::now();
+        let asked = self
+            .requests
+            .ask(asker.caller.clone(), asker.time_left, operation);
+        let answer = asked.await;
+        let outcome = match &answer {
+            Ok(_) => "ok",
+            Err(refusal) => outcome_name(refusal.code),
+        };
+        metrics::counter!(
+            "cypressdrum_gateway_requests_total",
+            "operation" => name,
+            "outcome" => outcome
+        )
+        .increment(1);
+        metrics::histogram!("cypressdrum_gateway_request_seconds", "operation" => name)
+            .record(begun.elapsed().as_secs_f64());
+        answer.map_err(Failure::from)
+    }
+}
+
+/// All routes of a gateway, the admin ones among them.
+pub fn router(server: Server, readiness: Readiness) -> Router {
+    Router::new()
+        .route(route::JOBS, post(jobs::submit).get(jobs::list))
+        .route(route::JOB, get(jobs::get).delete(jobs::cancel))
+        .route(route::JOB_CANCEL, post(jobs::cancel))
+        .route(route::JOB_EXPLAIN, get(jobs::explain))
+        .route(route::CANCELS, post(jobs::cancel_many))
+        .route(route::CONFIGURATION, get(operator::configuration))
+        .route(
+            route::CONFIGURATION_VERSION,
+            put(operator::put_configuration),
+        )
+        .route(
+            route::CONFIGURATION_STATUS,
+            get(operator::configuration_status),
+        )
+        .route(route::RUNNERS, get(operator::runners))
+        .route(route::RUNNER_DRAIN, post(operator::drain_runner))
+        .route(route::RUNNER_LOST, post(operator::declare_runner_lost))
+        .route(route::QUEUES, get(operator::queues))
+        .route(route::TENANTS, get(operator::tenants))
+        .route(route::MEMBERS, get(operator::members))
+        .route(route::DECISIONS, get(decisions::decisions))
+        .fallback(unknown_path)
+        .method_not_allowed_fallback(unknown_method)
+        .layer(DefaultBodyLimit::max(MAX_BODY_BYTES))
+        .with_state(server)
+        .merge(admin::routes(readiness))
+}
+
+async fn unknown_path() -> Failure {
+    Failure::from(refuse(RefusalCode::NotFound, "no such path"))
+}
+
+async fn unknown_method() -> Failure {
+    let refusal = refuse(RefusalCode::Invalid, "this path does not take the method");
+    Failure::with_status(StatusCode::METHOD_NOT_ALLOWED, refusal)
+}
+
+fn operation_name(operation: &Operation) -> &'static str {
+    match operation {
+        Operation::Submit(_) => "submit",
+        Operation::GetJob(_) => "get_job",
+        Operation::ListJobs(_) => "list_jobs",
+        Operation::Cancel(_) => "cancel",
+        Operation::Explain(_) => "explain",
+        Operation::PutConfiguration { .. } => "put_configuration",
+        Operation::GetConfiguration => "get_configuration",
+        Operation::DrainRunner { .. } => "drain_runner",
+        Operation::DeclareRunnerLost { .. } => "declare_runner_lost",
+        Operation::ListRunners => "list_runners",
+        Operation::ListQueues => "list_queues",
+        Operation::ListTenants => "list_tenants",
+        Operation::ListMembers => "list_members",
+        Operation::Decisions { .. } => "decisions",
+    }
+}
+
+fn outcome_name(code: RefusalCode) -> &'static str {
+    match code {
+        RefusalCode::Invalid => "invalid",
+        RefusalCode::Unauthenticated => "unauthenticated",
+        RefusalCode::Forbidden => "forbidden",
+        RefusalCode::NotFound => "not_found",
+        RefusalCode::Conflict => "conflict",
+        RefusalCode::Overloaded => "overloaded",
+        RefusalCode::Unavailable => "unavailable",
+        RefusalCode::TimedOut => "timed_out",
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/shell/http/decisions.rs
@@ -0,0 +1,148 @@
+//! The decision log as JSON lines, once or as it grows.
+//!
+//! Each leader numbers its lines from 1 and keeps the newest. So that a change
+//! of leader is noticed, a poll asks for the last line seen as well: if that
+//! line is gone or belongs to another term, the new leader's log is read from
+//! its beginning.
+
+use crate::shell::http::Server;
+use crate::shell::http::answer::{Failure, unexpected};
+use crate::shell::http::asker::Asker;
+use api::BodyError;
+use api::decision::{DecisionLine, DecisionsQuery};
+use api::refusal::Code;
+use api::route::JSON_LINES;
+use axum::body::{Body, Bytes};
+use axum::extract::rejection::QueryRejection;
+use axum::extract::{Query, State};
+use axum::http::header;
+use axum::response::{IntoResponse, Response};
+use futures_util::stream::unfold;
+use peer::{DecisionEntry, Operation, OperationReply};
+use std::convert::Infallible;
+use std::time::Duration;
+
+/// Wait after a poll that brought nothing new.
+const POLL_INTERVAL: Duration = Duration::from_millis(250);
+
+/// `GET /v1/decisions`.
+pub async fn decisions(
+    State(server): State<Server>,
+    asker: Asker,
+    query: Result<Query<DecisionsQuery>, QueryRejection>,
+) -> Result<Response, Failure> {
+    let Query(query) = query.map_err(|error| BodyError::new("query", error.body_text()))?;
+    let mut tail = Tail {
+        server,
+        asker,
+        limit: query.checked_limit()?,
+        last: Position {
+            number: query.after,
+            term: query.term,
+        },
+    };
+    let first = tail.poll().await?;
+    let body = if query.follow {
+        Body::from_stream(unfold((Some(first), tail), next_chunk))
+    } else {
+        Body::from(first)
+    };
+    Ok(([(header::CONTENT_TYPE, JSON_LINES)], body).into_response())
+}
+
+/// The last line seen.
+#[derive(Debug, Clone, Copy)]
+struct Position {
+    number: u64,
+    /// None when the reader did not say.
+    term: Option<u64>,
+}
+
+/// A reader of the log.
+struct Tail {
+    server: Server,
+    asker: Asker,
+    limit: u32,
+    last: Position,
+}
+
+impl Tail {
+    /// The next lines as bytes; empty when there are none yet.
+    async fn poll(&mut self) -> Result<Vec<u8>, Failure> {
+        let entries = match self.last.term {
+            Some(term) if self.last.number > 0 => self.poll_after_known(term).await?,
+            _ => self.ask(self.last.number, self.limit).await?,
+        };
+        if let Some(newest) = entries.last() {
+            self.last = Position {
+                number: newest.number,
+                term: Some(newest.term.0),
+            };
+        }
+        write_lines(entries)
+    }
+
+    async fn poll_after_known(&mut self, term: u64) -> Result<Vec<DecisionEntry>, Failure> {
+        let number = self.last.number;
+        let mut entries = self.ask(number - 1, self.limit + 1).await?;
+        if entries.first().is_none_or(|entry| entry.term.0 != term) {
+            return self.ask(0, self.limit).await;
+        }
+        entries.retain(|entry| entry.number > number);
+        Ok(entries)
+    }
+
+    async fn ask(&self, after: u64, limit: u32) -> Result<Vec<DecisionEntry>, Failure> {
+        let operation = Operation::Decisions { after, limit };
+        match self.server.ask(&self.asker, operation).await? {
+            OperationReply::Decisions(entries) => Ok(entries),
+            _ => Err(unexpected()),
+        }
+    }
+}
+
+type Chunk = Result<Bytes, Infallible>;
+
+/// The next bytes of a stream that follows; none ends it.
+async fn next_chunk((first, mut tail): (Option<Vec<u8>>, Tail)) -> Option<(Chunk, TailState)> {
+    if let Some(bytes) = first.filter(|bytes| !bytes.is_empty()) {
+        return Some((Ok(bytes.into()), (None, tail)));
+    }
+    let mut stop = tail.server.stop.clone();
+    loop {
+        let wait = match tail.poll().await {
+            Ok(lines) if lines.is_empty() => POLL_INTERVAL,
+            Ok(lines) => return Some((Ok(lines.into()), (None, tail))),
+            Err(failure) => retry_wait(&failure)?,
+        };
+        tokio::select! {
+            () = tokio::time::sleep(wait) => {}
+            _ = stop.wait_for(|stop| *stop) => return None,
+        }
+    }
+}
+
+type TailState = (Option<Vec<u8>>, Tail);
+
+/// How long to wait after a refusal; none when it is for good, as after the
+/// key was revoked.
+fn retry_wait(failure: &Failure) -> Option<Duration> {
+    let body = failure.body();
+    match body.code {
+        Code::Overloaded | Code::Unavailable | Code::TimedOut => {
+            let told = Duration::from_millis(body.retry_after_ms.unwrap_or(0));
+            Some(told.max(POLL_INTERVAL))
+        }
+        _ => None,
+    }
+}
+
+fn write_lines(entries: Vec<DecisionEntry>) -> Result<Vec<u8>, Failure> {
+    let mut bytes = Vec::new();
+    for entry in entries {
+        let line = DecisionLine::from(entry);
+        serde_json::to_writer(&mut bytes, &line).map_err(|error| BodyError::new("line", error))?;
+        bytes.push(b'\n');
+    }
+    Ok(bytes)
+}
--- /dev/null
+++ b/crates/gateway/src/shell/http/jobs.rs
@@ -0,0 +1,138 @@
+//! Handlers for jobs.
+
+use crate::shell::http::Server;
+use crate::shell::http::answer::{Failure, refuse, unexpected};
+use crate::shell::http::asker::{Asker, parse_name};
+use api::BodyError;
+use api::cancel::{CancelBody, CancelledBody, JobKeyBody};
+use api::job::JobBody;
+use api::view::{ExplainedBody, JobViewBody, JobsBody, ListQuery, SubmittedBody};
+use axum::Json;
+use axum::body::Bytes;
+use axum::extract::rejection::{BytesRejection, QueryRejection};
+use axum::extract::{Path, Query, State};
+use axum::http::StatusCode;
+use peer::{Operation, OperationReply, RefusalCode};
+use record::CancelSelector;
+use types::{JobKey, JobSpec};
+
+type JobPath = Path<(String, String)>;
+
+/// `POST /v1/jobs`.
+pub async fn submit(
+    State(server): State<Server>,
+    asker: Asker,
+    body: Result<Bytes, BytesRejection>,
+) -> Result<(StatusCode, Json<SubmittedBody>), Failure> {
+    let body: JobBody = api::parse_json(&body?)?;
+    let operation = Operation::Submit(JobSpec::from(body));
+    let OperationReply::Submitted { number, known } = server.ask(&asker, operation).await? else {
+        return Err(unexpected());
+    };
+    let status = if known {
+        StatusCode::OK
+    } else {
+        StatusCode::CREATED
+    };
+    let body = SubmittedBody {
+        number: number.0,
+        known,
+    };
+    Ok((status, Json(body)))
+}
+
+/// `GET /v1/jobs`.
+pub async fn list(
+    State(server): State<Server>,
+    asker: Asker,
+    query: Result<Query<ListQuery>, QueryRejection>,
+) -> Result<Json<JobsBody>, Failure> {
+    let Query(query) = query.map_err(|error| BodyError::new("query", error.body_text()))?;
+    let operation = Operation::ListJobs(query.into_filter()?);
+    let OperationReply::Jobs { jobs, next } = server.ask(&asker, operation).await? else {
+        return Err(unexpected());
+    };
+    Ok(Json(JobsBody {
+        jobs: jobs.into_iter().map(JobViewBody::from).collect(),
+        next: next.map(|number| number.0),
+    }))
+}
+
+/// `GET /v1/tenants/{tenant}/jobs/{job}`.
+pub async fn get(
+    State(server): State<Server>,
+    asker: Asker,
+    path: JobPath,
+) -> Result<Json<JobViewBody>, Failure> {
+    let operation = Operation::GetJob(job_key(path)?);
+    let OperationReply::Job(view) = server.ask(&asker, operation).await? else {
+        return Err(unexpected());
+    };
+    Ok(Json(JobViewBody::from(*view)))
+}
+
+/// `GET /v1/tenants/{tenant}/jobs/{job}/explain`.
+pub async fn explain(
+    State(server): State<Server>,
+    asker: Asker,
+    path: JobPath,
+) -> Result<Json<ExplainedBody>, Failure> {
+    let operation = Operation::Explain(job_key(path)?);
+    let OperationReply::Explained { lines } = server.ask(&asker, operation).await? else {
+        return Err(unexpected());
+    };
+    Ok(Json(ExplainedBody { lines }))
+}
+
+/// `DELETE /v1/tenants/{tenant}/jobs/{job}` and `POST .../cancel`.
+pub async fn cancel(
+    State(server): State<Server>,
+    asker: Asker,
+    path: JobPath,
+) -> Result<Json<CancelledBody>, Failure> {
+    let selector = CancelSelector::Jobs(vec![job_key(path)?]);
+    let body = cancel_selected(&server, &asker, selector).await?;
+    if body.unknown.is_empty() {
+        return Ok(Json(body));
+    }
+    Err(Failure::from(refuse(RefusalCode::NotFound, "no such job")))
+}
+
+/// `POST /v1/cancels`.
+pub async fn cancel_many(
+    State(server): State<Server>,
+    asker: Asker,
+    body: Result<Bytes, BytesRejection>,
+) -> Result<Json<CancelledBody>, Failure> {
+    let body: CancelBody = api::parse_json(&body?)?;
+    let selector = body.into_selector()?;
+    Ok(Json(cancel_selected(&server, &asker, selector).await?))
+}
+
+async fn cancel_selected(
+    server: &Server,
+    asker: &Asker,
+    selector: CancelSelector,
+) -> Result<CancelledBody, Failure> {
+    let operation = Operation::Cancel(selector);
+    let OperationReply::Cancelled {
+        cancelled,
+        finished,
+        unknown,
+    } = server.ask(asker, operation).await?
+    else {
+        return Err(unexpected());
+    };
+    Ok(CancelledBody {
+        cancelled,
+        finished,
+        unknown: unknown.into_iter().map(JobKeyBody::from).collect(),
+    })
+}
+
+fn job_key(Path((tenant, job)): JobPath) -> Result<JobKey, Failure> {
+    Ok(JobKey {
+        tenant: parse_name("tenant", &tenant)?,
+        job: parse_name("job", &job)?,
+    })
+}
--- /dev/null
+++ b/crates/gateway/src/shell/http/operator.rs
@@ -0,0 +1,165 @@
+//! Handlers for operators: configuration, runners, views.
+
+use crate::shell::http::Server;
+use crate::shell::http::answer::{Failure, unexpected};
+use crate::shell::http::asker::{Asker, parse_name};
+use api::BodyError;
+use api::configuration::ConfigurationBody;
+use api::operator::{
+    AcceptedBody, DrainBody, MemberViewBody, MembersBody, QueueViewBody, QueuesBody,
+    RunnerViewBody, RunnersBody, RunsLostBody, TenantViewBody, TenantsBody,
+};
+use api::version::{ConfigurationStatusBody, ConfigurationViewBody, ConfiguredBody};
+use axum::Json;
+use axum::body::Bytes;
+use axum::extract::rejection::BytesRejection;
+use axum::extract::{Path, State};
+use axum::http::{HeaderMap, header};
+use peer::{Operation, OperationReply};
+use types::ConfigurationVersion;
+
+/// `GET /v1/configuration`, from this gateway's replica.
+pub async fn configuration(
+    State(server): State<Server>,
+    asker: Asker,
+) -> Result<Json<ConfigurationViewBody>, Failure> {
+    let reply = server.ask(&asker, Operation::GetConfiguration).await?;
+    let OperationReply::Configuration { version, document } = reply else {
+        return Err(unexpected());
+    };
+    Ok(Json(ConfigurationViewBody {
+        version: version.0,
+        node: server.node.to_string(),
+        configuration: document.into(),
+    }))
+}
+
+/// `PUT /v1/configuration/{version}`, in JSON or TOML.
+pub async fn put_configuration(
+    State(server): State<Server>,
+    asker: Asker,
+    Path(version): Path<String>,
+    headers: HeaderMap,
+    body: Result<Bytes, BytesRejection>,
+) -> Result<Json<ConfiguredBody>, Failure> {
+    let version = ConfigurationVersion(parse_name("version", &version)?);
+    let document = parse_configuration(&headers, &body?)?.into_document()?;
+    let operation = Operation::PutConfiguration { version, document };
+    let OperationReply::Configured { version, known } = server.ask(&asker, operation).await? else {
+        return Err(unexpected());
+    };
+    Ok(Json(ConfiguredBody {
+        version: version.0,
+        known,
+    }))
+}
+
+fn parse_configuration(headers: &HeaderMap, body: &[u8]) -> Result<ConfigurationBody, BodyError> {
+    let media_type = headers
+        .get(header::CONTENT_TYPE)
+        .and_then(|value| value.to_str().ok())
+        .and_then(|value| value.split(';').next());
+    if media_type.map(str::trim) != Some(api::route::TOML) {
+        return api::parse_json(body);
+    }
+    let text = std::str::from_utf8(body).map_err(|error| BodyError::new("body", error))?;
+    api::parse_toml(text)
+}
+
+/// `GET /v1/configuration/status`.
+pub async fn configuration_status(
+    State(server): State<Server>,
+    asker: Asker,
+) -> Result<Json<ConfigurationStatusBody>, Failure> {
+    let reply = server.ask(&asker, Operation::ListMembers).await?;
+    let OperationReply::Members(members) = reply else {
+        return Err(unexpected());
+    };
+    Ok(Json(ConfigurationStatusBody::from(members)))
+}
+
+/// `GET /v1/runners`.
+pub async fn runners(
+    State(server): State<Server>,
+    asker: Asker,
+) -> Result<Json<RunnersBody>, Failure> {
+    let reply = server.ask(&asker, Operation::ListRunners).await?;
+    let OperationReply::Runners(runners) = reply else {
+        return Err(unexpected());
+    };
+    let runners = runners.into_iter().map(RunnerViewBody::from).collect();
+    Ok(Json(RunnersBody { runners }))
+}
+
+/// `POST /v1/runners/{runner}/drain`.
+pub async fn drain_runner(
+    State(server): State<Server>,
+    asker: Asker,
+    Path(runner): Path<String>,
+    body: Result<Bytes, BytesRejection>,
+) -> Result<Json<AcceptedBody>, Failure> {
+    let body: DrainBody = api::parse_json(&body?)?;
+    let operation = Operation::DrainRunner {
+        runner: parse_name("runner", &runner)?,
+        draining: body.draining,
+    };
+    let OperationReply::Accepted = server.ask(&asker, operation).await? else {
+        return Err(unexpected());
+    };
+    Ok(Json(AcceptedBody { accepted: true }))
+}
+
+/// `POST /v1/runners/{runner}/lost`.
+pub async fn declare_runner_lost(
+    State(server): State<Server>,
+    asker: Asker,
+    Path(runner): Path<String>,
+) -> Result<Json<RunsLostBody>, Failure> {
+    let operation = Operation::DeclareRunnerLost {
+        runner: parse_name("runner", &runner)?,
+    };
+    let OperationReply::RunsLost { runs } = server.ask(&asker, operation).await? else {
+        return Err(unexpected());
+    };
+    let runs = runs.iter().map(ToString::to_string).collect();
+    Ok(Json(RunsLostBody { runs }))
+}
+
+/// `GET /v1/queues`.
+pub async fn queues(
+    State(server): State<Server>,
+    asker: Asker,
+) -> Result<Json<QueuesBody>, Failure> {
+    let reply = server.ask(&asker, Operation::ListQueues).await?;
+    let OperationReply::Queues(queues) = reply else {
+        return Err(unexpected());
+    };
+    let queues = queues.into_iter().map(QueueViewBody::from).collect();
+    Ok(Json(QueuesBody { queues }))
+}
+
+/// `GET /v1/tenants`.
+pub async fn tenants(
+    State(server): State<Server>,
+    asker: Asker,
+) -> Result<Json<TenantsBody>, Failure> {
+    let reply = server.ask(&asker, Operation::ListTenants).await?;
+    let OperationReply::Tenants(tenants) = reply else {
+        return Err(unexpected());
+    };
+    let tenants = tenants.into_iter().map(TenantViewBody::from).collect();
+    Ok(Json(TenantsBody { tenants }))
+}
+
+/// `GET /v1/members`.
+pub async fn members(
+    State(server): State<Server>,
+    asker: Asker,
+) -> Result<Json<MembersBody>, Failure> {
+    let reply = server.ask(&asker, Operation::ListMembers).await?;
+    let OperationReply::Members(members) = reply else {
+        return Err(unexpected());
+    };
+    let members = members.into_iter().map(MemberViewBody::from).collect();
+    Ok(Json(MembersBody { members }))
+}
--- /dev/null
+++ b/crates/gateway/tests/http/fixture.rs
@@ -0,0 +1,232 @@
+//! A gateway process in a task, a stand-in leader behind it, a client before.
+
+use configuration::ClusterConfiguration;
+use gateway::shell::{GatewayError, ShellOptions, run_on};
+use peer::{
+    ClusterKey, Envelope, Operation, OperationReply, PeerMessage, Refusal, RefusalCode, Reply,
+    SessionLease, Transport, TransportOptions,
+};
+use reqwest::header::{HeaderMap, HeaderValue};
+use reqwest::{Method, RequestBuilder, Response};
+use serde_json::Value;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::sync::{mpsc, watch};
+use tokio::task::JoinHandle;
+use types::{Address, ClusterId, ConfigurationVersion, Milliseconds, NodeId, Role, Term};
+
+const LOOPBACK: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
+const PAUSE: Duration = Duration::from_millis(20);
+/// So long that a busy machine changes no verdict.
+const LONG: Milliseconds = Milliseconds(30_000);
+const TERM: Term = Term(1);
+pub const GATEWAY_NODE: u64 = u64::MAX;
+
+/// What the leader says; none is silence.
+pub type Script = dyn FnMut(&Operation) -> Option<Result<OperationReply, Refusal>> + Send;
+
+/// The stand-in leader.
+struct Leader {
+    document: ClusterConfiguration,
+    script: Box<Script>,
+}
+
+/// Settings that a test may change.
+pub struct Setup {
+    pub places: usize,
+    pub document: ClusterConfiguration,
+    pub grace: Milliseconds,
+    pub resend_after: Milliseconds,
+}
+
+impl Default for Setup {
+    fn default() -> Self {
+        Self {
+            places: 64,
+            document: ClusterConfiguration::default(),
+            grace: LONG,
+            resend_after: LONG,
+        }
+    }
+}
+
+/// All of it.
+pub struct Fixture {
+    pub http: SocketAddr,
+    pub stop: watch::Sender<bool>,
+    pub gateway: JoinHandle<Result<(), GatewayError>>,
+    client: reqwest::Client,
+}
+
+fn key() -> ClusterKey {
+    ClusterKey::new(*b"a key of enough bytes for a test")
+}
+
+fn transport_options() -> TransportOptions {
+    TransportOptions {
+        listen: LOOPBACK,
+        queue_length: 256,
+        max_frame_bytes: 1 << 20,
+    }
+}
+
+fn address(node: u64, role: Role) -> Address {
+    Address {
+        node: NodeId(node),
+        role,
+        zone: "z-1".parse().unwrap(),
+        socket: LOOPBACK,
+    }
+}
+
+impl Fixture {
+    /// A ready gateway whose leader answers by the script.
+    pub async fn start(
+        script: impl FnMut(&Operation) -> Option<Result<OperationReply, Refusal>> + Send + 'static,
+    ) -> Self {
+        Self::start_with(Setup::default(), Box::new(script)).await
+    }
+
+    /// As [`Fixture::start`], with other settings.
+    pub async fn start_with(setup: Setup, script: Box<Script>) -> Self {
+        let leader = Leader {
+            document: setup.document.clone(),
+            script,
+        };
+        let started = Transport::start(transport_options(), key(), address(1, Role::Coordinator));
+        let (transport, arriving) = started.await.unwrap();
+        let leader_socket = transport.own().socket;
+        tokio::spawn(lead(leader, transport, arriving));
+
+        let listener = TcpListener::bind(LOOPBACK).await.unwrap();
+        let http = listener.local_addr().unwrap();
+        let (stop, stopped) = watch::channel(false);
+        let options = gateway_options(http, leader_socket, &setup);
+        let fixture = Self {
+            http,
+            stop,
+            gateway: tokio::spawn(run_on(listener, options, stopped)),
+            client: patient_client(),
+        };
+        fixture.wait_for_readiness(200).await;
+        fixture
+    }
+
+    /// Waits until `/readyz` has this status.
+    pub async fn wait_for_readiness(&self, status: u16) {
+        while self.get("/readyz").await.status() != status {
+            tokio::time::sleep(PAUSE).await;
+        }
+    }
+
+    /// A request to be completed.
+    pub fn request(&self, method: Method, path: &str) -> RequestBuilder {
+        let url = format!("http://{}{path}", self.http);
+        self.client.request(method, url)
+    }
+
+    /// `GET`.
+    pub async fn get(&self, path: &str) -> Response {
+        self.request(Method::GET, path).send().await.unwrap()
+    }
+
+    /// `POST` with a JSON body.
+    pub async fn post(&self, path: &str, body: &str) -> Response {
+        let request = self.request(Method::POST, path).body(body.to_owned());
+        request.send().await.unwrap()
+    }
+}
+
+/// Status and body of an answer.
+pub async fn read(response: Response) -> (u16, Value) {
+    let status = response.status().as_u16();
+    (status, response.json().await.unwrap())
+}
+
+/// A refusal of the leader.
+pub fn refused(
+    code: RefusalCode,
+    retry_after: Option<u64>,
+) -> Option<Result<OperationReply, Refusal>> {
+    Some(Err(Refusal {
+        code,
+        message: "the leader says no".to_owned(),
+        retry_after: retry_after.map(Milliseconds),
+        problems: Vec::new(),
+    }))
+}
+
+/// A client that waits long unless a request says otherwise.
+fn patient_client() -> reqwest::Client {
+    let mut headers = HeaderMap::new();
+    headers.insert("deadline-ms", HeaderValue::from(LONG.0));
+    let builder = reqwest::Client::builder().default_headers(headers);
+    builder.build().unwrap()
+}
+
+fn gateway_options(http: SocketAddr, seed: SocketAddr, setup: &Setup) -> ShellOptions {
+    ShellOptions {
+        core: gateway::GatewayOptions {
+            address: address(GATEWAY_NODE, Role::Gateway),
+            seeds: vec![seed],
+            session_interval: Milliseconds(50),
+            replica_valid: LONG,
+            max_waiting_requests: setup.places,
+            resend_after: setup.resend_after,
+            seed: 1,
+        },
+        transport: transport_options(),
+        cluster_key: key(),
+        http_listen: http,
+        grace: setup.grace,
+    }
+}
+
+async fn lead(mut leader: Leader, transport: Transport, mut arriving: mpsc::Receiver<Envelope>) {
+    while let Some(envelope) = arriving.recv().await {
+        let answers = leader.receive(transport.own(), envelope.body);
+        for answer in answers {
+            transport.send(envelope.from.socket, answer);
+        }
+    }
+}
+
+impl Leader {
+    fn receive(&mut self, own: &Address, message: PeerMessage) -> Vec<PeerMessage> {
+        match message {
+            PeerMessage::Discover => vec![PeerMessage::Members(peer::Members {
+                members: vec![own.clone()],
+                leader: Some(own.clone()),
+                term: TERM,
+                cluster: Some(ClusterId(1)),
+            })],
+            PeerMessage::Hello(hello) => vec![
+                PeerMessage::Lease(SessionLease {
+                    term: TERM,
+                    leader: own.clone(),
+                    cluster: ClusterId(1),
+                    sequence: hello.sequence,
+                    lease: LONG,
+                    configuration: ConfigurationVersion(1),
+                    coordinators: vec![own.clone()],
+                    others: Vec::new(),
+                }),
+                PeerMessage::Configuration {
+                    version: ConfigurationVersion(1),
+                    document: self.document.clone(),
+                },
+            ],
+            PeerMessage::Request(request) => (self.script)(&request.operation)
+                .map(|result| {
+                    PeerMessage::Reply(Reply {
+                        id: request.id,
+                        result,
+                    })
+                })
+                .into_iter()
+                .collect(),
+            _ => Vec::new(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/tests/http/operator.rs
@@ -0,0 +1,146 @@
+//! What operators do over HTTP.
+
+use crate::fixture::{Fixture, GATEWAY_NODE, Setup, read};
+use configuration::{ClusterConfiguration, Key, KeyHash, KeyRole};
+use peer::{MemberView, Operation, OperationReply};
+use reqwest::Method;
+use types::{Address, ConfigurationVersion, Milliseconds, NodeId, Role, RunId, Term};
+
+const JSON: &str = r#"{"timings":{"run_lease_ms":5000}}"#;
+const TOML: &str = "[timings]\nrun_lease_ms = 5000\n";
+
+#[tokio::test]
+async fn a_configuration_is_put_in_json_and_in_toml() {
+    let fixture = Fixture::start(|operation| {
+        let Operation::PutConfiguration { version, document } = operation else {
+            panic!("{operation:?}");
+        };
+        assert_eq!(document.timings.run_lease, Milliseconds(5_000));
+        Some(Ok(OperationReply::Configured {
+            version: *version,
+            known: false,
+        }))
+    })
+    .await;
+    for (media_type, body) in [
+        ("application/json", JSON),
+        ("application/toml", TOML),
+        ("application/toml; charset=utf-8", TOML),
+    ] {
+        let request = fixture.request(Method::PUT, "/v1/configuration/4");
+        let request = request.header("Content-Type", media_type).body(body);
+        let (status, body) = read(request.send().await.unwrap()).await;
+        assert_eq!((status, body["version"].as_u64()), (200, Some(4)));
+    }
+    let request = fixture.request(Method::PUT, "/v1/configuration/next");
+    let response = request.body(JSON).send().await.unwrap();
+    assert_eq!(response.status(), 400);
+}
+
+#[tokio::test]
+async fn the_configuration_in_force_is_shown_with_the_gateway_that_holds_it() {
+    let fixture = Fixture::start(|_| panic!("the replica answers")).await;
+    loop {
+        let (status, body) = read(fixture.get("/v1/configuration").await).await;
+        assert_eq!(status, 200);
+        assert_eq!(body["node"], GATEWAY_NODE.to_string());
+        assert!(body["configuration"]["timings"].is_object());
+        if body["version"] == 1 {
+            break;
+        }
+    }
+}
+
+#[tokio::test]
+async fn the_status_tells_who_is_behind() {
+    let member = |node, role, configuration| MemberView {
+        address: Address {
+            node: NodeId(node),
+            role,
+            zone: "z-1".parse().unwrap(),
+            socket: ([127, 0, 0, 1], 1).into(),
+        },
+        standing: "session".to_owned(),
+        silence: Milliseconds(10),
+        configuration: ConfigurationVersion(configuration),
+    };
+    let members = vec![member(1, Role::Coordinator, 4), member(2, Role::Agent, 3)];
+    let fixture = Fixture::start(move |_| Some(Ok(OperationReply::Members(members.clone())))).await;
+    let (_, body) = read(fixture.get("/v1/configuration/status").await).await;
+    assert_eq!(
+        (body["newest"].as_u64(), body["everywhere"].as_bool()),
+        (Some(4), Some(false))
+    );
+    assert_eq!(body["members"][1]["version"], 3);
+    let (_, body) = read(fixture.get("/v1/members").await).await;
+    assert_eq!(body["members"][1]["role"], "agent");
+}
+
+#[tokio::test]
+async fn runners_are_drained_and_declared_lost() {
+    let fixture = Fixture::start(|operation| {
+        Some(Ok(match operation {
+            Operation::DrainRunner { runner, draining } => {
+                assert_eq!((runner.as_str(), *draining), ("r-1", true));
+                OperationReply::Accepted
+            }
+            Operation::DeclareRunnerLost { .. } => OperationReply::RunsLost {
+                runs: vec![RunId {
+                    term: Term(2),
+                    sequence: 9,
+                }],
+            },
+            Operation::ListRunners => OperationReply::Runners(Vec::new()),
+            Operation::ListQueues => OperationReply::Queues(Vec::new()),
+            Operation::ListTenants => OperationReply::Tenants(Vec::new()),
+            other => panic!("{other:?}"),
+        }))
+    })
+    .await;
+    let drained = fixture.post("/v1/runners/r-1/drain", r#"{"draining":true}"#);
+    assert_eq!(drained.await.status(), 200);
+    assert_eq!(
+        fixture.post("/v1/runners/r-1/drain", "{}").await.status(),
+        400
+    );
+    let (_, body) = read(fixture.post("/v1/runners/r-1/lost", "").await).await;
+    assert_eq!(body["runs"][0], "2-9");
+    for view in ["runners", "queues", "tenants"] {
+        let (status, body) = read(fixture.get(&format!("/v1/{view}")).await).await;
+        assert!(status == 200 && body[view].is_array(), "{body}");
+    }
+}
+
+#[tokio::test]
+async fn keys_are_asked_for_once_an_operator_has_one() {
+    let document = ClusterConfiguration {
+        keys: vec![Key {
+            id: "boss".parse().unwrap(),
+            role: KeyRole::Operator,
+            hash: KeyHash::new([3; 16], b"secret"),
+        }],
+        ..ClusterConfiguration::default()
+    };
+    let script = Box::new(|_: &Operation| Some(Ok(OperationReply::Queues(Vec::new()))));
+    let setup = Setup {
+        document,
+        ..Setup::default()
+    };
+    let fixture = Fixture::start_with(setup, script).await;
+    let ask = |header: Option<&'static str>| {
+        let mut request = fixture.request(Method::GET, "/v1/queues");
+        if let Some(value) = header {
+            request = request.header("Authorization", value);
+        }
+        async { request.send().await.unwrap() }
+    };
+    // The document follows the first lease.
+    while ask(None).await.status() == 200 {}
+    let refused = ask(None).await;
+    assert_eq!(refused.status(), 401);
+    assert_eq!(refused.headers()["www-authenticate"], "Bearer");
+    assert_eq!(ask(Some("Bearer boss.wrong")).await.status(), 401);
+    assert_eq!(ask(Some("Basic boss.secret")).await.status(), 401);
+    assert_eq!(ask(Some("Bearer boss.secret")).await.status(), 200);
+    assert_eq!(ask(Some("bearer boss.secret")).await.status(), 200);
+}
