Describe the HTTP interface and try the mixes against the record

Cause: callers had no page to go by; a 503 of a leader that named no time to come back left the header out; nothing showed that the record takes the mixes. Ruled out: a description generated from the types, which says nothing of what may be sent again. Change: docs/API.md, held to the routes and refusal codes by a test; a default time to come back for refusals that may pass; example configuration and both mixes applied to the record. Before: 429, 503 and 504 with Retry-After only when the leader gave one.

--- /dev/null
+++ b/crates/api/tests/documentation.rs
@@ -0,0 +1,58 @@
+//! The page on the interface names every path and every kind of refusal.
+
+use api::refusal::Code;
+use api::route;
+
+const PATHS: [&str; 15] = [
+    route::JOBS,
+    route::JOB,
+    route::JOB_CANCEL,
+    route::JOB_EXPLAIN,
+    route::CANCELS,
+    route::CONFIGURATION,
+    route::CONFIGURATION_VERSION,
+    route::CONFIGURATION_STATUS,
+    route::RUNNERS,
+    route::RUNNER_DRAIN,
+    route::RUNNER_LOST,
+    route::QUEUES,
+    route::TENANTS,
+    route::MEMBERS,
+    route::DECISIONS,
+];
+const CODES: [Code; 8] = [
+    Code::Invalid,
+    Code::Unauthenticated,
+    Code::Forbidden,
+    Code::NotFound,
+    Code::Conflict,
+    Code::Overloaded,
+    Code::Unavailable,
+    Code::TimedOut,
+];
+
+fn page() -> String {
+    let folder = std::path::Path::new(env!("CARGO_MANIFEST_DIR"));
+    std::fs::read_to_string(folder.join("../../docs/API.md")).unwrap()
+}
+
+#[test]
+fn every_path_is_described() {
+    let page = page();
+    for path in PATHS {
+        let described = ["GET", "POST", "PUT", "DELETE"]
+            .iter()
+            .any(|method| page.contains(&format!("`{method} {path}`")));
+        assert!(described, "{path}");
+    }
+}
+
+#[test]
+fn every_refusal_is_described_with_its_status() {
+    let page = page();
+    for code in CODES {
+        let name = serde_json::to_string(&code).unwrap();
+        let row = format!("| {} | `{}` |", code.status(), name.trim_matches('"'));
+        assert!(page.contains(&row), "{row}");
+    }
+}
--- a/crates/gateway/src/shell/http/answer.rs
+++ b/crates/gateway/src/shell/http/answer.rs
@@ -7,10 +7,14 @@
 use axum::http::{HeaderValue, StatusCode, header};
 use axum::response::{IntoResponse, Response};
 use peer::{Refusal, RefusalCode};
+use types::Milliseconds;
 
 /// Challenge of an answer to a request without a known key.
 const BEARER: HeaderValue = HeaderValue::from_static("Bearer");
 
+/// When to come back if whoever refused did not say.
+const DEFAULT_RETRY_AFTER: Milliseconds = Milliseconds(500);
+
 /// An answer that is not a success.
 #[derive(Debug)]
 pub struct Failure {
@@ -34,7 +38,10 @@
 }
 
 impl From<Refusal> for Failure {
-    fn from(refusal: Refusal) -> Self {
+    fn from(mut refusal: Refusal) -> Self {
+        if may_succeed_later(refusal.code) {
+            refusal.retry_after.get_or_insert(DEFAULT_RETRY_AFTER);
+        }
         let body = RefusalBody::from(refusal);
         let status = StatusCode::from_u16(body.code.status());
         Self {
@@ -72,6 +79,13 @@
     }
 }
 
+fn may_succeed_later(code: RefusalCode) -> bool {
+    matches!(
+        code,
+        RefusalCode::Overloaded | RefusalCode::Unavailable | RefusalCode::TimedOut
+    )
+}
+
 /// A refusal with nothing but a message.
 pub fn refuse(code: RefusalCode, message: &str) -> Refusal {
     Refusal {
--- a/crates/standin/tests/workload.rs
+++ b/crates/standin/tests/workload.rs
@@ -1,9 +1,10 @@
 //! The mixes: what they draw, and that the fleet carries them.
 
 use api::configuration::ConfigurationBody;
+use record::{Command, CommandReply, Record};
 use standin::workload::{Mix, Workload, example_configuration, pool_runners};
 use std::collections::BTreeSet;
-use types::{JobSpec, Resources, Urgency};
+use types::{ConfigurationVersion, JobSpec, Resources, Urgency, WallTime};
 
 const MIXES: [Mix; 2] = [Mix::Stills, Mix::Documents];
 const DRAWS: usize = 20_000;
@@ -138,3 +139,26 @@
     assert_eq!(from_json.into_document().unwrap(), expected);
     assert_eq!(from_toml.into_document().unwrap(), expected);
 }
+
+#[test]
+fn the_record_takes_the_example_configuration_and_every_job() {
+    let configuration = example_configuration();
+    assert_eq!(configuration::validate(&configuration), []);
+    let mut record = Record::new();
+    record.apply(&Command::PutConfiguration {
+        version: ConfigurationVersion(1),
+        document: configuration,
+        at: WallTime(0),
+    });
+    for mix in MIXES {
+        for spec in draw(mix, 3).into_iter().take(2_000) {
+            let submit = Command::Submit {
+                spec,
+                at: WallTime(1),
+            };
+            let reply = record.apply(&submit).reply;
+            let taken = matches!(reply, CommandReply::Submitted { known: false, .. });
+            assert!(taken, "{reply:?}");
+        }
+    }
+}
