--- /dev/null
+++ b/crates/cypressdrum/src/check.rs
@@ -0,0 +1,82 @@
+//! `check`: a history against every promise.
+
+use crate::Exit;
+use checker::{HistoryError, Limits, Observation, Report};
+use std::fs::File;
+use std::io::BufReader;
+use std::path::{Path, PathBuf};
+use thiserror::Error;
+
+/// Why a history cannot be checked.
+#[derive(Debug, Error)]
+pub enum CheckError {
+    /// The file cannot be opened.
+    #[error("{path}: {source}", path = path.display())]
+    Open {
+        /// The file.
+        path: PathBuf,
+        /// Why.
+        source: std::io::Error,
+    },
+    /// The file is no history.
+    #[error("{path}: {source}", path = path.display())]
+    History {
+        /// The file.
+        path: PathBuf,
+        /// Why.
+        source: HistoryError,
+    },
+}
+
+/// Reads a history of JSON lines.
+pub fn read_file(path: &Path) -> Result<Vec<Observation>, CheckError> {
+    let file = File::open(path).map_err(|source| CheckError::Open {
+        path: path.to_owned(),
+        source,
+    })?;
+    checker::read_history(BufReader::new(file)).map_err(|source| CheckError::History {
+        path: path.to_owned(),
+        source,
+    })
+}
+
+/// Checks the history and prints what was found.
+pub fn run(path: &Path) -> Exit {
+    let history = match read_file(path) {
+        Ok(history) => history,
+        Err(error) => {
+            eprintln!("{error}");
+            return Exit::Usage;
+        }
+    };
+    let report = checker::check(&history, &Limits::default());
+    print!("{}", describe(&report));
+    match report.violations.is_empty() {
+        true => Exit::Done,
+        false => Exit::PromiseBroken,
+    }
+}
+
+/// The report for people.
+pub fn describe(report: &Report) -> String {
+    let mut text = format!(
+        "{} jobs acknowledged, {} done, {} failed, {} cancelled, {} runs started\n",
+        report.acknowledged_jobs,
+        report.done_jobs,
+        report.failed_jobs,
+        report.cancelled_jobs,
+        report.started_runs,
+    );
+    for violation in &report.violations {
+        let line = format!(
+            "broken at {}: {:?}: {}\n",
+            violation.at, violation.kind, violation.detail
+        );
+        text.push_str(&line);
+    }
+    text.push_str(match report.violations.is_empty() {
+        true => "no promise is broken\n",
+        false => "",
+    });
+    text
+}
