Say so when an earlier sending may still be taken

Cause: a leader that refused the second sending of a submit as overloaded, with the first one in its log, made the gateway tell the caller that nothing was done. Ruled out: dropping the refusal and waiting on, which holds the answer back. Before: 429 for a job that was taken.

--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -187,6 +187,10 @@
         if let Some(PeerMessage::Reply(Reply { id, result })) = rest.map(|message| message.body)
             && let Some(waiting) = self.waiting.remove(id)
         {
+            let result = match waiting.sendings {
+                0 | 1 => result,
+                _ => result.map_err(refusal::after_resend),
+            };
             effects.push(respond(waiting.asked.ticket, result));
         }
     }
@@ -242,7 +246,10 @@
     fn give_up_all(&mut self, effects: &mut Vec<Effect>) {
         for id in self.waiting.ids() {
             if let Some(waiting) = self.waiting.remove(id) {
-                let refusal = refusal::unavailable(NO_LEADER);
+                let refusal = match waiting.sendings {
+                    0 => refusal::unavailable(NO_LEADER),
+                    _ => refusal::leader_lost(),
+                };
                 effects.push(respond(waiting.asked.ticket, Err(refusal)));
             }
         }
@@ -257,9 +264,7 @@
         let token = waiting.asked.caller.token.as_deref();
         let replica = self.session.configuration(now);
         if !replica.is_some_and(|(_, document)| access::is_known(document, token)) {
-            let message = "the key was revoked while the request waited";
-            let refusal = refusal::unauthenticated(message);
-            effects.push(respond(waiting.asked.ticket, Err(refusal)));
+            effects.push(respond(waiting.asked.ticket, Err(refusal::revoked())));
             self.waiting.remove(id);
             return;
         }
--- a/crates/gateway/src/core/refusal.rs
+++ b/crates/gateway/src/core/refusal.rs
@@ -15,6 +15,36 @@
     refuse(RefusalCode::Unavailable, message, Some(UNAVAILABLE_RETRY))
 }
 
+/// The leader went away before it answered.
+pub fn leader_lost() -> Refusal {
+    unavailable("the leader was lost before it answered: it may or may not be taken")
+}
+
+/// A leader's refusal of a request that had been sent before: it speaks for
+/// the last sending only, an earlier one may still be taken.
+pub fn after_resend(refusal: Refusal) -> Refusal {
+    let is_momentary = matches!(
+        refusal.code,
+        RefusalCode::Overloaded | RefusalCode::Unavailable
+    );
+    if !is_momentary {
+        return refusal;
+    }
+    Refusal {
+        code: RefusalCode::TimedOut,
+        message: format!(
+            "an earlier sending may or may not be taken, send the same again: {}",
+            refusal.message
+        ),
+        ..refusal
+    }
+}
+
+/// The key went out of force while the request waited.
+pub fn revoked() -> Refusal {
+    unauthenticated("the key was revoked while the request waited: it may or may not be taken")
+}
+
 /// Every place that the asker may take is taken.
 pub fn overloaded(message: &str, retry_after: Milliseconds) -> Refusal {
     refuse(RefusalCode::Overloaded, message, Some(retry_after))
--- a/crates/gateway/src/core/waiting.rs
+++ b/crates/gateway/src/core/waiting.rs
@@ -51,8 +51,10 @@
     pub deadline: Monotonic,
     /// Where it was sent last; none while it has not left.
     pub sent_to: Option<SocketAddr>,
+    /// Times it was sent.
+    pub sendings: u32,
     party: Party,
-    sendings: u32,
+    doublings: u32,
     due: Monotonic,
 }
 
@@ -116,8 +118,9 @@
             asked,
             deadline,
             sent_to: None,
-            party,
             sendings: 0,
+            party,
+            doublings: 0,
             due: now,
         };
         self.requests.insert(id, waiting);
@@ -154,10 +157,10 @@
         let Some(waiting) = self.requests.get_mut(&id) else {
             return;
         };
-        let doublings = waiting.sendings.min(MAX_RESEND_DOUBLINGS);
-        let wait = Milliseconds(self.resend_after.0 << doublings);
+        let wait = Milliseconds(self.resend_after.0 << waiting.doublings);
         if to.is_some() {
             waiting.sendings += 1;
+            waiting.doublings = (waiting.doublings + 1).min(MAX_RESEND_DOUBLINGS);
         }
         waiting.sent_to = to.or(waiting.sent_to);
         let due = (now + wait).min(waiting.deadline);
@@ -167,7 +170,7 @@
     /// Makes a request due at once, with short waits again.
     pub fn hurry(&mut self, id: RequestId, now: Monotonic) {
         if let Some(waiting) = self.requests.get_mut(&id) {
-            waiting.sendings = 0;
+            waiting.doublings = 0;
             self.plan(id, now);
         }
     }
--- a/crates/gateway/tests/core/forwarding.rs
+++ b/crates/gateway/tests/core/forwarding.rs
@@ -5,6 +5,15 @@
 use peer::{Operation, OperationReply, PeerMessage, RefusalCode};
 use types::Milliseconds;
 
+fn refusal(code: RefusalCode) -> peer::Refusal {
+    peer::Refusal {
+        code,
+        message: "tenant poster holds its most unfinished jobs".to_owned(),
+        retry_after: Some(Milliseconds(700)),
+        problems: Vec::new(),
+    }
+}
+
 #[test]
 fn a_request_goes_to_the_leader_at_once_and_its_answer_comes_back_once() {
     let mut bench = Bench::connected();
@@ -62,16 +71,34 @@
 fn a_refusal_of_the_leader_is_passed_on_at_once() {
     let mut bench = Bench::connected();
     let ticket = bench.ask(30_000, submit("poster", "a"));
-    let refused = peer::Refusal {
-        code: RefusalCode::Overloaded,
-        message: "tenant poster holds its most unfinished jobs".to_owned(),
-        retry_after: Some(Milliseconds(700)),
-        problems: Vec::new(),
-    };
+    let refused = refusal(RefusalCode::Overloaded);
     bench.reply(0, Err(refused.clone()));
     assert_eq!(bench.refusal(ticket), &refused);
 }
 
+#[test]
+fn a_momentary_refusal_of_a_resend_does_not_speak_for_the_first_sending() {
+    for code in [RefusalCode::Overloaded, RefusalCode::Unavailable] {
+        let mut bench = Bench::connected();
+        let ticket = bench.ask(30_000, submit("poster", "a"));
+        bench.advance(RESEND_AFTER);
+        assert_eq!(bench.requests.len(), 2);
+        bench.reply(0, Err(refusal(code)));
+        let told = bench.refusal(ticket);
+        assert_eq!(told.code, RefusalCode::TimedOut);
+        assert_eq!(told.retry_after, Some(Milliseconds(700)));
+    }
+}
+
+#[test]
+fn a_lasting_refusal_of_a_resend_is_passed_on() {
+    let mut bench = Bench::connected();
+    let ticket = bench.ask(30_000, submit("poster", "a"));
+    bench.advance(RESEND_AFTER);
+    bench.reply(0, Err(refusal(RefusalCode::Conflict)));
+    assert_eq!(bench.refusal(ticket).code, RefusalCode::Conflict);
+}
+
 #[test]
 fn a_new_leader_gets_what_waits_as_soon_as_its_session_opens() {
     let mut bench = Bench::connected();
