Test when waiting work shows that service is out

Without the filters for cancelled and not yet due jobs, or for work that began and was lost again, all tests still passed. Each now has a near miss.

--- a/crates/checker/tests/control.rs
+++ b/crates/checker/tests/control.rs
@@ -129,6 +129,21 @@
     quiet.extend(answered);
     quiet.push((2_200, read(1, 2_150, JobState::Cancelled)));
     assert_clean(with(quiet));
+    let lost_again = vec![
+        (9_000, started(1, 1, 1, "only")),
+        (9_100, ended(1, 1, Outcome::Stopped)),
+    ];
+    assert_clean(with(lost_again));
+    // Its cancel was sent, and service answers another question.
+    assert_clean(with(vec![
+        (2_000, Event::CancelSent { job: job(1) }),
+        (2_100, unknown(2, 2_050)),
+    ]));
+    let mut not_due = with(Vec::new());
+    if let Event::SubmitSent { not_before, .. } = &mut not_due[0].1 {
+        *not_before = Some(Milliseconds(1_001));
+    }
+    assert_clean(not_due);
     // A long task that goes on running is progress enough.
     let mut running = before();
     running.push((6, started(1, 1, 1, "only")));
