--- a/crates/dispatch/src/draw.rs
+++ b/crates/dispatch/src/draw.rs
@@ -10,7 +10,7 @@
 use configuration::QueueMode;
 use rand::Rng;
 use std::sync::Arc;
-use types::{Labels, Milliseconds, Now, Reservation, Resources, RunnerIncarnation, TaskRef};
+use types::{Labels, Milliseconds, Now, Reservation, Resources, RunId, RunnerIncarnation, TaskRef};
 
 /// How long pulls do without a search for a runner that could be kept free,
 /// after one found none.
@@ -44,6 +44,15 @@
     above_ceiling: bool,
 }
 
+/// What a walk over the tenants drawn found.
+#[derive(Debug, Clone, Default)]
+struct Walk {
+    below_share: Option<TaskRef>,
+    bursting: Option<TaskRef>,
+    starving: Option<TaskRef>,
+    above_ceiling: Vec<ListIndex>,
+}
+
 /// Which of a queue's sets is drawn from.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Kind {
@@ -91,51 +100,51 @@
         })
     }
 
-    /// Draws tenants, never one twice, until one below its share has a task
-    /// that fits; the first above its share is taken if none below has one.
     fn choose(&mut self, kind: Kind, offer: &Offer, now: Now) -> Option<Choice> {
         let runnable_tenants = self.runnable_count(offer.pool, kind);
+        let walk = self.walk_tenants(kind, offer, now);
+        for index in walk.above_ceiling {
+            self.lists[index].above_ceiling = true;
+            self.refresh_list(index);
+        }
+        if let Some(task) = walk.starving
+            && now.monotonic >= self.search_holds_after
+            && !self.hold_runner_for(task, offer.pool, now)
+        {
+            self.search_holds_after = now.monotonic + SEARCH_AGAIN_AFTER;
+        }
+        let task = walk.below_share.or(walk.bursting);
+        let task = self.unless_just_held(task, offer.runner)?;
+        Some(Choice {
+            task,
+            runnable_tenants,
+        })
+    }
+
+    /// Draws tenants, never one twice, until one below its share has a task
+    /// that fits; notes the first above its share that has one.
+    fn walk_tenants(&mut self, kind: Kind, offer: &Offer, now: Now) -> Walk {
         let mut drawn = vec![0; self.pools[offer.pool].queues.len()];
-        let mut bursting = None;
-        let mut chosen = None;
-        let mut starving = None;
-        let mut above_ceiling = Vec::new();
+        let mut walk = Walk::default();
         while let Some(index) = self.draw_list(kind, offer.pool, &mut drawn) {
             let finding = match kind {
                 Kind::Ordinary => self.look_for_task(index, offer, now),
                 Kind::Copies => self.look_for_copy(index, offer),
             };
-            let above_share = self.is_above_share(index, offer.pool);
-            if !above_share {
-                starving = starving.or(finding.starving);
-            }
             if finding.above_ceiling {
-                above_ceiling.push(index);
+                walk.above_ceiling.push(index);
             }
-            let Some(task) = finding.startable else {
+            if self.is_above_share(index, offer.pool) {
+                walk.bursting = walk.bursting.or(finding.startable);
                 continue;
-            };
-            if !above_share {
-                chosen = Some(task);
+            }
+            walk.starving = walk.starving.or(finding.starving);
+            if finding.startable.is_some() {
+                walk.below_share = finding.startable;
                 break;
             }
-            bursting = bursting.or(Some(task));
         }
-        for index in above_ceiling {
-            self.lists[index].above_ceiling = true;
-            self.refresh_list(index);
-        }
-        if let Some(task) = starving
-            && now.monotonic >= self.search_holds_after
-            && !self.hold_runner_for(task, offer.pool, now)
-        {
-            self.search_holds_after = now.monotonic + SEARCH_AGAIN_AFTER;
-        }
-        self.unless_just_held(chosen.or(bursting), offer.runner)
-            .map(|task| Choice {
-                task,
-                runnable_tenants,
-            })
+        walk
     }
 
     // The very runner of this pull may have been the one to keep free.
@@ -270,41 +279,50 @@
         let list = &self.lists[entry.list];
         let (queue, tenant) = (list.queue, list.tenant);
         let resources = self.shapes.get(entry.shape)?.resources;
-        let shadow = self.queues[queue].mode == QueueMode::Shadow;
         let reservation = Reservation {
             run: self.next_run(),
             task: choice.task,
             runner: self.runners.name(offer.runner)?.clone(),
             incarnation: offer.incarnation,
         };
-        let decision = Decision {
+        let run = reservation.run;
+        let shadow = self.queues[queue].mode == QueueMode::Shadow;
+        if shadow {
+            self.stand(choice.task, Standing::Shadowed);
+        } else {
+            self.bind(choice.task, run, resources, tenant, offer);
+        }
+        Some(Decision {
             at: now.wall,
             queue: self.queues.name(queue)?.clone(),
             tenant: self.tenants.name(tenant)?.clone(),
             kind: DecisionKind::Placed {
-                reservation: reservation.clone(),
+                reservation,
                 runnable_tenants: choice.runnable_tenants,
                 shadow,
             },
+        })
+    }
+
+    fn bind(
+        &mut self,
+        task: TaskRef,
+        id: RunId,
+        resources: Resources,
+        tenant: usize,
+        offer: &Offer,
+    ) {
+        let run = Run {
+            task,
+            tenant,
+            pool: Some(offer.pool),
+            runner: offer.runner,
+            incarnation: offer.incarnation,
+            resources,
         };
-        if shadow {
-            self.stand(choice.task, Standing::Shadowed);
-            return Some(decision);
-        }
-        self.open_run(
-            reservation.run,
-            Run {
-                task: choice.task,
-                tenant,
-                pool: Some(offer.pool),
-                runner: offer.runner,
-                incarnation: offer.incarnation,
-                resources,
-            },
-        );
-        if let Some(holder) = self.holder_of(choice.task, offer.pool) {
+        self.open_run(id, run);
+        if let Some(holder) = self.holder_of(task, offer.pool) {
             self.release_hold(holder);
         }
-        Some(decision)
     }
 }
