Start coordinators without a built-in fault

Cause: the coordinator's options gained a field for the simulation's mutations and the daemon's options did not name it, so the workspace did not compile. After: daemons set it to none.

--- a/crates/cypressdrum/src/daemon/options.rs
+++ b/crates/cypressdrum/src/daemon/options.rs
@@ -55,6 +55,7 @@
         max_waiting_requests: limits.max_waiting_requests,
         decisions_kept: limits.decisions_kept,
         seed: draws.seed,
+        mutation: None,
     };
     coordinator::ShellOptions {
         core,
