Count an acknowledged job once in the demo's progress

Cause: a resent submit that is acknowledged twice counted twice, so the line showed more jobs acknowledged than submitted. Ruled out: doubled jobs, the history holds each once. After: each job counts once; the process test with real daemons passes.

--- a/crates/lab/src/callers.rs
+++ b/crates/lab/src/callers.rs
@@ -97,13 +97,19 @@
     }
 }
 
+/// A job that is not over yet.
+struct FollowedJob {
+    spec: Arc<JobSpec>,
+    is_acknowledged: bool,
+}
+
 /// One caller with its jobs.
 struct Session {
     workload: Workload,
     jobs_per_second: f64,
     random: ChaCha8Rng,
     caller: Caller,
-    jobs: BTreeMap<JobKey, Arc<JobSpec>>,
+    jobs: BTreeMap<JobKey, FollowedJob>,
     client: JobClient,
     history: History,
     progress: Arc<Progress>,
@@ -153,7 +159,11 @@
                 tenant: job.tenant.clone(),
                 job: job.job.clone(),
             };
-            self.jobs.insert(key.clone(), Arc::new(job));
+            let followed = FollowedJob {
+                spec: Arc::new(job),
+                is_acknowledged: false,
+            };
+            self.jobs.insert(key.clone(), followed);
             self.caller.follow(key, self.history.monotonic());
             self.progress.submitted.fetch_add(1, Ordering::Relaxed);
             due = due + self.draw_gap();
@@ -172,7 +182,7 @@
     fn act(&mut self, answers: &mpsc::UnboundedSender<(JobKey, CallerAnswer)>) {
         for action in self.caller.actions(self.history.monotonic()) {
             let (CallerAction::Submit(key) | CallerAction::Ask(key)) = &action;
-            let Some(job) = self.jobs.get(key).cloned() else {
+            let Some(job) = self.jobs.get(key).map(|job| job.spec.clone()) else {
                 continue;
             };
             let client = self.client.clone();
@@ -189,7 +199,11 @@
     }
 
     fn take(&mut self, job: &JobKey, answer: CallerAnswer) {
-        if answer == CallerAnswer::Acknowledged {
+        if answer == CallerAnswer::Acknowledged
+            && let Some(followed) = self.jobs.get_mut(job)
+            && !followed.is_acknowledged
+        {
+            followed.is_acknowledged = true;
             self.progress.acknowledged.fetch_add(1, Ordering::Relaxed);
         }
         let before = self.caller.unfinished();
