--- a/crates/cypressdrum/src/client/configuration.rs
+++ b/crates/cypressdrum/src/client/configuration.rs
@@ -5,7 +5,7 @@
 use crate::client::difference::differences;
 use crate::client::jobs::read_input;
 use crate::client::{ClientError, Context};
-use crate::output::{OutputFormat, json_line, print};
+use crate::output::{OutputFormat, emit, json_line, print};
 use api::configuration::ConfigurationBody;
 use api::route;
 use api::version::{ConfigurationStatusBody, ConfigurationViewBody, ConfiguredBody};
@@ -30,10 +30,10 @@
 async fn get(context: &Context) -> Result<Exit, ClientError> {
     let view = in_force(context).await?;
     match context.format {
-        OutputFormat::Json => print!("{}", json_line(&view)),
+        OutputFormat::Json => emit(&json_line(&view))?,
         OutputFormat::Table => {
-            println!("# Version {}", view.version);
-            print!("{}", toml::to_string(&view.configuration)?);
+            let document = toml::to_string(&view.configuration)?;
+            emit(&format!("# Version {}\n{document}", view.version))?;
         }
     }
     Ok(Exit::Done)
@@ -55,7 +55,7 @@
             eprintln!("version {version} may or may not be taken; send it again with --version");
         }
     })?;
-    print(context.format, &answer);
+    print(context.format, &answer)?;
     Ok(Exit::Done)
 }
 
@@ -64,8 +64,11 @@
     let view = in_force(context).await?;
     let found = differences(&to_json(&view.configuration), &to_json(&document));
     match context.format {
-        OutputFormat::Json => print!("{}", json_line(&found)),
-        OutputFormat::Table => found.iter().for_each(|line| println!("{line}")),
+        OutputFormat::Json => emit(&json_line(&found))?,
+        OutputFormat::Table => {
+            let lines = found.iter().map(|line| format!("{line}\n"));
+            emit(&lines.collect::<String>())?;
+        }
     }
     Ok(match found.is_empty() {
         true => Exit::Done,
@@ -76,7 +79,7 @@
 async fn status(context: &Context) -> Result<Exit, ClientError> {
     let path = route::CONFIGURATION_STATUS;
     let status: ConfigurationStatusBody = context.gateways.get(path, Vec::new()).await?;
-    print(context.format, &status);
+    print(context.format, &status)?;
     Ok(Exit::Done)
 }
 
--- a/crates/cypressdrum/src/client/decisions.rs
+++ b/crates/cypressdrum/src/client/decisions.rs
@@ -3,7 +3,7 @@
 use crate::Exit;
 use crate::client::arguments::DecisionsArguments;
 use crate::client::{ClientError, Context};
-use crate::output::{OutputFormat, Show};
+use crate::output::{OutputFormat, Show, emit};
 use api::decision::DecisionLine;
 use api::route;
 
@@ -35,7 +35,7 @@
         return Ok(());
     }
     if format == OutputFormat::Json {
-        println!("{line}");
+        emit(&format!("{line}\n"))?;
         return Ok(());
     }
     let decision: DecisionLine =
@@ -43,7 +43,7 @@
             url: url.to_owned(),
             problem: error.to_string(),
         })?;
-    print!("{}", decision.table());
+    emit(&decision.table())?;
     Ok(())
 }
 
--- a/crates/cypressdrum/src/client/error.rs
+++ b/crates/cypressdrum/src/client/error.rs
@@ -3,6 +3,7 @@
 use crate::Exit;
 use api::BodyError;
 use api::refusal::{Code, RefusalBody};
+use std::io::ErrorKind;
 use std::path::PathBuf;
 use thiserror::Error;
 
@@ -59,6 +60,9 @@
     /// The HTTP client cannot start.
     #[error("cannot start: {0}")]
     Http(#[from] reqwest::Error),
+    /// Standard output cannot be written.
+    #[error("cannot write the output: {0}")]
+    Output(#[from] std::io::Error),
     /// A document cannot be written as TOML.
     #[error("cannot write TOML: {0}")]
     Toml(#[from] toml::ser::Error),
@@ -73,7 +77,13 @@
             }
             Self::Refused(refusal) => refusal_exit(refusal.code),
             Self::Unavailable(_) => Exit::Unavailable,
-            Self::Answer { .. } | Self::Runtime(_) | Self::Http(_) | Self::Toml(_) => Exit::Refused,
+            // Whoever reads the output has seen enough.
+            Self::Output(error) if error.kind() == ErrorKind::BrokenPipe => Exit::Done,
+            Self::Answer { .. }
+            | Self::Runtime(_)
+            | Self::Http(_)
+            | Self::Output(_)
+            | Self::Toml(_) => Exit::Refused,
         }
     }
 }
--- a/crates/cypressdrum/src/client/jobs.rs
+++ b/crates/cypressdrum/src/client/jobs.rs
@@ -47,7 +47,7 @@
             .gateways
             .send(Method::POST, route::JOBS, Some(&job))
             .await?;
-        print(context.format, &answer);
+        print(context.format, &answer)?;
     }
     Ok(Exit::Done)
 }
@@ -56,7 +56,7 @@
 pub async fn status(context: &Context, arguments: JobArguments) -> Result<Exit, ClientError> {
     let path = job_path(route::JOB, arguments);
     let job: JobViewBody = context.gateways.get(&path, Vec::new()).await?;
-    print(context.format, &job);
+    print(context.format, &job)?;
     Ok(Exit::Done)
 }
 
@@ -64,7 +64,7 @@
 pub async fn explain(context: &Context, arguments: JobArguments) -> Result<Exit, ClientError> {
     let path = job_path(route::JOB_EXPLAIN, arguments);
     let lines: ExplainedBody = context.gateways.get(&path, Vec::new()).await?;
-    print(context.format, &lines);
+    print(context.format, &lines)?;
     Ok(Exit::Done)
 }
 
@@ -80,7 +80,7 @@
     query.extend(arguments.after.map(|after| ("after", after.to_string())));
     query.extend(arguments.limit.map(|limit| ("limit", limit.to_string())));
     let jobs: JobsBody = context.gateways.get(route::JOBS, query).await?;
-    print(context.format, &jobs);
+    print(context.format, &jobs)?;
     Ok(Exit::Done)
 }
 
@@ -91,7 +91,7 @@
         .gateways
         .send(Method::POST, route::CANCELS, Some(&body))
         .await?;
-    print(context.format, &answer);
+    print(context.format, &answer)?;
     Ok(match answer.unknown.is_empty() {
         true => Exit::Done,
         false => Exit::Refused,
--- a/crates/cypressdrum/src/client/mod.rs
+++ b/crates/cypressdrum/src/client/mod.rs
@@ -38,8 +38,11 @@
     match ended {
         Ok(exit) => exit,
         Err(error) => {
-            eprintln!("{error}");
-            error.exit()
+            let exit = error.exit();
+            if exit != Exit::Done {
+                eprintln!("{error}");
+            }
+            exit
         }
     }
 }
--- a/crates/cypressdrum/src/client/operator.rs
+++ b/crates/cypressdrum/src/client/operator.rs
@@ -43,7 +43,7 @@
     path: &str,
 ) -> Result<Exit, ClientError> {
     let answer: T = context.gateways.get(path, Vec::new()).await?;
-    print(context.format, &answer);
+    print(context.format, &answer)?;
     Ok(Exit::Done)
 }
 
@@ -54,14 +54,14 @@
         .gateways
         .send(Method::POST, &path, Some(&body))
         .await?;
-    print(context.format, &answer);
+    print(context.format, &answer)?;
     Ok(Exit::Done)
 }
 
 async fn lost(context: &Context, runner: &RunnerId) -> Result<Exit, ClientError> {
     let path = runner_path(route::RUNNER_LOST, runner);
     let answer: RunsLostBody = context.gateways.send(Method::POST, &path, NO_BODY).await?;
-    print(context.format, &answer);
+    print(context.format, &answer)?;
     Ok(Exit::Done)
 }
 
--- a/crates/cypressdrum/src/output.rs
+++ b/crates/cypressdrum/src/output.rs
@@ -2,6 +2,7 @@
 
 use clap::ValueEnum;
 use serde::Serialize;
+use std::io::{self, Write};
 
 /// Spaces between two columns.
 const COLUMN_GAP: usize = 2;
@@ -23,13 +24,21 @@
 }
 
 /// Prints in the wanted shape.
-pub fn print<T: Show>(format: OutputFormat, value: &T) {
+pub fn print<T: Show>(format: OutputFormat, value: &T) -> io::Result<()> {
     match format {
-        OutputFormat::Table => print!("{}", value.table()),
-        OutputFormat::Json => print!("{}", json_line(value)),
+        OutputFormat::Table => emit(&value.table()),
+        OutputFormat::Json => emit(&json_line(value)),
     }
 }
 
+/// Writes to standard output. A reader that went away is an error, where
+/// `print!` would panic.
+pub fn emit(text: &str) -> io::Result<()> {
+    let mut output = io::stdout().lock();
+    output.write_all(text.as_bytes())?;
+    output.flush()
+}
+
 /// The value as one JSON line.
 pub fn json_line<T: Serialize>(value: &T) -> String {
     match serde_json::to_string(value) {
