Count gateways and agents when a configuration is in force everywhere

Cause: coordinators that follow report version 0, so the status never said that a version is in force everywhere. Ruled out: leaving coordinators out of the list, which hides them. Change: everywhere is judged by the processes that serve from a replica.

--- a/crates/api/src/version.rs
+++ b/crates/api/src/version.rs
@@ -2,6 +2,7 @@
 
 use crate::configuration::ConfigurationBody;
 use serde::{Deserialize, Serialize};
+use types::Role;
 
 /// Answer to `PUT /v1/configuration/{version}`.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -28,7 +29,8 @@
 pub struct ConfigurationStatusBody {
     /// Newest version any member reports.
     pub newest: u64,
-    /// True when every member reports it.
+    /// True when every gateway and agent reports it. Coordinators hold it in
+    /// their log and serve from there, so theirs does not count.
     pub everywhere: bool,
     /// Version by member.
     pub members: Vec<MemberVersionBody>,
@@ -55,6 +57,7 @@
             newest,
             everywhere: members
                 .iter()
+                .filter(|member| member.address.role != Role::Coordinator)
                 .all(|member| member.configuration.0 == newest),
             members: members
                 .into_iter()
--- a/crates/gateway/tests/http/operator.rs
+++ b/crates/gateway/tests/http/operator.rs
@@ -64,16 +64,24 @@
         silence: Milliseconds(10),
         configuration: ConfigurationVersion(configuration),
     };
-    let members = vec![member(1, Role::Coordinator, 4), member(2, Role::Agent, 3)];
-    let fixture = Fixture::start(move |_| Some(Ok(OperationReply::Members(members.clone())))).await;
-    let (_, body) = read(fixture.get("/v1/configuration/status").await).await;
-    assert_eq!(
-        (body["newest"].as_u64(), body["everywhere"].as_bool()),
-        (Some(4), Some(false))
-    );
-    assert_eq!(body["members"][1]["version"], 3);
+    let mut behind = [true, false].into_iter();
+    let script = move |_: &Operation| {
+        let agent = if behind.next().unwrap_or(false) { 3 } else { 4 };
+        Some(Ok(OperationReply::Members(vec![
+            member(1, Role::Coordinator, 4),
+            member(2, Role::Coordinator, 0),
+            member(3, Role::Agent, agent),
+        ])))
+    };
+    let fixture = Fixture::start(script).await;
+    for (everywhere, version) in [(false, 3), (true, 4)] {
+        let (_, body) = read(fixture.get("/v1/configuration/status").await).await;
+        assert_eq!(body["newest"], 4);
+        assert_eq!(body["everywhere"], everywhere);
+        assert_eq!(body["members"][2]["version"], version);
+    }
     let (_, body) = read(fixture.get("/v1/members").await).await;
-    assert_eq!(body["members"][1]["role"], "agent");
+    assert_eq!(body["members"][2]["role"], "agent");
 }
 
 #[tokio::test]
