Make two transport tests tell what they are for

Cause: with the proof of the dialling end left out, or with the timeout on acknowledgements left out, all tests still passed (trials on a copy). The first fault is still caught later by the frames' tags, the second was masked by the idle close after 30 s.

The replay test now also wants that nothing is proved to the replayer; the silence test sends all the time, so that the link never counts as idle.

--- a/crates/peer/tests/strangers.rs
+++ b/crates/peer/tests/strangers.rs
@@ -94,7 +94,12 @@
     sender.transport.shutdown().await;
     let recorded = proxy.ended().await.bytes;
     assert!(recorded.len() > hello_bytes(&recorded) + PROOF_BYTES);
-    exchange(daemon.socket(), &recorded).await;
+    let answer = exchange(daemon.socket(), &recorded).await;
+    assert_eq!(
+        answer.len(),
+        hello_bytes(&answer),
+        "nothing was proved to it"
+    );
     assert_undisturbed(&mut daemon).await;
 }
 
--- a/crates/peer/tests/transport.rs
+++ b/crates/peer/tests/transport.rs
@@ -5,6 +5,7 @@
 
 use common::{Daemon, KEY, MAX_FRAME_BYTES, Proxy, guarded, numbered, sized};
 use peer::clock;
+use std::time::Duration;
 use tokio::net::TcpStream;
 use types::{Milliseconds, NodeId, WallTime};
 
@@ -103,11 +104,20 @@
     sender.transport.send(proxy.socket, numbered(1));
     assert_eq!(receiver.receive().await.body, numbered(1));
     proxy.silence_first();
-    // Written into the void, and so never acknowledged.
-    sender.transport.send(proxy.socket, numbered(2));
-    proxy.ended().await;
+    // Sent all the time, so that the connection never counts as idle.
+    let socket = proxy.socket;
+    let void = async {
+        loop {
+            sender.transport.send(socket, numbered(2));
+            tokio::time::sleep(Duration::from_millis(100)).await;
+        }
+    };
+    tokio::select! {
+        () = void => {}
+        _ = proxy.ended() => {}
+    }
     sender.transport.send(proxy.socket, numbered(3));
-    assert_eq!(receiver.receive().await.body, numbered(3));
+    while receiver.receive().await.body != numbered(3) {}
 }
 
 #[tokio::test]
