--- /dev/null
+++ b/crates/session/tests/session/main.rs
@@ -0,0 +1,6 @@
+//! Tests of the session client.
+
+mod bench;
+mod membership;
+mod property;
+mod relay;
