--- /dev/null
+++ b/crates/simulation/src/fault.rs
@@ -0,0 +1,308 @@
+//! Carrying out the faults of a plan, and healing them.
+
+use crate::event::{DiskState, Event};
+use crate::machine::MachineIndex;
+use crate::network::{Micros, Weather};
+use crate::plan::{Behaviour, Fault};
+use crate::process::{Input, ProcessIndex};
+use crate::runner::OrderTrouble;
+use crate::world::World;
+use checker::Event as Seen;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use types::{Role, RunnerId};
+
+/// Time a politely stopped daemon has before it is killed.
+const GRACE_MICROS: Micros = 5_000_000;
+/// Time a draining runner keeps saying so before it is stopped.
+const DRAIN_MICROS: Micros = 8_000_000;
+/// Port of all peer listeners.
+pub const PEER_PORT: u16 = 7_000;
+
+impl World {
+    /// Carries out a planned fault.
+    pub(crate) fn apply_fault(&mut self, fault: Fault) {
+        let what = format!("{fault:?}");
+        self.observe("fault", Seen::Fault { what });
+        match fault {
+            Fault::Kill { machine, down_ms } => self.kill_for(&machine, down_ms, DiskState::Kept),
+            Fault::LoseDisk { machine, down_ms } => {
+                self.kill_for(&machine, down_ms, DiskState::Empty);
+            }
+            Fault::Stop { machine, down_ms } => self.stop_for(&machine, down_ms),
+            Fault::KillCoordinators { down_ms } => self.kill_coordinators(down_ms, false),
+            Fault::PowerLoss { down_ms } => self.kill_coordinators(down_ms, true),
+            Fault::Replace { machine, down_ms } => self.replace(&machine, down_ms),
+            Fault::KillRunner { machine, down_ms } => {
+                if let Some(runner) = self.runner_on(&machine) {
+                    self.kill_runner(runner);
+                    self.schedule_in(down_ms * 1_000, Event::StartRunner(runner));
+                }
+            }
+            Fault::DrainRunner { machine, down_ms } => self.drain_runner(&machine, down_ms),
+            Fault::Misbehave {
+                machine,
+                behaviour,
+                for_ms,
+            } => self.misbehave(&machine, behaviour, for_ms),
+            other => self.apply_network_fault(other),
+        }
+    }
+
+    fn apply_network_fault(&mut self, fault: Fault) {
+        match fault {
+            Fault::Freeze { machine, for_ms } => self.freeze(&machine, for_ms),
+            Fault::Cut { machine, for_ms } => self.split(&[machine], for_ms),
+            Fault::Split { machines, for_ms } => self.split(&machines, for_ms),
+            Fault::CutOneWay { from, to, for_ms } => {
+                if let (Some(from), Some(to)) = (self.machine_named(&from), self.machine_named(&to))
+                {
+                    self.network.cut(from, to, self.now + for_ms * 1_000);
+                }
+            }
+            Fault::Weather {
+                loss_per_thousand,
+                double_per_thousand,
+                delay_ms,
+                for_ms,
+            } => {
+                let weather = Weather {
+                    loss_per_thousand,
+                    double_per_thousand,
+                    delay_ms,
+                };
+                self.network.set_weather(weather, self.now + for_ms * 1_000);
+            }
+            Fault::LateOrders {
+                machine,
+                delay_ms,
+                loss_per_thousand,
+                for_ms,
+            } => {
+                if let Some(runner) = self.runner_on(&machine) {
+                    self.runners[runner].trouble = OrderTrouble {
+                        delay_ms,
+                        loss_per_thousand,
+                        until: self.now + for_ms * 1_000,
+                    };
+                }
+            }
+            Fault::ClockStep { machine, by_ms } => {
+                if let Some(machine) = self.machine_named(&machine) {
+                    self.machines[machine.0].wall_offset_ms += by_ms;
+                }
+            }
+            other => self.apply_user_fault(other),
+        }
+    }
+
+    fn apply_user_fault(&mut self, fault: Fault) {
+        match fault {
+            Fault::RaceOperators => {
+                for operator in &mut self.operators {
+                    operator.wanted += 1;
+                }
+            }
+            Fault::ConfigurationStorm { count } => {
+                if let Some(operator) = self.operators.first_mut() {
+                    operator.wanted += count;
+                }
+            }
+            Fault::CancelBatch { count } => self.cancel_some(count),
+            Fault::Burst {
+                caller,
+                times,
+                for_ms,
+            } => {
+                if let Some(host) = self.callers.get_mut(caller) {
+                    host.times = times;
+                    self.schedule_in(for_ms * 1_000, Event::BurstOver(caller));
+                }
+            }
+            _ => {}
+        }
+    }
+
+    /// The machine of this name.
+    pub fn machine_named(&self, name: &str) -> Option<MachineIndex> {
+        self.machines
+            .iter()
+            .position(|machine| machine.name == name)
+            .map(MachineIndex)
+    }
+
+    /// The daemon on this machine that is not gone for good.
+    fn process_on(&self, name: &str) -> Option<ProcessIndex> {
+        let machine = self.machine_named(name)?;
+        self.processes
+            .iter()
+            .position(|process| process.machine == machine && !process.retired)
+            .map(ProcessIndex)
+    }
+
+    fn runner_on(&self, name: &str) -> Option<usize> {
+        let machine = self.machine_named(name)?;
+        self.runners
+            .iter()
+            .position(|runner| runner.machine == machine)
+    }
+
+    fn kill_for(&mut self, machine: &str, down_ms: u64, disk: DiskState) {
+        let Some(process) = self.process_on(machine) else {
+            return;
+        };
+        self.kill_process(process, false);
+        self.schedule_in(down_ms * 1_000, Event::Start(process, disk));
+        if disk == DiskState::Empty {
+            self.processes[process.0].disk = crate::process::DiskSlot::None;
+        }
+    }
+
+    fn stop_for(&mut self, machine: &str, down_ms: u64) {
+        let Some(process) = self.process_on(machine) else {
+            return;
+        };
+        let life = self.processes[process.0].life;
+        self.input(process, Input::Stop);
+        self.schedule_in(GRACE_MICROS, Event::GraceOver(process, life));
+        let back = GRACE_MICROS + down_ms * 1_000;
+        self.schedule_in(back, Event::Start(process, DiskState::Kept));
+    }
+
+    fn kill_coordinators(&mut self, down_ms: u64, power_loss: bool) {
+        for position in 0..self.processes.len() {
+            let process = ProcessIndex(position);
+            let is_coordinator = self.processes[position].role() == Role::Coordinator;
+            if is_coordinator && !self.processes[position].retired {
+                self.kill_process(process, power_loss);
+                let stagger = u64::try_from(position).unwrap_or(0) * 40_000;
+                let back = down_ms * 1_000 + stagger;
+                self.schedule_in(back, Event::Start(process, DiskState::Kept));
+            }
+        }
+    }
+
+    /// Retires a coordinator and sets up an empty one at a new address, on a
+    /// new machine of the same zone that takes the name.
+    fn replace(&mut self, name: &str, down_ms: u64) {
+        let (Some(process), Some(machine)) = (self.process_on(name), self.machine_named(name))
+        else {
+            return;
+        };
+        self.kill_process(process, false);
+        self.processes[process.0].retired = true;
+        let successor = crate::machine::Machine {
+            name: name.to_owned(),
+            zone: self.machines[machine.0].zone.clone(),
+            monotonic_start_ms: 5_000,
+            wall_offset_ms: 0,
+            frozen_until: None,
+            held: Vec::new(),
+        };
+        let position = self.machines.len();
+        self.machines[machine.0].name = format!("{name}-retired-{position}");
+        self.machines.push(successor);
+        let socket = socket_of(position);
+        let replacement = self.processes[process.0].successor(MachineIndex(position), socket);
+        let index = ProcessIndex(self.processes.len());
+        self.processes.push(replacement);
+        self.sockets.insert(socket, index);
+        self.schedule_in(down_ms * 1_000, Event::Start(index, DiskState::Empty));
+    }
+
+    fn freeze(&mut self, name: &str, for_ms: u64) {
+        if let Some(machine) = self.machine_named(name) {
+            let until = self.now + for_ms * 1_000;
+            self.machines[machine.0].frozen_until = Some(until);
+            self.schedule(until, Event::Wake(machine));
+        }
+    }
+
+    fn split(&mut self, names: &[String], for_ms: u64) {
+        let until = self.now + for_ms * 1_000;
+        let inside: Vec<MachineIndex> = names
+            .iter()
+            .filter_map(|name| self.machine_named(name))
+            .collect();
+        for position in 0..self.machines.len() {
+            let other = MachineIndex(position);
+            if inside.contains(&other) {
+                continue;
+            }
+            for machine in &inside {
+                self.network.cut(*machine, other, until);
+                self.network.cut(other, *machine, until);
+            }
+        }
+    }
+
+    fn drain_runner(&mut self, name: &str, down_ms: u64) {
+        let Some(runner) = self.runner_on(name) else {
+            return;
+        };
+        let Some(inner) = &mut self.runners[runner].runner else {
+            return;
+        };
+        inner.drain();
+        let id: RunnerId = self.runners[runner].id().clone();
+        self.observe(id.as_str(), Seen::RunnerDraining { runner: id.clone() });
+        self.schedule_in(
+            DRAIN_MICROS,
+            Event::Fault(Fault::KillRunner {
+                machine: name.to_owned(),
+                down_ms,
+            }),
+        );
+    }
+
+    fn misbehave(&mut self, name: &str, behaviour: Behaviour, for_ms: u64) {
+        use standin::runner::Behaviour as Standin;
+        let Some(runner) = self.runner_on(name) else {
+            return;
+        };
+        let life = self.runners[runner].life;
+        let behaviour = match behaviour {
+            Behaviour::FailsHalf => Standin::Failing { per_thousand: 500 },
+            Behaviour::FailsAll => Standin::Failing {
+                per_thousand: 1_000,
+            },
+            Behaviour::Slow => Standin::Slow { times: 4 },
+            Behaviour::Stuck => Standin::Stuck,
+        };
+        if let Some(inner) = &mut self.runners[runner].runner {
+            inner.behave(behaviour);
+            self.schedule_in(for_ms * 1_000, Event::RunnerHealthy(runner, life));
+        }
+    }
+
+    /// Ends every fault that still holds.
+    pub(crate) fn heal(&mut self) {
+        self.network.heal();
+        for position in 0..self.machines.len() {
+            if self.machines[position].frozen_until.is_some() {
+                self.machines[position].frozen_until = Some(self.now);
+                self.schedule_in(0, Event::Wake(MachineIndex(position)));
+            }
+        }
+        for position in 0..self.processes.len() {
+            let process = ProcessIndex(position);
+            if !self.processes[position].is_up() {
+                self.start_process(process, DiskState::Kept);
+            }
+        }
+        for runner in 0..self.runners.len() {
+            self.runners[runner].trouble = OrderTrouble::default();
+            self.start_runner(runner);
+            if let Some(inner) = &mut self.runners[runner].runner {
+                inner.behave(standin::runner::Behaviour::Healthy);
+            }
+        }
+        self.observe("fault", Seen::Healed);
+    }
+}
+
+/// Peer socket of a machine.
+pub fn socket_of(machine: usize) -> SocketAddr {
+    let high = u8::try_from(machine / 250).unwrap_or(u8::MAX);
+    let low = u8::try_from(machine % 250).unwrap_or(u8::MAX) + 1;
+    SocketAddr::new(IpAddr::V4(Ipv4Addr::new(10, 0, high, low)), PEER_PORT)
+}
--- /dev/null
+++ b/crates/simulation/src/fleet.rs
@@ -0,0 +1,230 @@
+//! Builds the fleet of a plan.
+
+use crate::caller::CallerHost;
+use crate::event::{DiskState, Event, Life};
+use crate::fault::socket_of;
+use crate::machine::{Machine, MachineIndex};
+use crate::operator::OperatorHost;
+use crate::plan::{FleetSize, Plan};
+use crate::process::{DiskSlot, Process, ProcessIndex, Settings};
+use crate::runner::{OrderTrouble, RunnerHost};
+use crate::world::World;
+use agent::AgentOptions;
+use coordinator::CoordinatorOptions;
+use gateway::GatewayOptions;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use standin::caller::Caller;
+use standin::runner::{Behaviour, RunnerOptions};
+use standin::workload::{Mix, RunnerTemplate, Workload, example_configuration, pool_runners};
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use types::{
+    Address, ConfigurationVersion, InvalidName, Milliseconds, NodeId, Role, RunnerIncarnation,
+    RunnerId, ZoneName,
+};
+
+/// Zones of the brief.
+const ZONES: usize = 3;
+/// Time between hellos of gateways and agents.
+const SESSION_INTERVAL: Milliseconds = Milliseconds(300);
+/// A session ends after this much silence.
+const SESSION_LEASE: Milliseconds = Milliseconds(1_500);
+/// A configuration replica counts for this long.
+const REPLICA_VALID: Milliseconds = Milliseconds(1_800);
+
+/// Builds a world from a plan; daemons start over the first second.
+pub fn build(plan: &Plan) -> Result<World, InvalidName> {
+    let mut world = World::new(ChaCha8Rng::seed_from_u64(plan.seed));
+    add_machines(&mut world, &plan.fleet)?;
+    let seeds = seed_sockets(&plan.fleet);
+    for position in 0..world.machines.len() {
+        let settings = settings_for(&world, position, &plan.fleet, &seeds);
+        add_process(&mut world, position, settings);
+    }
+    add_runners(&mut world, &plan.fleet)?;
+    add_callers(&mut world, plan);
+    add_operators(&mut world);
+    world.schedule(500_000, Event::ReadConfigurations);
+    Ok(world)
+}
+
+fn add_machines(world: &mut World, fleet: &FleetSize) -> Result<(), InvalidName> {
+    for (position, name) in fleet.machine_names().into_iter().enumerate() {
+        let zone = ZoneName::new(format!("zone-{}", position % ZONES))?;
+        let monotonic_start_ms = world.random.random_range(1_000..1_000_000);
+        world.machines.push(Machine {
+            name,
+            zone,
+            monotonic_start_ms,
+            wall_offset_ms: 0,
+            frozen_until: None,
+            held: Vec::new(),
+        });
+    }
+    Ok(())
+}
+
+/// Three seeds of different roles.
+fn seed_sockets(fleet: &FleetSize) -> Vec<SocketAddr> {
+    let first_gateway = fleet.coordinators;
+    let first_side = fleet.coordinators + fleet.gateways;
+    vec![
+        socket_of(0),
+        socket_of(first_gateway),
+        socket_of(first_side),
+    ]
+}
+
+fn role_of(position: usize, fleet: &FleetSize) -> Role {
+    if position < fleet.coordinators {
+        Role::Coordinator
+    } else if position < fleet.coordinators + fleet.gateways {
+        Role::Gateway
+    } else {
+        Role::Agent
+    }
+}
+
+fn settings_for(
+    world: &World,
+    position: usize,
+    fleet: &FleetSize,
+    seeds: &[SocketAddr],
+) -> Settings {
+    let address = Address {
+        node: NodeId(0),
+        role: role_of(position, fleet),
+        zone: world.machines[position].zone.clone(),
+        socket: socket_of(position),
+    };
+    match address.role {
+        Role::Coordinator => Settings::Coordinator(CoordinatorOptions {
+            address,
+            seeds: seeds.to_vec(),
+            initial_coordinators: u32::try_from(fleet.coordinators).unwrap_or(u32::MAX),
+            consensus: consensus::Options::default(),
+            dispatcher: dispatch::DispatcherOptions::default(),
+            session_lease: SESSION_LEASE,
+            replace_voter_after: Milliseconds(2_000),
+            runner_wait: Milliseconds(1_000),
+            snapshot_every: 1_000,
+            max_waiting_requests: 10_000,
+            decisions_kept: 1_000,
+            seed: 0,
+        }),
+        Role::Gateway => Settings::Gateway(GatewayOptions {
+            address,
+            seeds: seeds.to_vec(),
+            session_interval: SESSION_INTERVAL,
+            replica_valid: REPLICA_VALID,
+            max_waiting_requests: 2_000,
+            resend_after: Milliseconds(500),
+            seed: 0,
+        }),
+        Role::Agent => Settings::Agent(AgentOptions {
+            address,
+            seeds: seeds.to_vec(),
+            session_interval: SESSION_INTERVAL,
+            order_timeout: Milliseconds(500),
+            freeze_after: Milliseconds(1_000),
+            replica_valid: REPLICA_VALID,
+            seed: 0,
+        }),
+    }
+}
+
+fn add_process(world: &mut World, position: usize, settings: Settings) {
+    let address = match &settings {
+        Settings::Coordinator(options) => options.address.clone(),
+        Settings::Gateway(options) => options.address.clone(),
+        Settings::Agent(options) => options.address.clone(),
+    };
+    let index = ProcessIndex(world.processes.len());
+    world.sockets.insert(address.socket, index);
+    if address.role == Role::Gateway {
+        world.gateways.push(index);
+    }
+    world.processes.push(Process {
+        machine: MachineIndex(position),
+        address,
+        settings,
+        life: Life::default(),
+        core: None,
+        disk: DiskSlot::None,
+        writes: VecDeque::new(),
+        timer: None,
+        retired: false,
+    });
+    let at = world.random.random_range(0..1_000_000);
+    world.schedule(at, Event::Start(index, DiskState::Empty));
+}
+
+fn add_runners(world: &mut World, fleet: &FleetSize) -> Result<(), InvalidName> {
+    let first_side = fleet.coordinators + fleet.gateways;
+    let stills = pool_runners(Mix::Stills)
+        .into_iter()
+        .cycle()
+        .take(fleet.stills_runners);
+    let documents = pool_runners(Mix::Documents)
+        .into_iter()
+        .cycle()
+        .take(fleet.documents_runners);
+    let templates: Vec<RunnerTemplate> = stills.chain(documents).collect();
+    for (number, template) in templates.into_iter().enumerate() {
+        let position = first_side + number;
+        world.runners.push(RunnerHost {
+            machine: MachineIndex(position),
+            agent: ProcessIndex(position),
+            options: RunnerOptions {
+                runner: RunnerId::new(format!("runner-{number}"))?,
+                incarnation: RunnerIncarnation(0),
+                pool: template.pool,
+                rack: template.rack,
+                labels: template.labels,
+                capacity: template.capacity,
+                behaviour: Behaviour::Healthy,
+                seed: 0,
+            },
+            life: Life::default(),
+            runner: None,
+            timer: None,
+            trouble: OrderTrouble::default(),
+        });
+        world.schedule_in(1_000_000, Event::StartRunner(number));
+    }
+    Ok(())
+}
+
+fn add_callers(world: &mut World, plan: &Plan) {
+    for (number, mix) in [Mix::Stills, Mix::Documents].into_iter().enumerate() {
+        let seed = world.random.random();
+        world.callers.push(CallerHost {
+            name: format!("caller-{number}"),
+            caller: Caller::new(seed),
+            workload: Workload::new(mix, &format!("c{number}"), seed),
+            jobs: std::collections::BTreeMap::new(),
+            gateway: number,
+            load_percent: plan.fleet.load_percent,
+            times: 1,
+            timer: None,
+        });
+    }
+}
+
+fn add_operators(world: &mut World) {
+    for number in 0..2_u32 {
+        world.operators.push(OperatorHost {
+            name: format!("operator-{number}"),
+            known: ConfigurationVersion(0),
+            document: example_configuration(),
+            open_order: None,
+            waiting: false,
+            wanted: u32::from(number == 0),
+            marker: number,
+            gateway: number as usize,
+        });
+        let at = 1_000_000;
+        world.schedule(at, Event::OperatorTimer(number as usize));
+    }
+}
--- /dev/null
+++ b/crates/simulation/src/network.rs
@@ -0,0 +1,108 @@
+//! The virtual network: who reaches whom, when, and how often.
+
+use crate::machine::MachineIndex;
+use rand::Rng;
+use rand_chacha::ChaCha8Rng;
+use std::collections::BTreeMap;
+
+/// Virtual time in microseconds since the start of the run.
+pub type Micros = u64;
+
+/// Delay within a zone.
+const NEAR_MICROS: (Micros, Micros) = (150, 400);
+/// Delay between zones, about 1 ms.
+const FAR_MICROS: (Micros, Micros) = (900, 1_400);
+
+/// Loss, doubling and delay of the whole network.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Weather {
+    /// Messages lost in a thousand.
+    pub loss_per_thousand: u32,
+    /// Messages doubled in a thousand.
+    pub double_per_thousand: u32,
+    /// Extra delay, up to this many milliseconds.
+    pub delay_ms: u64,
+}
+
+/// Cuts and weather.
+#[derive(Debug, Default)]
+pub struct Network {
+    cuts: BTreeMap<(MachineIndex, MachineIndex), Micros>,
+    weather: Weather,
+    weather_until: Micros,
+}
+
+impl Network {
+    /// Cuts one direction until `until`; a longer cut stays.
+    pub fn cut(&mut self, from: MachineIndex, to: MachineIndex, until: Micros) {
+        let end = self.cuts.entry((from, to)).or_default();
+        *end = (*end).max(until);
+    }
+
+    /// Sets the weather until `until`.
+    pub fn set_weather(&mut self, weather: Weather, until: Micros) {
+        self.weather = weather;
+        self.weather_until = until;
+    }
+
+    /// Ends all cuts and bad weather.
+    pub fn heal(&mut self) {
+        self.cuts.clear();
+        self.weather_until = 0;
+    }
+
+    /// True when nothing gets through in this direction now.
+    pub fn is_cut(&self, from: MachineIndex, to: MachineIndex, now: Micros) -> bool {
+        self.cuts.get(&(from, to)).is_some_and(|until| now < *until)
+    }
+
+    /// Delays of the copies of one message that arrive; empty when it is lost.
+    pub fn deliveries(
+        &self,
+        random: &mut ChaCha8Rng,
+        now: Micros,
+        from: MachineIndex,
+        to: MachineIndex,
+        same_zone: bool,
+    ) -> Vec<Micros> {
+        if self.is_cut(from, to, now) {
+            return Vec::new();
+        }
+        let weather = self.weather_at(now);
+        if per_thousand(random, weather.loss_per_thousand) {
+            return Vec::new();
+        }
+        let copies = if per_thousand(random, weather.double_per_thousand) {
+            2
+        } else {
+            1
+        };
+        (0..copies)
+            .map(|_| delay(random, same_zone, weather.delay_ms))
+            .collect()
+    }
+
+    fn weather_at(&self, now: Micros) -> Weather {
+        if now < self.weather_until {
+            self.weather
+        } else {
+            Weather::default()
+        }
+    }
+}
+
+/// True in `chance` of a thousand draws. Draws nothing when it cannot happen.
+pub fn per_thousand(random: &mut ChaCha8Rng, chance: u32) -> bool {
+    chance > 0 && random.random_range(0..1_000) < chance
+}
+
+fn delay(random: &mut ChaCha8Rng, same_zone: bool, extra_ms: u64) -> Micros {
+    let (low, high) = if same_zone { NEAR_MICROS } else { FAR_MICROS };
+    let base = random.random_range(low..=high);
+    let extra = if extra_ms > 0 {
+        random.random_range(0..=extra_ms * 1_000)
+    } else {
+        0
+    };
+    base + extra
+}
--- /dev/null
+++ b/crates/simulation/src/world_http.rs
@@ -0,0 +1,445 @@
+//! The world's callers and operators, and their HTTP requests to gateways.
+
+use crate::caller::{CALLER_TIMEOUT_MS, Waiting};
+use crate::event::Event;
+use crate::network::Micros;
+use crate::operator::{OPERATOR_INTERVAL_MS, OPERATOR_TIMEOUT_MS, digest};
+use crate::process::{Input, ProcessIndex};
+use crate::world::World;
+use checker::event::ExpectedStep;
+use checker::{Event as Seen, ReadState};
+use gateway::TicketId;
+use peer::{Operation, OperationReply, Refusal, RefusalCode};
+use rand::Rng;
+use record::CancelSelector;
+use standin::caller::{CallerAction, CallerAnswer};
+use types::{JobKey, JobSpec, Milliseconds};
+
+/// Time between two reads of the configuration at all gateways.
+const READ_MICROS: Micros = 400_000;
+/// Delay between a caller and a gateway.
+const OUTSIDE_MICROS: (Micros, Micros) = (400, 1_500);
+
+/// An HTTP answer.
+pub type Answer = Result<OperationReply, Refusal>;
+
+impl World {
+    /// Handles an event of callers, operators and their requests.
+    pub(crate) fn handle_http_event(&mut self, event: Event) {
+        match event {
+            Event::Arrival(caller) => self.arrival(caller),
+            Event::CallerTimer(caller) => {
+                self.callers[caller].timer = None;
+                self.caller_acts(caller);
+            }
+            Event::RequestArrives(gateway, ticket, time_left, operation) => {
+                let input = Input::Request {
+                    ticket,
+                    time_left,
+                    operation,
+                };
+                self.input(gateway, input);
+            }
+            Event::ResponseArrives(ticket, answer) => self.response(ticket, *answer),
+            Event::RequestSilence(ticket) => self.silence(ticket),
+            Event::OperatorTimer(operator) => self.operator_acts(operator),
+            Event::ReadConfigurations => self.read_configurations(),
+            _ => {}
+        }
+    }
+
+    fn outside_delay(&mut self) -> Micros {
+        self.random
+            .random_range(OUTSIDE_MICROS.0..=OUTSIDE_MICROS.1)
+    }
+
+    /// Sends an HTTP request to a gateway; a dead or cut-off gateway says
+    /// nothing, and the sender gives up after its timeout.
+    fn request(
+        &mut self,
+        gateway: usize,
+        timeout_ms: u64,
+        waiting: Waiting,
+        operation: Operation,
+    ) -> TicketId {
+        let ticket = self.new_ticket(waiting);
+        let process = self.gateways[gateway % self.gateways.len()];
+        let delay = self.outside_delay();
+        let reachable = self.processes[process.0].is_up();
+        if reachable {
+            let left = Milliseconds(timeout_ms);
+            let event = Event::RequestArrives(process, ticket, left, operation);
+            self.schedule_in(delay, event);
+            self.schedule_in(timeout_ms * 1_000, Event::RequestSilence(ticket));
+        } else {
+            self.schedule_in(delay, Event::RequestSilence(ticket));
+        }
+        ticket
+    }
+
+    /// A gateway answers a request.
+    pub(crate) fn respond(&mut self, _gateway: ProcessIndex, ticket: TicketId, answer: Answer) {
+        let delay = self.outside_delay();
+        self.schedule_in(delay, Event::ResponseArrives(ticket, Box::new(answer)));
+    }
+
+    fn arrival(&mut self, caller: usize) {
+        if self.now >= self.load_until {
+            return;
+        }
+        let now = self.outside_clock();
+        let mut spec = self.callers[caller].workload.next_job();
+        self.sometimes_later(&mut spec);
+        let key = JobKey {
+            tenant: spec.tenant.clone(),
+            job: spec.job.clone(),
+        };
+        let host = &mut self.callers[caller];
+        host.caller.follow(key.clone(), now);
+        host.jobs.insert(key, spec);
+        let mean = host.mean_gap();
+        let gap = self.random.random_range(mean / 2..=mean + mean / 2);
+        self.schedule_in(gap, Event::Arrival(caller));
+        self.caller_acts(caller);
+    }
+
+    /// One job in forty asks for a start time a little ahead.
+    fn sometimes_later(&mut self, spec: &mut JobSpec) {
+        if self.random.random_range(0..40) == 0 {
+            let ahead = self.random.random_range(500..4_000);
+            let wall = crate::machine::WALL_START_MS + self.now / 1_000 + ahead;
+            spec.start_at = Some(types::WallTime(wall));
+        }
+    }
+
+    /// The clock of callers and operators.
+    fn outside_clock(&self) -> types::Monotonic {
+        types::Monotonic(self.now / 1_000)
+    }
+
+    pub(crate) fn caller_acts(&mut self, caller: usize) {
+        let now = self.outside_clock();
+        for action in self.callers[caller].caller.actions(now) {
+            match action {
+                CallerAction::Submit(job) => self.send_submit(caller, job),
+                CallerAction::Ask(job) => self.send_ask(caller, job),
+            }
+        }
+        self.set_caller_timer(caller);
+    }
+
+    fn set_caller_timer(&mut self, caller: usize) {
+        let Some(wakeup) = self.callers[caller].caller.next_wakeup() else {
+            return;
+        };
+        let at = (wakeup.0 * 1_000).max(self.now + 1_000);
+        if self.callers[caller].timer.is_none_or(|timer| at < timer) {
+            self.callers[caller].timer = Some(at);
+            self.schedule(at, Event::CallerTimer(caller));
+        }
+    }
+
+    fn send_submit(&mut self, caller: usize, job: JobKey) {
+        let Some(spec) = self.callers[caller].jobs.get(&job).cloned() else {
+            return;
+        };
+        let seen = Seen::SubmitSent {
+            job: job.clone(),
+            steps: expected_steps(&spec),
+            not_before: spec
+                .start_at
+                .map(|at| Milliseconds(at.0.saturating_sub(crate::machine::WALL_START_MS))),
+        };
+        self.observe(self.callers[caller].name.clone(), seen);
+        let gateway = self.callers[caller].gateway;
+        let waiting = Waiting::Submit { caller, job };
+        self.request(gateway, CALLER_TIMEOUT_MS, waiting, Operation::Submit(spec));
+    }
+
+    fn send_ask(&mut self, caller: usize, job: JobKey) {
+        let gateway = self.callers[caller].gateway;
+        let waiting = Waiting::Ask {
+            caller,
+            job: job.clone(),
+            asked_at: self.now,
+        };
+        self.request(gateway, CALLER_TIMEOUT_MS, waiting, Operation::GetJob(job));
+    }
+
+    /// Cancels some unfinished jobs of all callers.
+    pub(crate) fn cancel_some(&mut self, count: u32) {
+        for _ in 0..count {
+            let caller = self.random.random_range(0..self.callers.len());
+            let open = self.callers[caller].jobs.len();
+            if open == 0 {
+                continue;
+            }
+            let position = self.random.random_range(0..open);
+            let Some(job) = self.callers[caller].jobs.keys().nth(position).cloned() else {
+                continue;
+            };
+            self.observe(
+                self.callers[caller].name.clone(),
+                Seen::CancelSent { job: job.clone() },
+            );
+            let waiting = Waiting::Cancel {
+                caller,
+                jobs: vec![job.clone()],
+            };
+            let operation = Operation::Cancel(CancelSelector::Jobs(vec![job]));
+            let gateway = self.callers[caller].gateway;
+            self.request(gateway, CALLER_TIMEOUT_MS, waiting, operation);
+        }
+    }
+
+    fn silence(&mut self, ticket: TicketId) {
+        let Some(waiting) = self.waiting.remove(&ticket) else {
+            return;
+        };
+        match waiting {
+            Waiting::Submit { caller, job } | Waiting::Ask { caller, job, .. } => {
+                self.callers[caller].gateway += 1;
+                self.tell_caller(caller, &job, CallerAnswer::Silence);
+            }
+            Waiting::Cancel { caller, .. } => self.callers[caller].gateway += 1,
+            Waiting::Configure { operator } | Waiting::ReadVersion { operator } => {
+                self.operators[operator].waiting = false;
+                self.operators[operator].gateway += 1;
+            }
+            Waiting::ReadConfiguration { .. } => {}
+        }
+    }
+
+    fn response(&mut self, ticket: TicketId, answer: Answer) {
+        let Some(waiting) = self.waiting.remove(&ticket) else {
+            return;
+        };
+        match waiting {
+            Waiting::Submit { caller, job } => self.submit_answered(caller, job, answer),
+            Waiting::Ask {
+                caller,
+                job,
+                asked_at,
+            } => self.ask_answered(caller, job, asked_at, answer),
+            Waiting::Cancel { caller, jobs } => self.cancel_answered(caller, jobs, &answer),
+            Waiting::Configure { operator } => self.configure_answered(operator, answer),
+            Waiting::ReadVersion { operator } => self.version_read(operator, answer),
+            Waiting::ReadConfiguration { daemon, asked_at } => {
+                self.configuration_read(daemon, asked_at, answer);
+            }
+        }
+    }
+
+    fn tell_caller(&mut self, caller: usize, job: &JobKey, answer: CallerAnswer) {
+        let now = self.outside_clock();
+        let is_final = match &answer {
+            CallerAnswer::State(state) => state.is_final(),
+            CallerAnswer::Refused => true,
+            _ => false,
+        };
+        self.callers[caller].caller.answered(job, answer, now);
+        if is_final {
+            self.callers[caller].jobs.remove(job);
+        }
+        self.caller_acts(caller);
+    }
+
+    fn submit_answered(&mut self, caller: usize, job: JobKey, answer: Answer) {
+        let name = self.callers[caller].name.clone();
+        let told = match answer {
+            Ok(_) => {
+                self.observe(name, Seen::SubmitAcknowledged { job: job.clone() });
+                CallerAnswer::Acknowledged
+            }
+            Err(refusal) => {
+                let seen = Seen::SubmitRefused {
+                    job: job.clone(),
+                    code: refusal_code(&refusal),
+                };
+                self.observe(name, seen);
+                told_of(&refusal)
+            }
+        };
+        if told == CallerAnswer::Silence {
+            self.callers[caller].gateway += 1;
+        }
+        self.tell_caller(caller, &job, told);
+    }
+
+    fn ask_answered(&mut self, caller: usize, job: JobKey, asked_at: Micros, answer: Answer) {
+        let state = match &answer {
+            Ok(OperationReply::Job(view)) => Some(ReadState::Known(view.state)),
+            Err(refusal) if refusal.code == RefusalCode::NotFound => Some(ReadState::Unknown),
+            _ => None,
+        };
+        if let Some(state) = state {
+            let seen = Seen::StateRead {
+                job: job.clone(),
+                asked_at: Milliseconds(asked_at / 1_000),
+                state,
+            };
+            self.observe(self.callers[caller].name.clone(), seen);
+        }
+        let told = match (state, &answer) {
+            (Some(ReadState::Known(state)), _) => CallerAnswer::State(state),
+            (Some(ReadState::Unknown), _) => CallerAnswer::Unknown,
+            (None, Err(refusal)) => told_of(refusal),
+            (None, Ok(_)) => CallerAnswer::Silence,
+        };
+        self.tell_caller(caller, &job, told);
+    }
+
+    fn cancel_answered(&mut self, caller: usize, jobs: Vec<JobKey>, answer: &Answer) {
+        if let Ok(OperationReply::Cancelled { unknown, .. }) = answer {
+            for job in jobs.into_iter().filter(|job| !unknown.contains(job)) {
+                let name = self.callers[caller].name.clone();
+                self.observe(name, Seen::CancelAcknowledged { job });
+            }
+        }
+    }
+
+    fn operator_acts(&mut self, operator: usize) {
+        self.schedule_in(OPERATOR_INTERVAL_MS * 1_000, Event::OperatorTimer(operator));
+        if self.operators[operator].waiting {
+            return;
+        }
+        if self.operators[operator].open_order.is_none() && self.operators[operator].wanted > 0 {
+            let host = &mut self.operators[operator];
+            host.wanted -= 1;
+            let version = host.known.next();
+            let document = host.next_document();
+            host.open_order = Some((version, document));
+        }
+        let gateway = self.operators[operator].gateway;
+        let Some((version, document)) = self.operators[operator].open_order.clone() else {
+            return;
+        };
+        let name = self.operators[operator].name.clone();
+        let seen = Seen::ConfigurationSent {
+            version,
+            digest: digest(&document),
+        };
+        self.observe(name, seen);
+        self.operators[operator].waiting = true;
+        let waiting = Waiting::Configure { operator };
+        let operation = Operation::PutConfiguration { version, document };
+        self.request(gateway, OPERATOR_TIMEOUT_MS, waiting, operation);
+    }
+
+    fn configure_answered(&mut self, operator: usize, answer: Answer) {
+        self.operators[operator].waiting = false;
+        let Some((version, document)) = self.operators[operator].open_order.clone() else {
+            return;
+        };
+        let name = self.operators[operator].name.clone();
+        match answer {
+            Ok(_) => {
+                self.operators[operator].open_order = None;
+                self.operators[operator].known = version;
+                let digest = digest(&document);
+                self.observe(name, Seen::ConfigurationAcknowledged { version, digest });
+                self.note_ceilings(&document);
+                self.operators[operator].document = document;
+            }
+            Err(refusal) => {
+                let seen = Seen::ConfigurationRefused {
+                    version,
+                    digest: digest(&document),
+                    code: refusal_code(&refusal),
+                };
+                self.observe(name, seen);
+                self.after_refused_configuration(operator, &refusal);
+            }
+        }
+    }
+
+    fn note_ceilings(&mut self, document: &configuration::ClusterConfiguration) {
+        for (tenant, settings) in &document.tenants {
+            let seen = Seen::CeilingInForce {
+                tenant: tenant.clone(),
+                ceiling: settings.ceiling,
+            };
+            self.observe("operator", seen);
+        }
+    }
+
+    fn after_refused_configuration(&mut self, operator: usize, refusal: &Refusal) {
+        match refusal.code {
+            RefusalCode::Conflict | RefusalCode::Invalid => {
+                self.operators[operator].open_order = None;
+                self.operators[operator].waiting = true;
+                let gateway = self.operators[operator].gateway;
+                let waiting = Waiting::ReadVersion { operator };
+                self.request(
+                    gateway,
+                    OPERATOR_TIMEOUT_MS,
+                    waiting,
+                    Operation::GetConfiguration,
+                );
+            }
+            _ => self.operators[operator].gateway += 1,
+        }
+    }
+
+    fn version_read(&mut self, operator: usize, answer: Answer) {
+        let host = &mut self.operators[operator];
+        host.waiting = false;
+        if let Ok(OperationReply::Configuration { version, document }) = answer {
+            host.known = version;
+            host.document = document;
+        }
+    }
+
+    fn read_configurations(&mut self) {
+        self.schedule_in(READ_MICROS, Event::ReadConfigurations);
+        for gateway in 0..self.gateways.len() {
+            let process = self.gateways[gateway];
+            let machine = self.processes[process.0].machine;
+            let waiting = Waiting::ReadConfiguration {
+                daemon: self.machines[machine.0].name.clone(),
+                asked_at: self.now,
+            };
+            self.request(gateway, 1_000, waiting, Operation::GetConfiguration);
+        }
+    }
+
+    fn configuration_read(&mut self, daemon: String, asked_at: Micros, answer: Answer) {
+        if let Ok(OperationReply::Configuration { version, document }) = answer {
+            let seen = Seen::ConfigurationRead {
+                daemon: daemon.clone(),
+                asked_at: Milliseconds(asked_at / 1_000),
+                version,
+                digest: digest(&document),
+            };
+            self.observe(daemon, seen);
+        }
+    }
+}
+
+fn expected_steps(spec: &JobSpec) -> Vec<ExpectedStep> {
+    spec.steps
+        .iter()
+        .map(|step| ExpectedStep {
+            name: step.name.clone(),
+            after: step.after.clone(),
+            tasks: step.tasks,
+            max_copies: step.max_copies,
+            allowed_failures: step.allowed_failures,
+        })
+        .collect()
+}
+
+fn refusal_code(refusal: &Refusal) -> String {
+    format!("{:?}", refusal.code).to_lowercase()
+}
+
+/// What a refusal means to a caller: come back, ask again, or give up.
+fn told_of(refusal: &Refusal) -> CallerAnswer {
+    match (refusal.code, refusal.retry_after) {
+        (_, Some(after)) => CallerAnswer::RetryAfter(after),
+        (RefusalCode::TimedOut | RefusalCode::Unavailable | RefusalCode::Overloaded, None) => {
+            CallerAnswer::Silence
+        }
+        _ => CallerAnswer::Refused,
+    }
+}
--- /dev/null
+++ b/crates/simulation/src/world_runner.rs
@@ -0,0 +1,260 @@
+//! The world's runners: heartbeats, orders and answers between a runner and
+//! the agent beside it.
+
+use crate::event::Event;
+use crate::network::{Micros, per_thousand};
+use crate::process::{Input, ProcessIndex};
+use crate::world::World;
+use checker::Event as Seen;
+use rand::Rng;
+use standin::runner::{Behaviour, RunnerEvent, RunnerInstruction};
+use types::{Outcome, RunnerOrder};
+
+/// Time between a runner's heartbeats.
+pub const HEARTBEAT_MICROS: Micros = 200_000;
+/// Delay between a runner and the agent beside it.
+const LOCAL_MICROS: (Micros, Micros) = (50, 300);
+
+impl World {
+    /// Handles an event at a runner or between it and its agent.
+    pub(crate) fn handle_runner_event(&mut self, event: Event) {
+        match event {
+            Event::RunnerTick(runner, life) => {
+                if self.runners[runner].life == life {
+                    self.runners[runner].timer = None;
+                    self.tick_runner(runner);
+                }
+            }
+            Event::RunnerHeartbeat(runner, life) => {
+                if self.runners[runner].life == life {
+                    self.send_heartbeat(runner);
+                    self.schedule_in(HEARTBEAT_MICROS, Event::RunnerHeartbeat(runner, life));
+                }
+            }
+            Event::HeartbeatArrives(runner, life, report) => {
+                self.heartbeat_arrives(runner, life, report);
+            }
+            Event::HeartbeatAnswered(runner, life, answer) => {
+                if self.runners[runner].life == life {
+                    self.heartbeat_answered(runner, &answer);
+                }
+            }
+            Event::OrderArrives(runner, order) => self.order_arrives(runner, &order),
+            Event::OrderAnswered(agent, life, order, answer) => {
+                if self.processes[agent.0].life == life {
+                    self.input(agent, Input::Answered(order, answer));
+                }
+            }
+            Event::StartRunner(runner) => self.start_runner(runner),
+            Event::RunnerHealthy(runner, life) => {
+                let host = &mut self.runners[runner];
+                if host.life == life
+                    && let Some(inner) = &mut host.runner
+                {
+                    inner.behave(Behaviour::Healthy);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    /// Starts a runner that is down.
+    pub fn start_runner(&mut self, runner: usize) {
+        if self.runners[runner].runner.is_some() {
+            return;
+        }
+        let seed = self.random.random();
+        let machine = self.runners[runner].machine;
+        let now = self.machines[machine.0].clock(self.now).monotonic;
+        self.runners[runner].start(now, seed);
+        let life = self.runners[runner].life;
+        let first = self.random.random_range(0..HEARTBEAT_MICROS);
+        self.schedule_in(first, Event::RunnerHeartbeat(runner, life));
+    }
+
+    /// Kills a runner; its runs die with it.
+    pub fn kill_runner(&mut self, runner: usize) {
+        if self.runners[runner].runner.is_none() {
+            return;
+        }
+        let id = self.runners[runner].id().clone();
+        for run in self.runners[runner].kill() {
+            let seen = Seen::RunEnded {
+                runner: id.clone(),
+                run,
+                outcome: Outcome::Stopped,
+            };
+            self.observe(id.as_str(), seen);
+        }
+        self.observe(id.as_str(), Seen::RunnerStopped { runner: id.clone() });
+    }
+
+    fn tick_runner(&mut self, runner: usize) {
+        let machine = self.runners[runner].machine;
+        let now = self.machines[machine.0].clock(self.now).monotonic;
+        let Some(inner) = &mut self.runners[runner].runner else {
+            return;
+        };
+        let events = inner.tick(now);
+        let ended = events
+            .iter()
+            .any(|event| matches!(event, RunnerEvent::Ended { .. }));
+        self.note_runner_events(runner, events);
+        if ended {
+            self.send_heartbeat(runner);
+        }
+        self.set_runner_timer(runner);
+    }
+
+    fn set_runner_timer(&mut self, runner: usize) {
+        let host = &self.runners[runner];
+        let Some(wakeup) = host.runner.as_ref().and_then(|inner| inner.next_wakeup()) else {
+            return;
+        };
+        let machine = host.machine;
+        let at = self.machines[machine.0].when(wakeup).max(self.now + 1_000);
+        if host.timer.is_none_or(|timer| at < timer) {
+            let life = host.life;
+            self.runners[runner].timer = Some(at);
+            self.schedule(at, Event::RunnerTick(runner, life));
+        }
+    }
+
+    fn local_delay(&mut self) -> Micros {
+        self.random.random_range(LOCAL_MICROS.0..=LOCAL_MICROS.1)
+    }
+
+    fn send_heartbeat(&mut self, runner: usize) {
+        let machine = self.runners[runner].machine;
+        let now = self.machines[machine.0].clock(self.now).monotonic;
+        let life = self.runners[runner].life;
+        let Some(inner) = &mut self.runners[runner].runner else {
+            return;
+        };
+        let report = inner.heartbeat(now);
+        let delay = self.local_delay();
+        self.schedule_in(delay, Event::HeartbeatArrives(runner, life, report));
+    }
+
+    fn heartbeat_arrives(
+        &mut self,
+        runner: usize,
+        life: crate::event::Life,
+        report: types::RunnerReport,
+    ) {
+        let agent = self.runners[runner].agent;
+        if !self.processes[agent.0].is_up() {
+            return;
+        }
+        let id = report.runner.clone();
+        self.input(agent, Input::Heartbeat(report));
+        let Some(core) = self.processes[agent.0].agent() else {
+            return;
+        };
+        let answer = core.heartbeat_answer(&id);
+        let delay = self.local_delay();
+        self.schedule_in(delay, Event::HeartbeatAnswered(runner, life, answer));
+    }
+
+    fn heartbeat_answered(&mut self, runner: usize, answer: &agent::HeartbeatAnswer) {
+        let machine = self.runners[runner].machine;
+        let now = self.machines[machine.0].clock(self.now).monotonic;
+        let instruction = RunnerInstruction {
+            term: answer.term,
+            confirmed: answer.confirmed,
+            incarnation: answer.incarnation,
+            lease: answer.lease,
+            recorded: answer.recorded.clone(),
+            stop: answer.stop.clone(),
+        };
+        let Some(inner) = &mut self.runners[runner].runner else {
+            return;
+        };
+        let events = inner.heartbeat_answered(now, &instruction);
+        self.note_runner_events(runner, events);
+        self.set_runner_timer(runner);
+    }
+
+    /// An agent gives an order to its runner; with trouble it comes late or
+    /// never.
+    pub(crate) fn deliver_order(&mut self, agent: ProcessIndex, order: RunnerOrder) {
+        let found = self
+            .runners
+            .iter()
+            .position(|host| host.agent == agent && *host.id() == order.runner);
+        let Some(runner) = found else {
+            return;
+        };
+        if let Some(delay) = self.order_delay(runner) {
+            self.schedule_in(delay, Event::OrderArrives(runner, order));
+        }
+    }
+
+    fn order_delay(&mut self, runner: usize) -> Option<Micros> {
+        let local = self.local_delay();
+        let trouble = self.runners[runner].trouble;
+        if self.now >= trouble.until {
+            return Some(local);
+        }
+        if per_thousand(&mut self.random, trouble.loss_per_thousand) {
+            return None;
+        }
+        let extra = self.random.random_range(0..=trouble.delay_ms * 1_000);
+        Some(local + extra)
+    }
+
+    fn order_arrives(&mut self, runner: usize, order: &RunnerOrder) {
+        let machine = self.runners[runner].machine;
+        let now = self.machines[machine.0].clock(self.now).monotonic;
+        let id = self.runners[runner].id().clone();
+        let Some(inner) = &mut self.runners[runner].runner else {
+            return;
+        };
+        let (answer, events) = inner.order(now, order);
+        let refused = matches!(answer, types::OrderAnswer::Refused(_));
+        let stale = events
+            .iter()
+            .any(|event| matches!(event, RunnerEvent::AcceptedStale(_)));
+        if !refused {
+            let seen = Seen::OrderAccepted {
+                runner: id.clone(),
+                term: order.term,
+                stale,
+            };
+            self.observe(id.as_str(), seen);
+        }
+        self.note_runner_events(runner, events);
+        self.set_runner_timer(runner);
+        if let Some(delay) = self.order_delay(runner) {
+            let agent = self.runners[runner].agent;
+            let life = self.processes[agent.0].life;
+            let event = Event::OrderAnswered(agent, life, order.clone(), answer);
+            self.schedule_in(delay, event);
+        }
+    }
+
+    fn note_runner_events(&mut self, runner: usize, events: Vec<RunnerEvent>) {
+        let id = self.runners[runner].id().clone();
+        let incarnation = self.runners[runner].options.incarnation;
+        for event in events {
+            let seen = match event {
+                RunnerEvent::Started(spec) => Seen::RunStarted {
+                    runner: id.clone(),
+                    incarnation,
+                    run: spec.run,
+                    job: spec.job,
+                    step: spec.step,
+                    task: spec.task,
+                    resources: spec.resources,
+                },
+                RunnerEvent::Ended { run, outcome } => Seen::RunEnded {
+                    runner: id.clone(),
+                    run,
+                    outcome,
+                },
+                RunnerEvent::AcceptedStale(_) => continue,
+            };
+            self.observe(id.as_str(), seen);
+        }
+    }
+}
