--- a/crates/storage/src/disk.rs
+++ b/crates/storage/src/disk.rs
@@ -1,7 +1,6 @@
 //! The seam below the store: a flat folder of files.
 
 use std::io;
-use std::path::PathBuf;
 
 /// A flat folder of files. Nothing written counts before its sync: a file's
 /// bytes need [`Disk::sync_file`], its name (creation, rename, removal) needs
@@ -26,9 +25,3 @@
     /// Removes a file.
     fn remove(&mut self, file: &str) -> io::Result<()>;
 }
-
-/// A folder of the operating system, through the C library.
-#[derive(Debug)]
-pub struct RealDisk {
-    _folder: PathBuf,
-}
--- a/crates/storage/src/error.rs
+++ b/crates/storage/src/error.rs
@@ -35,4 +35,33 @@
         /// Version this program writes and reads.
         supported: u32,
     },
+    /// A batch that does not join the log, or is too large for one record.
+    /// Nothing was written.
+    #[error("the batch cannot be written: {problem}")]
+    InvalidBatch {
+        /// Why.
+        problem: &'static str,
+    },
+    /// An earlier write or sync failed, so that nothing is known of what the
+    /// disk holds; only opening it again tells.
+    #[error("an earlier write failed; the store must be opened again")]
+    Failed,
+}
+
+impl StorageError {
+    pub(crate) fn damaged(file: &str, offset: usize, problem: impl Into<String>) -> Self {
+        Self::Damaged {
+            file: file.to_owned(),
+            offset: offset as u64,
+            problem: problem.into(),
+        }
+    }
+
+    pub(crate) fn disk(action: &'static str, file: &str, source: std::io::Error) -> Self {
+        Self::Disk {
+            action,
+            file: file.to_owned(),
+            source,
+        }
+    }
 }
--- /dev/null
+++ b/crates/storage/src/frame.rs
@@ -0,0 +1,187 @@
+//! How files and records are framed.
+//!
+//! ```text
+//! file   := header record*
+//! header := magic[8] version:u32 number:u64 crc32:u32     (little endian)
+//! record := mark[4] length:u32 crc32:u32 payload[length]
+//! ```
+//!
+//! A record's checksum covers the file's number and the record's offset, so a
+//! record found anywhere else does not verify, and neither does a payload
+//! that happens to look like one.
+
+use crate::StorageError;
+
+/// Version of all files this program writes and reads.
+pub const FORMAT_VERSION: u32 = 1;
+/// Bytes of a file's header.
+pub(crate) const HEADER_BYTES: usize = 24;
+/// Bytes before a record's payload.
+pub(crate) const RECORD_HEADER_BYTES: usize = 12;
+
+const RECORD_MARK: [u8; 4] = [0xC7, 0x5D, 0x9E, 0x31];
+
+/// What a file is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum FileKind {
+    Log,
+    Snapshot,
+    Identity,
+}
+
+impl FileKind {
+    fn magic(self) -> [u8; 8] {
+        match self {
+            Self::Log => *b"CYPDLOG\n",
+            Self::Snapshot => *b"CYPDSNP\n",
+            Self::Identity => *b"CYPDIDN\n",
+        }
+    }
+}
+
+/// What is wrong with a header.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum HeaderProblem {
+    /// Short or not verified: never written whole, or damaged.
+    Broken,
+    /// Verified, but of another version.
+    Version(u32),
+    /// Verified, but written for another file.
+    Foreign,
+}
+
+/// A verified record.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct RecordSlice<'a> {
+    pub payload: &'a [u8],
+    /// Offset behind it.
+    pub end: usize,
+}
+
+/// The header of a file.
+pub(crate) fn encode_header(kind: FileKind, number: u64) -> Vec<u8> {
+    let mut header = Vec::with_capacity(HEADER_BYTES);
+    header.extend_from_slice(&kind.magic());
+    header.extend_from_slice(&FORMAT_VERSION.to_le_bytes());
+    header.extend_from_slice(&number.to_le_bytes());
+    let checksum = crc32fast::hash(&header);
+    header.extend_from_slice(&checksum.to_le_bytes());
+    header
+}
+
+/// Verifies the header of a file.
+pub(crate) fn check_header(bytes: &[u8], kind: FileKind, number: u64) -> Result<(), HeaderProblem> {
+    let covered = bytes.get(..HEADER_BYTES - 4).ok_or(HeaderProblem::Broken)?;
+    let checksum = read_u32(bytes, HEADER_BYTES - 4).ok_or(HeaderProblem::Broken)?;
+    if crc32fast::hash(covered) != checksum {
+        return Err(HeaderProblem::Broken);
+    }
+    let version = read_u32(bytes, 8).ok_or(HeaderProblem::Broken)?;
+    if version != FORMAT_VERSION {
+        return Err(HeaderProblem::Version(version));
+    }
+    if bytes.get(..HEADER_BYTES) != Some(&encode_header(kind, number)) {
+        return Err(HeaderProblem::Foreign);
+    }
+    Ok(())
+}
+
+/// Adds a record that will stand at `offset` of file `number`; false when the
+/// payload is too long for a record.
+pub(crate) fn push_record(out: &mut Vec<u8>, number: u64, offset: u64, payload: &[u8]) -> bool {
+    let Ok(length) = u32::try_from(payload.len()) else {
+        return false;
+    };
+    out.extend_from_slice(&RECORD_MARK);
+    out.extend_from_slice(&length.to_le_bytes());
+    out.extend_from_slice(&record_checksum(number, offset, payload).to_le_bytes());
+    out.extend_from_slice(payload);
+    true
+}
+
+/// Reads and verifies the record at `offset`.
+pub(crate) fn read_record(
+    bytes: &[u8],
+    number: u64,
+    offset: usize,
+) -> Result<RecordSlice<'_>, &'static str> {
+    let start = offset + RECORD_HEADER_BYTES;
+    let mark = bytes.get(offset..offset + RECORD_MARK.len());
+    let length = read_u32(bytes, offset + 4);
+    let checksum = read_u32(bytes, offset + 8);
+    let (Some(mark), Some(length), Some(checksum)) = (mark, length, checksum) else {
+        return Err("the record's header is cut off");
+    };
+    if mark != RECORD_MARK {
+        return Err("no record begins here");
+    }
+    let end = start.saturating_add(length as usize);
+    let payload = bytes.get(start..end).ok_or("the record is cut off")?;
+    if record_checksum(number, offset as u64, payload) != checksum {
+        return Err("the record's checksum does not match");
+    }
+    Ok(RecordSlice { payload, end })
+}
+
+/// Offset of the first verified record behind `offset`.
+pub(crate) fn find_record_after(bytes: &[u8], number: u64, offset: usize) -> Option<usize> {
+    let tail = bytes.get(offset + 1..)?;
+    tail.windows(RECORD_MARK.len())
+        .enumerate()
+        .filter(|(_, window)| *window == RECORD_MARK)
+        .map(|(distance, _)| offset + 1 + distance)
+        .find(|candidate| read_record(bytes, number, *candidate).is_ok())
+}
+
+/// A whole file of one record: a snapshot or an identity. None when the
+/// payload is too long.
+pub(crate) fn encode_single(kind: FileKind, number: u64, payload: &[u8]) -> Option<Vec<u8>> {
+    let mut bytes = encode_header(kind, number);
+    push_record(&mut bytes, number, HEADER_BYTES as u64, payload).then_some(bytes)
+}
+
+/// The payload of a file of one record, which must be whole.
+pub(crate) fn decode_single<'a>(
+    file: &str,
+    bytes: &'a [u8],
+    kind: FileKind,
+    number: u64,
+) -> Result<&'a [u8], StorageError> {
+    check_header(bytes, kind, number).map_err(|problem| header_error(file, problem))?;
+    let record = read_record(bytes, number, HEADER_BYTES)
+        .map_err(|problem| StorageError::damaged(file, HEADER_BYTES, problem))?;
+    if record.end != bytes.len() {
+        let problem = "there are bytes behind the record";
+        return Err(StorageError::damaged(file, record.end, problem));
+    }
+    Ok(record.payload)
+}
+
+/// The error for a header that had to be whole.
+pub(crate) fn header_error(file: &str, problem: HeaderProblem) -> StorageError {
+    match problem {
+        HeaderProblem::Version(found) => StorageError::Version {
+            file: file.to_owned(),
+            found,
+            supported: FORMAT_VERSION,
+        },
+        HeaderProblem::Broken => StorageError::damaged(file, 0, "the header is not whole"),
+        HeaderProblem::Foreign => {
+            StorageError::damaged(file, 0, "the header belongs to another file")
+        }
+    }
+}
+
+fn record_checksum(number: u64, offset: u64, payload: &[u8]) -> u32 {
+    let mut hasher = crc32fast::Hasher::new();
+    hasher.update(&number.to_le_bytes());
+    hasher.update(&offset.to_le_bytes());
+    hasher.update(&(payload.len() as u64).to_le_bytes());
+    hasher.update(payload);
+    hasher.finalize()
+}
+
+fn read_u32(bytes: &[u8], offset: usize) -> Option<u32> {
+    let field = bytes.get(offset..offset + 4)?;
+    Some(u32::from_le_bytes(field.try_into().ok()?))
+}
--- /dev/null
+++ b/crates/storage/tests/crash.rs
@@ -0,0 +1,310 @@
+//! Random histories against a model, with power loss and failing disks at any
+//! point: what `write` acknowledged is there afterwards.
+#![allow(clippy::unwrap_used)]
+
+mod common;
+
+use common::{SMALL_SEGMENTS, apply, entry, hard_state, snapshot};
+use consensus::Recovered;
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngSeed, TestRunner};
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use std::io;
+use storage::{Batch, Disk, MemoryDisk, StorageError, Store};
+
+#[derive(Debug, Clone)]
+enum Step {
+    Vote,
+    /// Entries from `back` before the end on.
+    Append {
+        back: u64,
+        count: u64,
+        vote: bool,
+    },
+    /// Own snapshot, `back` before the end.
+    Compact {
+        back: u64,
+    },
+    /// A snapshot ahead of the log, with `count` entries behind it.
+    Install {
+        ahead: u64,
+        count: u64,
+    },
+    /// The next disk changes from this one on fail.
+    FailAfter {
+        changes: u64,
+    },
+    Crash {
+        seed: u64,
+    },
+}
+
+fn steps() -> impl Strategy<Value = Vec<Step>> {
+    let step = prop_oneof![
+        2 => Just(Step::Vote),
+        6 => (0..4u64, 1..4u64, any::<bool>())
+            .prop_map(|(back, count, vote)| Step::Append { back, count, vote }),
+        2 => (0..5u64).prop_map(|back| Step::Compact { back }),
+        1 => (0..5u64, 0..3u64).prop_map(|(ahead, count)| Step::Install { ahead, count }),
+        2 => (0..12u64).prop_map(|changes| Step::FailAfter { changes }),
+        2 => any::<u64>().prop_map(|seed| Step::Crash { seed }),
+    ];
+    prop::collection::vec(step, 1..40)
+}
+
+fn config(cases: u32) -> Config {
+    Config {
+        cases,
+        rng_seed: RngSeed::Fixed(7),
+        failure_persistence: None,
+        ..Config::default()
+    }
+}
+
+/// A disk that tests can crash while a store has it.
+trait CrashDisk: Disk + Clone {
+    fn memory(&mut self) -> &mut MemoryDisk;
+}
+
+impl CrashDisk for MemoryDisk {
+    fn memory(&mut self) -> &mut MemoryDisk {
+        self
+    }
+}
+
+/// Drives a store and the model side by side.
+struct Trial<D: CrashDisk> {
+    store: Store<D>,
+    /// What was acknowledged.
+    acknowledged: Recovered,
+    /// With the batch that failed, which may have become durable.
+    possible: Option<Recovered>,
+    term: u64,
+    fail_at: Option<u64>,
+}
+
+impl<D: CrashDisk> Trial<D> {
+    fn new(disk: D) -> Self {
+        let opened = Store::open_with(disk, SMALL_SEGMENTS).unwrap();
+        Self {
+            store: opened.store,
+            acknowledged: Recovered::default(),
+            possible: None,
+            term: 0,
+            fail_at: None,
+        }
+    }
+
+    fn run(mut self, steps: &[Step]) -> Result<(), String> {
+        for step in steps {
+            self = self.step(step)?;
+        }
+        self.crash(0).map(drop)
+    }
+
+    fn step(mut self, step: &Step) -> Result<Self, String> {
+        match step {
+            Step::Crash { seed } => return self.crash(*seed),
+            Step::FailAfter { changes } => {
+                self.fail_at = Some(*changes);
+                return self.fail_later(*changes);
+            }
+            _ => {}
+        }
+        let batch = self.batch(step);
+        let mut next = self.acknowledged.clone();
+        apply(&mut next, &batch);
+        match self.store.write(&batch) {
+            Ok(()) if self.possible.is_none() => self.acknowledged = next,
+            Ok(()) => return Err("written after a failure".to_owned()),
+            Err(StorageError::Failed) if self.possible.is_some() => {}
+            Err(StorageError::Disk { .. }) if self.fail_at.is_some() => self.possible = Some(next),
+            Err(error) => return Err(error.to_string()),
+        }
+        Ok(self)
+    }
+
+    fn fail_later(mut self, changes: u64) -> Result<Self, String> {
+        if self.possible.is_some() {
+            return Ok(self);
+        }
+        // Reopening is no crash: everything must be there as it was.
+        let mut disk = self.store.into_disk();
+        let memory = disk.memory();
+        memory.crash_keeping_unsynced();
+        let opened = Store::open_with(disk, SMALL_SEGMENTS).map_err(|e| e.to_string())?;
+        if opened.recovered != self.acknowledged {
+            return Err("reopened with another state".to_owned());
+        }
+        let mut disk = opened.store.into_disk();
+        let memory = disk.memory();
+        let first = memory.changes() + REOPEN_CHANGES + changes;
+        memory.fail_from(first);
+        let opened = Store::open_with(disk, SMALL_SEGMENTS).map_err(|e| e.to_string())?;
+        self.store = opened.store;
+        Ok(self)
+    }
+
+    fn crash(mut self, seed: u64) -> Result<Self, String> {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let mut disk = self.store.into_disk();
+        disk.memory().crash(&mut rng);
+        // The first try to open may lose power as well.
+        let mut first_try = disk.clone();
+        let changes = first_try.memory().changes();
+        first_try.memory().fail_from(changes + seed % 6);
+        if let Ok(opened) = Store::open_with(first_try, SMALL_SEGMENTS) {
+            disk = opened.store.into_disk();
+        }
+        disk.memory().crash(&mut rng);
+        let opened = Store::open_with(disk, SMALL_SEGMENTS).map_err(|e| e.to_string())?;
+        let known = opened.recovered == self.acknowledged
+            || Some(&opened.recovered) == self.possible.as_ref();
+        if !known {
+            return Err(format!(
+                "acknowledged {:?}, found {:?}",
+                self.acknowledged, opened.recovered
+            ));
+        }
+        self.acknowledged = opened.recovered;
+        self.possible = None;
+        self.fail_at = None;
+        self.store = opened.store;
+        Ok(self)
+    }
+
+    fn batch(&mut self, step: &Step) -> Batch {
+        self.term += 1;
+        let term = self.term;
+        let meta = self.acknowledged.snapshot.as_ref().map(|s| s.meta.clone());
+        let base = meta.as_ref().map_or(0, |meta| meta.index.0);
+        let last = base + self.acknowledged.entries.len() as u64;
+        let entries_from = |first: u64, count: u64| {
+            let indexes = first..first + count;
+            indexes.map(|index| entry(index, term)).collect()
+        };
+        match step {
+            Step::Append { back, count, vote } => Batch {
+                hard_state: vote.then(|| hard_state(term)),
+                entries: entries_from((last + 1 - back.min(&last)).max(base + 1), *count),
+                ..Batch::default()
+            },
+            Step::Compact { back } if last > base => {
+                let position = (last - base - 1).saturating_sub(*back) as usize;
+                let covered = &self.acknowledged.entries[position];
+                Batch {
+                    snapshot: Some(snapshot(covered.index.0, covered.term.0)),
+                    ..Batch::default()
+                }
+            }
+            Step::Install { ahead, count } => Batch {
+                hard_state: Some(hard_state(term)),
+                snapshot: Some(snapshot(last + ahead + 1, term)),
+                entries: entries_from(last + ahead + 2, *count),
+            },
+            _ => Batch {
+                hard_state: Some(hard_state(term)),
+                ..Batch::default()
+            },
+        }
+    }
+}
+
+/// Changes of an open without leftovers: write, sync, rename, sync.
+const REOPEN_CHANGES: u64 = 4;
+
+#[test]
+fn acknowledged_batches_survive_crashes_and_failing_disks() {
+    let mut runner = TestRunner::new(config(400));
+    runner
+        .run(&steps(), |steps| {
+            let trial = Trial::new(MemoryDisk::new());
+            trial.run(&steps).map_err(TestCaseError::fail)
+        })
+        .unwrap();
+}
+
+/// Leaves out syncs, as a faulty store would.
+#[derive(Debug, Clone, Default)]
+struct CarelessDisk {
+    memory: MemoryDisk,
+    skips_files: bool,
+    skips_folder: bool,
+}
+
+impl CrashDisk for CarelessDisk {
+    fn memory(&mut self) -> &mut MemoryDisk {
+        &mut self.memory
+    }
+}
+
+impl Disk for CarelessDisk {
+    fn list(&self) -> io::Result<Vec<String>> {
+        self.memory.list()
+    }
+    fn read(&self, file: &str) -> io::Result<Vec<u8>> {
+        self.memory.read(file)
+    }
+    fn write(&mut self, file: &str, bytes: &[u8]) -> io::Result<()> {
+        self.memory.write(file, bytes)
+    }
+    fn append(&mut self, file: &str, bytes: &[u8]) -> io::Result<()> {
+        self.memory.append(file, bytes)
+    }
+    fn truncate(&mut self, file: &str, length: u64) -> io::Result<()> {
+        self.memory.truncate(file, length)
+    }
+    fn sync_file(&mut self, file: &str) -> io::Result<()> {
+        if self.skips_files {
+            return Ok(());
+        }
+        self.memory.sync_file(file)
+    }
+    fn sync_folder(&mut self) -> io::Result<()> {
+        if self.skips_folder {
+            return Ok(());
+        }
+        self.memory.sync_folder()
+    }
+    fn rename(&mut self, from: &str, to: &str) -> io::Result<()> {
+        self.memory.rename(from, to)
+    }
+    fn remove(&mut self, file: &str) -> io::Result<()> {
+        self.memory.remove(file)
+    }
+}
+
+/// Batches, rotations and a snapshot, then a crash drawn from `seed`.
+fn history_with_crash(seed: u64) -> Vec<Step> {
+    let append = Step::Append {
+        back: 0,
+        count: 2,
+        vote: true,
+    };
+    let mut steps = vec![append.clone(); 6];
+    steps.push(Step::Compact { back: 1 });
+    steps.extend(vec![append; 2]);
+    steps.push(Step::Crash { seed });
+    steps
+}
+
+/// Crashes, of twenty, after which the model's check fails.
+fn failed_checks(skips_files: bool, skips_folder: bool) -> usize {
+    let check = |seed: &u64| {
+        let disk = CarelessDisk {
+            memory: MemoryDisk::new(),
+            skips_files,
+            skips_folder,
+        };
+        Trial::new(disk).run(&history_with_crash(*seed)).is_err()
+    };
+    (0..20).filter(check).count()
+}
+
+#[test]
+fn the_check_notices_a_missing_sync() {
+    assert_eq!(failed_checks(false, false), 0);
+    assert!(failed_checks(true, false) > 0, "file syncs left out");
+    assert!(failed_checks(false, true) > 0, "folder syncs left out");
+}
--- /dev/null
+++ b/crates/storage/tests/interrupt.rs
@@ -0,0 +1,197 @@
+//! Snapshots, rotations and identities interrupted at every disk change.
+#![allow(clippy::unwrap_used)]
+
+mod common;
+
+use common::{entries, history, install, open, states, vote};
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use storage::{Batch, Disk, Identity, MemoryDisk, StorageError, Store};
+use types::{ClusterId, LogIndex, NodeId};
+
+const SEEDS_EACH: u64 = 12;
+
+fn identity(node: u64) -> Identity {
+    Identity {
+        node: NodeId(node),
+        cluster: Some(ClusterId(3)),
+        initial: Default::default(),
+    }
+}
+
+/// Every outcome of a crash: nothing unsynced kept, all kept, and draws.
+fn crashes(disk: &MemoryDisk) -> Vec<MemoryDisk> {
+    let mut outcomes = vec![disk.clone(), disk.clone()];
+    outcomes[0].crash_losing_unsynced();
+    outcomes[1].crash_keeping_unsynced();
+    for seed in 0..SEEDS_EACH {
+        let mut crashed = disk.clone();
+        crashed.crash(&mut ChaCha8Rng::seed_from_u64(seed));
+        outcomes.push(crashed);
+    }
+    outcomes
+}
+
+#[test]
+fn a_batch_interrupted_anywhere_is_there_whole_or_not_at_all() {
+    let batches = history();
+    let states = states(&batches);
+    let mut disk = open(MemoryDisk::new()).store.into_disk();
+    for (position, batch) in batches.iter().enumerate() {
+        let mut failed_after = 0;
+        loop {
+            let mut store = open(disk.clone()).store;
+            let done = write_failing_after(&mut store, batch, failed_after);
+            for crashed in crashes(&store.into_disk()) {
+                let opened = open(crashed);
+                let applied = opened.recovered == states[position + 1];
+                let untouched = opened.recovered == states[position];
+                assert!(applied || (!done && untouched), "batch {position}");
+                check_tidy(&opened.store.into_disk());
+            }
+            if done {
+                break;
+            }
+            failed_after += 1;
+        }
+        let mut store = open(disk).store;
+        store.write(batch).unwrap();
+        disk = store.into_disk();
+    }
+}
+
+/// Writes on a disk that fails after some changes; true when that was enough.
+fn write_failing_after(store: &mut Store<MemoryDisk>, batch: &Batch, changes: u64) -> bool {
+    // The store has no way to its disk, and needs none but here.
+    let mut disk = std::mem::replace(store, open(MemoryDisk::new()).store).into_disk();
+    let first = disk.changes() + 4 + changes;
+    disk.fail_from(first);
+    *store = open(disk).store;
+    match store.write(batch) {
+        Ok(()) => true,
+        Err(StorageError::Disk { .. }) => {
+            assert!(matches!(store.write(&vote(99)), Err(StorageError::Failed)));
+            let saved = store.save_identity(&identity(1));
+            assert!(matches!(saved, Err(StorageError::Failed)));
+            false
+        }
+        Err(error) => panic!("{error}"),
+    }
+}
+
+/// After an open there is at most one snapshot and no temporary file.
+fn check_tidy(disk: &MemoryDisk) {
+    let names = disk.list().unwrap();
+    let snapshots = names.iter().filter(|name| name.starts_with("snapshot-"));
+    assert!(snapshots.count() <= 1, "{names:?}");
+    assert!(
+        !names.iter().any(|name| name.ends_with(".tmp")),
+        "{names:?}"
+    );
+}
+
+#[test]
+fn an_open_interrupted_anywhere_loses_nothing() {
+    let batches = history();
+    let expected = states(&batches).pop().unwrap();
+    let mut store = open(MemoryDisk::new()).store;
+    for batch in &batches {
+        store.write(batch).unwrap();
+    }
+    let mut disk = store.into_disk();
+    let torn = disk
+        .list()
+        .unwrap()
+        .into_iter()
+        .filter(|n| n.starts_with("log-"));
+    let torn = torn.max().unwrap();
+    disk.damage(&torn, |bytes| bytes.extend([7; 9])).unwrap();
+    for changes in 0..8 {
+        let mut failing = disk.clone();
+        let first = failing.changes() + changes;
+        failing.fail_from(first);
+        let _ = Store::open_with(failing.clone(), common::SMALL_SEGMENTS);
+        for crashed in crashes(&failing) {
+            assert_eq!(open(crashed).recovered, expected);
+        }
+    }
+    assert_eq!(open(disk).cut_bytes, 9);
+}
+
+#[test]
+fn a_first_open_interrupted_anywhere_can_be_repeated() {
+    for changes in 0..4 {
+        let mut disk = MemoryDisk::new();
+        disk.fail_from(changes);
+        let mut shared = disk.clone();
+        let _ = shared.write("log-00000000000000000001", &[67; 40]);
+        for crashed in crashes(&shared) {
+            let opened = open(crashed);
+            assert_eq!(opened.recovered, Default::default());
+            assert_eq!(opened.identity, None);
+        }
+    }
+}
+
+#[test]
+fn an_identity_is_the_old_one_or_the_new_one() {
+    let mut store = open(MemoryDisk::new()).store;
+    store.save_identity(&identity(1)).unwrap();
+    let disk = store.into_disk();
+    for changes in 0..5 {
+        let mut failing = disk.clone();
+        let first = failing.changes() + 4 + changes;
+        failing.fail_from(first);
+        let mut store = open(failing).store;
+        let saved = store.save_identity(&identity(2)).is_ok();
+        assert_eq!(saved, changes >= 4);
+        for crashed in crashes(&store.into_disk()) {
+            let found = open(crashed).identity.unwrap();
+            let old = !saved && found == identity(1);
+            assert!(old || found == identity(2));
+        }
+    }
+}
+
+#[test]
+fn a_full_disk_stops_the_store_until_it_is_opened_again() {
+    let mut disk = MemoryDisk::new();
+    disk.set_capacity(Some(700));
+    let mut store = open(disk).store;
+    let mut written = 0;
+    let error = loop {
+        match store.write(&entries(written + 1..=written + 1, 1)) {
+            Ok(()) => written += 1,
+            Err(error) => break error,
+        }
+    };
+    assert!(error.to_string().contains("append"), "{error}");
+    assert!(matches!(store.write(&vote(1)), Err(StorageError::Failed)));
+    let mut disk = store.into_disk();
+    disk.set_capacity(None);
+    disk.crash_keeping_unsynced();
+    let opened = open(disk);
+    assert_eq!(opened.recovered.entries.len() as u64, written);
+    let mut store = opened.store;
+    store.write(&entries(written + 1..=written + 1, 1)).unwrap();
+}
+
+#[test]
+fn batches_that_do_not_join_the_log_are_refused_and_change_nothing() {
+    let mut store = open(MemoryDisk::new()).store;
+    store.write(&entries(1..=5, 1)).unwrap();
+    store.write(&install(3, 1)).unwrap();
+    for wrong in [entries(7..=7, 1), entries(3..=4, 1), entries(0..=0, 1)] {
+        let refused = store.write(&wrong);
+        assert!(matches!(refused, Err(StorageError::InvalidBatch { .. })));
+    }
+    let mut gap = entries(6..=7, 1);
+    gap.entries[1].index = LogIndex(8);
+    assert!(store.write(&gap).is_err());
+    store.write(&install(2, 1)).unwrap();
+    store.write(&Batch::default()).unwrap();
+    store.write(&entries(6..=6, 1)).unwrap();
+    let recovered = open(store.into_disk()).recovered;
+    let indexes: Vec<u64> = recovered.entries.iter().map(|e| e.index.0).collect();
+    assert_eq!(indexes, [4, 5, 6]);
+}
