--- a/crates/coordinator/src/leadership.rs
+++ b/crates/coordinator/src/leadership.rs
@@ -103,6 +103,7 @@
             leader.drop_late_requests(now.monotonic);
             leader.expire_sessions(now.monotonic);
             leader.sweep_runs(record, now);
+            leader.release_due(record, now);
         }
         audit::audit_when_due(leader, record, now);
         audit::forget_when_due(leader, record, now);
@@ -172,9 +173,7 @@
             }
             let own_term = entry.term == leader.identity.term;
             match leader.waiting.remove(&entry.index) {
-                Some(waiting) if own_term => {
-                    leader.replied(&replica.record, waiting, entry.applied.reply, now)
-                }
+                Some(waiting) if own_term => leader.replied(waiting, entry.applied.reply, now),
                 _ => {}
             }
         }
@@ -237,7 +236,7 @@
             }
             Command::Reserve { reservations, .. } => {
                 for reservation in reservations {
-                    self.release(record, reservation, now);
+                    self.release(record, reservation.run, reservation.task, now);
                 }
             }
             _ => {}
@@ -245,13 +244,7 @@
     }
 
     /// The record answered an entry of this leader.
-    fn replied(
-        &mut self,
-        record: &record::Record,
-        waiting: Waiting,
-        reply: CommandReply,
-        now: Now,
-    ) {
+    fn replied(&mut self, waiting: Waiting, reply: CommandReply, now: Now) {
         match waiting {
             Waiting::Nobody => {}
             Waiting::Reservations(chosen) => {
@@ -260,7 +253,7 @@
                 self.placement_due = true;
                 if let CommandReply::Reserved { taken, refused } = reply {
                     self.to_start.extend(taken);
-                    self.release_refused(record, &chosen, refused, now);
+                    self.release_refused(&chosen, refused, now);
                 }
             }
             Waiting::Request(request) => {
