--- a/crates/simulation/src/fleet.rs
+++ b/crates/simulation/src/fleet.rs
@@ -1,5 +1,6 @@
 //! Builds the fleet of a plan.
 
+use crate::Mutation;
 use crate::caller::CallerHost;
 use crate::event::{DiskState, Event, Life};
 use crate::fault::socket_of;
@@ -20,8 +21,8 @@
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 use types::{
-    Address, ConfigurationVersion, InvalidName, Milliseconds, NodeId, Role, RunnerIncarnation,
-    RunnerId, ZoneName,
+    Address, ConfigurationVersion, InvalidName, Milliseconds, NodeId, Role, RunnerId,
+    RunnerIncarnation, ZoneName,
 };
 
 /// Zones of the brief.
@@ -36,13 +37,14 @@
 /// Builds a world from a plan; daemons start over the first second.
 pub fn build(plan: &Plan) -> Result<World, InvalidName> {
     let mut world = World::new(ChaCha8Rng::seed_from_u64(plan.seed));
+    world.mutation = plan.mutation;
     add_machines(&mut world, &plan.fleet)?;
     let seeds = seed_sockets(&plan.fleet);
     for position in 0..world.machines.len() {
-        let settings = settings_for(&world, position, &plan.fleet, &seeds);
+        let settings = settings_for(&world, position, plan, &seeds);
         add_process(&mut world, position, settings);
     }
-    add_runners(&mut world, &plan.fleet)?;
+    add_runners(&mut world, plan)?;
     add_callers(&mut world, plan);
     add_operators(&mut world);
     world.schedule(500_000, Event::ReadConfigurations);
@@ -86,12 +88,8 @@
     }
 }
 
-fn settings_for(
-    world: &World,
-    position: usize,
-    fleet: &FleetSize,
-    seeds: &[SocketAddr],
-) -> Settings {
+fn settings_for(world: &World, position: usize, plan: &Plan, seeds: &[SocketAddr]) -> Settings {
+    let fleet = &plan.fleet;
     let address = Address {
         node: NodeId(0),
         role: role_of(position, fleet),
@@ -103,7 +101,10 @@
             address,
             seeds: seeds.to_vec(),
             initial_coordinators: u32::try_from(fleet.coordinators).unwrap_or(u32::MAX),
-            consensus: consensus::Options::default(),
+            consensus: consensus::Options {
+                mutation: plan.mutation.and_then(Mutation::of_consensus),
+                ..consensus::Options::default()
+            },
             dispatcher: dispatch::DispatcherOptions::default(),
             session_lease: SESSION_LEASE,
             replace_voter_after: Milliseconds(2_000),
@@ -112,6 +113,7 @@
             max_waiting_requests: 10_000,
             decisions_kept: 1_000,
             seed: 0,
+            mutation: plan.mutation.and_then(Mutation::of_coordinator),
         }),
         Role::Gateway => Settings::Gateway(GatewayOptions {
             address,
@@ -160,7 +162,8 @@
     world.schedule(at, Event::Start(index, DiskState::Empty));
 }
 
-fn add_runners(world: &mut World, fleet: &FleetSize) -> Result<(), InvalidName> {
+fn add_runners(world: &mut World, plan: &Plan) -> Result<(), InvalidName> {
+    let fleet = &plan.fleet;
     let first_side = fleet.coordinators + fleet.gateways;
     let stills = pool_runners(Mix::Stills)
         .into_iter()
@@ -184,6 +187,7 @@
                 labels: template.labels,
                 capacity: template.capacity,
                 behaviour: Behaviour::Healthy,
+                mutation: plan.mutation.and_then(Mutation::of_runner),
                 seed: 0,
             },
             life: Life::default(),
--- a/crates/simulation/src/operator.rs
+++ b/crates/simulation/src/operator.rs
@@ -46,5 +46,8 @@
     use sha2::{Digest, Sha256};
     let text = format!("{document:?}");
     let hash = Sha256::digest(text.as_bytes());
-    hash.iter().take(8).map(|byte| format!("{byte:02x}")).collect()
+    hash.iter()
+        .take(8)
+        .map(|byte| format!("{byte:02x}"))
+        .collect()
 }
--- a/crates/simulation/src/plan.rs
+++ b/crates/simulation/src/plan.rs
@@ -1,5 +1,6 @@
 //! Fault plans: data that a person can write, and the planner draws.
 
+use crate::Mutation;
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
@@ -18,6 +19,9 @@
     /// Most time after the load in which all work must end.
     #[serde(default = "default_calm_ms")]
     pub calm_ms: u64,
+    /// A mechanism turned off, for proofs.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub mutation: Option<Mutation>,
     /// Faults in order of time; times count from the fleet's first service.
     #[serde(default)]
     pub faults: Vec<PlannedFault>,
@@ -263,6 +267,7 @@
             fleet: FleetSize::default(),
             load_ms: DEFAULT_LOAD_MS,
             calm_ms: DEFAULT_CALM_MS,
+            mutation: None,
             faults: Vec::new(),
         }
     }
--- a/crates/simulation/src/process.rs
+++ b/crates/simulation/src/process.rs
@@ -13,9 +13,7 @@
 use std::net::SocketAddr;
 use storage::memory::MemoryDisk;
 use storage::{Batch, Identity, Store};
-use types::{
-    Address, Milliseconds, Monotonic, Now, OrderAnswer, Role, RunnerOrder, RunnerReport,
-};
+use types::{Address, Milliseconds, Monotonic, Now, OrderAnswer, Role, RunnerOrder, RunnerReport};
 
 /// Position of a daemon in the world.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -257,7 +255,9 @@
             return None;
         };
         Some(match write {
-            Write::Batch { number, batch } => store.write(&batch).map(|()| Input::Persisted(number)),
+            Write::Batch { number, batch } => {
+                store.write(&batch).map(|()| Input::Persisted(number))
+            }
             Write::Identity(identity) => store
                 .save_identity(&identity)
                 .map(|()| Input::IdentitySaved),
--- a/crates/simulation/src/run.rs
+++ b/crates/simulation/src/run.rs
@@ -50,7 +50,9 @@
         while world.step(heal_at) {}
         finish_work(&mut world, plan);
     } else {
-        world.broken.push("the fleet never came into service".to_owned());
+        world
+            .broken
+            .push("the fleet never came into service".to_owned());
     }
     world.observe("run", checker::Event::Finished);
     Ok(conclude(world))
--- a/crates/simulation/src/runner.rs
+++ b/crates/simulation/src/runner.rs
@@ -5,7 +5,7 @@
 use crate::network::Micros;
 use crate::process::ProcessIndex;
 use standin::runner::{Behaviour, Runner, RunnerOptions};
-use types::{RunnerIncarnation, RunnerId};
+use types::{RunnerId, RunnerIncarnation};
 
 /// Lateness and loss of orders to one runner.
 #[derive(Debug, Clone, Copy, Default)]
--- a/crates/simulation/src/world.rs
+++ b/crates/simulation/src/world.rs
@@ -1,11 +1,12 @@
 //! The world: machines, processes, network, and the queue of events.
 
+use crate::Mutation;
 use crate::caller::{CallerHost, Waiting};
 use crate::event::{DiskState, Event, Life, Scheduled};
 use crate::machine::{Machine, MachineIndex};
 use crate::network::{Micros, Network};
 use crate::operator::OperatorHost;
-use crate::process::{Effect, Input, Process, ProcessIndex};
+use crate::process::{Effect, Input, Process, ProcessIndex, Write};
 use crate::runner::RunnerHost;
 use checker::Observation;
 use gateway::TicketId;
@@ -20,6 +21,8 @@
 const LEAST_TIMER_MICROS: Micros = 1_000;
 /// Time one sync of a coordinator's disk takes.
 const SYNC_MICROS: (Micros, Micros) = (300, 1_500);
+/// Time an unsynced write waits when disks lie about their syncs.
+const UNSYNCED_MICROS: Micros = 2_000_000;
 
 /// All state of one run.
 pub struct World {
@@ -49,6 +52,8 @@
     pub history: Vec<Observation>,
     /// The decision log of all leaders.
     pub decisions: Vec<DecisionEntry>,
+    /// The mechanism turned off in this run.
+    pub mutation: Option<Mutation>,
     /// When callers stop sending new jobs.
     pub load_until: Micros,
     /// A daemon that could not go on, and why.
@@ -77,6 +82,7 @@
             waiting: BTreeMap::new(),
             history: Vec::new(),
             decisions: Vec::new(),
+            mutation: None,
             load_until: 0,
             broken: Vec::new(),
             handled: 0,
@@ -167,7 +173,9 @@
             (None, Some(runner)) => self.runners[runner].machine,
             (None, None) => return None,
         };
-        self.machines[machine.0].is_frozen(self.now).then_some(machine)
+        self.machines[machine.0]
+            .is_frozen(self.now)
+            .then_some(machine)
     }
 
     /// What was held while a machine was frozen happens in order, at once.
@@ -208,14 +216,7 @@
     fn carry_out(&mut self, process: ProcessIndex, effect: Effect) {
         match effect {
             Effect::Send(to, message) => self.send(process, to, message),
-            Effect::Write(write) => {
-                let life = self.processes[process.0].life;
-                let idle = self.processes[process.0].writes.is_empty();
-                self.processes[process.0].writes.push_back(write);
-                if idle {
-                    self.schedule_sync(process, life);
-                }
-            }
+            Effect::Write(write) => self.begin_write(process, write),
             Effect::Deliver(order) => self.deliver_order(process, order),
             Effect::Respond(ticket, result) => self.respond(process, ticket, result),
             Effect::Decision(entry) => self.decisions.push(*entry),
@@ -223,6 +224,22 @@
         }
     }
 
+    fn begin_write(&mut self, process: ProcessIndex, write: Write) {
+        let life = self.processes[process.0].life;
+        let idle = self.processes[process.0].writes.is_empty();
+        let early = match &write {
+            Write::Batch { number, .. } => Input::Persisted(*number),
+            Write::Identity(_) => Input::IdentitySaved,
+        };
+        self.processes[process.0].writes.push_back(write);
+        if self.mutation == Some(Mutation::AcknowledgeBeforeSync) {
+            self.schedule_in(UNSYNCED_MICROS, Event::DiskDone(process, life));
+            self.input(process, early);
+        } else if idle {
+            self.schedule_sync(process, life);
+        }
+    }
+
     fn schedule_sync(&mut self, process: ProcessIndex, life: Life) {
         let delay = self.random.random_range(SYNC_MICROS.0..=SYNC_MICROS.1);
         self.schedule_in(delay, Event::DiskDone(process, life));
@@ -234,6 +251,7 @@
         }
         match self.processes[process.0].finish_write() {
             None => {}
+            Some(Ok(_)) if self.mutation == Some(Mutation::AcknowledgeBeforeSync) => {}
             Some(Ok(input)) => {
                 if !self.processes[process.0].writes.is_empty() {
                     self.schedule_sync(process, life);
@@ -259,9 +277,9 @@
         let source = self.processes[from.0].machine;
         let target = self.processes[receiver.0].machine;
         let same_zone = self.machines[source.0].zone == self.machines[target.0].zone;
-        let delays =
-            self.network
-                .deliveries(&mut self.random, self.now, source, target, same_zone);
+        let delays = self
+            .network
+            .deliveries(&mut self.random, self.now, source, target, same_zone);
         let address = self.processes[from.0].address.clone();
         for delay in delays {
             let envelope = Envelope {
--- a/crates/simulation/src/world_http.rs
+++ b/crates/simulation/src/world_http.rs
@@ -425,6 +425,7 @@
             tasks: step.tasks,
             max_copies: step.max_copies,
             allowed_failures: step.allowed_failures,
+            time_limit: Some(step.time_limit),
         })
         .collect()
 }
