--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -6,6 +6,7 @@
 //! send, or not at all, in any order over reconnects. The cores above live
 //! with loss; the simulation gives them the same.
 
+pub mod clock;
 pub mod message;
 pub mod request;
 pub mod transport;
@@ -18,4 +19,4 @@
     DecisionEntry, DecisionEvent, JobFilter, MemberView, Operation, OperationReply, QueueView,
     Refusal, RefusalCode, Reply, Request, RequestId, TenantView,
 };
-pub use transport::{ClusterKey, Transport, TransportError, TransportOptions};
+pub use transport::{ClusterKey, PROTOCOL_VERSION, Transport, TransportError, TransportOptions};
--- /dev/null
+++ b/crates/peer/src/transport/handshake.rs
@@ -0,0 +1,200 @@
+//! Both ends prove that they hold the cluster key.
+//!
+//! ```text
+//! client: magic version hello(nonce, address)
+//! server: magic version hello(nonce, address)
+//! client: HMAC(key, "client proof", both hellos)
+//! server: HMAC(key, "server proof", both hellos)
+//! ```
+//!
+//! The nonces are fresh, so a recorded handshake is worth nothing; the labels
+//! differ, so a proof can't be sent back to where it came from. The server
+//! proves last: a stranger learns nothing that the key went into.
+
+use super::frame::Channel;
+use super::key::{ClusterKey, MAC_BYTES, labelled};
+use hmac::Mac;
+use serde::{Deserialize, Serialize};
+use std::io;
+use thiserror::Error;
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
+use types::Address;
+
+/// Version of handshake, frames and messages. Daemons of different versions
+/// don't talk.
+pub const PROTOCOL_VERSION: u32 = 1;
+
+const MAGIC: [u8; 4] = *b"CYPD";
+const NONCE_BYTES: usize = 32;
+/// Longest hello; an address is far shorter.
+const MAX_HELLO_BYTES: usize = 1024;
+
+const CLIENT_PROOF: &str = "client proof";
+const SERVER_PROOF: &str = "server proof";
+const CLIENT_FRAMES: &str = "client frames";
+const SERVER_FRAMES: &str = "server frames";
+
+/// Why two daemons do not talk.
+#[derive(Debug, Error)]
+pub(super) enum HandshakeError {
+    #[error(transparent)]
+    Closed(#[from] io::Error),
+    #[error("the other end speaks another protocol")]
+    Stranger,
+    #[error("the other end speaks protocol version {theirs}, this daemon {PROTOCOL_VERSION}")]
+    Version { theirs: u32 },
+    #[error("the other end's hello makes no sense")]
+    Hello,
+    #[error("the other end does not hold the cluster key")]
+    WrongKey,
+    #[error("the other end broke off, perhaps since it holds another cluster key")]
+    BrokenOff,
+}
+
+#[derive(Serialize, Deserialize)]
+struct Hello {
+    nonce: [u8; NONCE_BYTES],
+    address: Address,
+}
+
+/// A connection whose two ends have proved themselves.
+#[derive(Debug)]
+pub(super) struct Proven {
+    /// The other end.
+    pub peer: Address,
+    /// From the daemon that dialled.
+    pub client_frames: Channel,
+    /// From the daemon that listened.
+    pub server_frames: Channel,
+}
+
+/// The dialling end.
+pub(super) async fn dialled(
+    stream: &mut (impl AsyncRead + AsyncWrite + Unpin),
+    key: &ClusterKey,
+    own: &Address,
+) -> Result<Proven, HandshakeError> {
+    let client_hello = encode_hello(own)?;
+    write_hello(stream, &client_hello).await?;
+    let server_hello = read_hello(stream).await?;
+    let transcript = Transcript::new(key, &client_hello, &server_hello);
+    stream.write_all(&transcript.proof(CLIENT_PROOF)).await?;
+    match transcript.check_proof(stream, SERVER_PROOF).await {
+        Err(HandshakeError::Closed(_)) => return Err(HandshakeError::BrokenOff),
+        result => result?,
+    }
+    transcript.proven(&server_hello)
+}
+
+/// The listening end.
+pub(super) async fn accepted(
+    stream: &mut (impl AsyncRead + AsyncWrite + Unpin),
+    key: &ClusterKey,
+    own: &Address,
+) -> Result<Proven, HandshakeError> {
+    let server_hello = encode_hello(own)?;
+    let client_hello = match read_hello(stream).await {
+        Err(HandshakeError::Version { theirs }) => {
+            // Lets the other end log the versions as well.
+            write_hello(stream, &server_hello).await?;
+            return Err(HandshakeError::Version { theirs });
+        }
+        result => result?,
+    };
+    write_hello(stream, &server_hello).await?;
+    let transcript = Transcript::new(key, &client_hello, &server_hello);
+    transcript.check_proof(stream, CLIENT_PROOF).await?;
+    stream.write_all(&transcript.proof(SERVER_PROOF)).await?;
+    transcript.proven(&client_hello)
+}
+
+/// Both hellos, under the cluster key.
+struct Transcript<'a> {
+    key: &'a ClusterKey,
+    bytes: Vec<u8>,
+}
+
+impl<'a> Transcript<'a> {
+    fn new(key: &'a ClusterKey, client_hello: &[u8], server_hello: &[u8]) -> Self {
+        let mut bytes = PROTOCOL_VERSION.to_le_bytes().to_vec();
+        for hello in [client_hello, server_hello] {
+            bytes.extend_from_slice(&(hello.len() as u64).to_le_bytes());
+            bytes.extend_from_slice(hello);
+        }
+        Self { key, bytes }
+    }
+
+    fn proof(&self, label: &str) -> [u8; MAC_BYTES] {
+        let mut mac = self.key.labelled(label);
+        mac.update(&self.bytes);
+        mac.finalize().into_bytes().into()
+    }
+
+    async fn check_proof(
+        &self,
+        stream: &mut (impl AsyncRead + Unpin),
+        label: &str,
+    ) -> Result<(), HandshakeError> {
+        let mut proof = [0u8; MAC_BYTES];
+        stream.read_exact(&mut proof).await?;
+        let mut mac = self.key.labelled(label);
+        mac.update(&self.bytes);
+        mac.verify_slice(&proof)
+            .map_err(|_| HandshakeError::WrongKey)
+    }
+
+    /// The connection's own keys, and the peer that its hello names.
+    fn proven(&self, peer_hello: &[u8]) -> Result<Proven, HandshakeError> {
+        let hello: Hello = postcard::from_bytes(peer_hello).map_err(|_| HandshakeError::Hello)?;
+        let session = self.proof("session");
+        let channel = |label| {
+            let secret = labelled(&session, label).finalize().into_bytes();
+            Channel::new(&secret)
+        };
+        Ok(Proven {
+            peer: hello.address,
+            client_frames: channel(CLIENT_FRAMES),
+            server_frames: channel(SERVER_FRAMES),
+        })
+    }
+}
+
+fn encode_hello(own: &Address) -> Result<Vec<u8>, HandshakeError> {
+    let hello = Hello {
+        nonce: rand::random(),
+        address: own.clone(),
+    };
+    postcard::to_stdvec(&hello).map_err(|_| HandshakeError::Hello)
+}
+
+async fn write_hello(
+    stream: &mut (impl AsyncWrite + Unpin),
+    hello: &[u8],
+) -> Result<(), HandshakeError> {
+    let length = u16::try_from(hello.len()).map_err(|_| HandshakeError::Hello)?;
+    let mut bytes = MAGIC.to_vec();
+    bytes.extend_from_slice(&PROTOCOL_VERSION.to_le_bytes());
+    bytes.extend_from_slice(&length.to_le_bytes());
+    bytes.extend_from_slice(hello);
+    stream.write_all(&bytes).await?;
+    Ok(())
+}
+
+async fn read_hello(stream: &mut (impl AsyncRead + Unpin)) -> Result<Vec<u8>, HandshakeError> {
+    let mut magic = [0u8; MAGIC.len()];
+    stream.read_exact(&mut magic).await?;
+    if magic != MAGIC {
+        return Err(HandshakeError::Stranger);
+    }
+    let theirs = stream.read_u32_le().await?;
+    if theirs != PROTOCOL_VERSION {
+        return Err(HandshakeError::Version { theirs });
+    }
+    let length = usize::from(stream.read_u16_le().await?);
+    if length > MAX_HELLO_BYTES {
+        return Err(HandshakeError::Hello);
+    }
+    let mut hello = vec![0u8; length];
+    stream.read_exact(&mut hello).await?;
+    Ok(hello)
+}
--- /dev/null
+++ b/crates/peer/src/transport/incoming.rs
@@ -0,0 +1,169 @@
+//! The listening end: takes connections and turns their frames into
+//! envelopes.
+
+use super::connection::{ABANDONED_TIMEOUT, ACKNOWLEDGE_INTERVAL, WRITE_TIMEOUT, accept, within};
+use super::frame::{Channel, FrameError};
+use super::handshake::{HandshakeError, Proven};
+use super::{Context, stopped};
+use crate::Envelope;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+use tokio::io::{AsyncRead, AsyncWriteExt};
+use tokio::net::tcp::OwnedWriteHalf;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore, mpsc, watch};
+use types::Address;
+
+/// Connections that have not proved themselves yet; more are closed at once.
+const MAX_UNPROVEN: usize = 64;
+/// Pause after the system refused to accept, such as for want of descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
+
+/// Accepts connections until the transport ends.
+pub(super) async fn listen(
+    listener: TcpListener,
+    context: Arc<Context>,
+    inbox: mpsc::Sender<Envelope>,
+    mut stop: watch::Receiver<bool>,
+) {
+    let unproven = Arc::new(Semaphore::new(MAX_UNPROVEN));
+    loop {
+        let accepted = tokio::select! {
+            () = stopped(&mut stop) => return,
+            accepted = listener.accept() => accepted,
+        };
+        let (stream, from) = match accepted {
+            Ok(accepted) => accepted,
+            Err(error) => {
+                tracing::warn!(%error, "cannot accept a connection");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+                continue;
+            }
+        };
+        let Ok(permit) = unproven.clone().try_acquire_owned() else {
+            tracing::warn!(%from, "closed: too many connections are unproven");
+            continue;
+        };
+        let serving = serve(stream, from, context.clone(), inbox.clone(), permit);
+        let mut stop = stop.clone();
+        tokio::spawn(async move {
+            tokio::select! {
+                () = stopped(&mut stop) => {}
+                () = serving => {}
+            }
+        });
+    }
+}
+
+async fn serve(
+    mut stream: TcpStream,
+    from: SocketAddr,
+    context: Arc<Context>,
+    inbox: mpsc::Sender<Envelope>,
+    permit: OwnedSemaphorePermit,
+) {
+    let proven = match accept(&context, &mut stream).await {
+        Ok(proven) => proven,
+        Err(error) => return log_refusal(from, &error),
+    };
+    drop(permit);
+    let Proven {
+        peer,
+        client_frames,
+        server_frames,
+    } = proven;
+    let (reader, writer) = stream.into_split();
+    let max_bytes = context.options.max_frame_bytes;
+    let taken = AtomicU64::new(0);
+    let mut incoming = Incoming {
+        peer: &peer,
+        inbox: &inbox,
+        taken: &taken,
+    };
+    let reader = tokio::io::BufReader::new(reader);
+    let reason = tokio::select! {
+        reason = incoming.take_frames(reader, client_frames, max_bytes) => reason,
+        reason = acknowledge(writer, server_frames, &taken) => reason,
+    };
+    match reason {
+        FrameError::Closed(error) => tracing::debug!(%from, node = %peer.node, %error, "closed"),
+        error => tracing::warn!(%from, node = %peer.node, %error, "closed"),
+    }
+}
+
+fn log_refusal(from: SocketAddr, error: &HandshakeError) {
+    match error {
+        HandshakeError::Closed(_) => tracing::debug!(%from, %error, "handshake broken off"),
+        _ => tracing::warn!(%from, %error, "connection refused"),
+    }
+}
+
+/// The frames of one connection.
+struct Incoming<'a> {
+    peer: &'a Address,
+    inbox: &'a mpsc::Sender<Envelope>,
+    taken: &'a AtomicU64,
+}
+
+impl Incoming<'_> {
+    /// Hands on what arrives, until the connection ends.
+    async fn take_frames(
+        &mut self,
+        mut reader: impl AsyncRead + Unpin,
+        mut frames: Channel,
+        max_bytes: usize,
+    ) -> FrameError {
+        loop {
+            let reading = frames.read(&mut reader, max_bytes);
+            let body = match within(ABANDONED_TIMEOUT, reading).await {
+                Ok(Ok(body)) => body,
+                Ok(Err(error)) => return error,
+                Err(error) => return error.into(),
+            };
+            self.hand_on(&body).await;
+            self.taken.fetch_add(1, Ordering::Relaxed);
+        }
+    }
+
+    async fn hand_on(&self, body: &[u8]) {
+        metrics::counter!("cypressdrum_peer_messages_received_total").increment(1);
+        let body = match postcard::from_bytes(body) {
+            Ok(body) => body,
+            Err(error) => {
+                tracing::warn!(node = %self.peer.node, %error, "a message makes no sense");
+                return;
+            }
+        };
+        let envelope = Envelope {
+            from: self.peer.clone(),
+            via: None,
+            body,
+        };
+        // An error means that the daemon listens no more, and is about to end.
+        let _ = self.inbox.send(envelope).await;
+    }
+}
+
+/// Tells the dialling end from time to time how many frames were taken.
+async fn acknowledge(
+    mut writer: OwnedWriteHalf,
+    mut frames: Channel,
+    taken: &AtomicU64,
+) -> FrameError {
+    let mut acknowledged = 0;
+    loop {
+        tokio::time::sleep(ACKNOWLEDGE_INTERVAL).await;
+        let count = taken.load(Ordering::Relaxed);
+        if count == acknowledged {
+            continue;
+        }
+        let mut bytes = Vec::new();
+        frames.seal(&count.to_le_bytes(), &mut bytes);
+        match within(WRITE_TIMEOUT, writer.write_all(&bytes)).await {
+            Ok(Ok(())) => acknowledged = count,
+            Ok(Err(error)) | Err(error) => return error.into(),
+        }
+    }
+}
