--- a/crates/simulation/src/lib.rs
+++ b/crates/simulation/src/lib.rs
@@ -7,6 +7,7 @@
 //! gives the same run to the byte.
 
 pub mod caller;
+pub mod campaign;
 pub mod event;
 pub mod fault;
 pub mod fleet;
@@ -24,6 +25,7 @@
 mod world_http;
 mod world_runner;
 
+pub use campaign::{Campaign, SeedResult, Summary, run_campaign, run_plan};
 pub use mutation::Mutation;
 pub use plan::{Behaviour, Fault, FleetSize, Plan, PlanError, PlannedFault};
 pub use planner::{PlannerOptions, plan_from_seed};
