--- a/crates/peer/tests/common/mod.rs
+++ b/crates/peer/tests/common/mod.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 use types::{Address, ClusterId, NodeId, Role, Term, ZoneName};
 
 /// Ends a test that hangs; no verdict depends on it otherwise.
@@ -101,12 +101,22 @@
     pub bytes: Vec<u8>,
 }
 
+/// What a proxy does to bytes from the dialling end.
+#[derive(Debug, Clone, Copy)]
+pub enum Spoil {
+    /// Flips a bit of the byte at this offset.
+    Flip(usize),
+    /// Passes each piece that begins at or behind this offset twice.
+    Repeat(usize),
+}
+
 /// Passes connections on, one after another, and tells of each when it ends.
 pub struct Proxy {
     pub socket: SocketAddr,
     ended: mpsc::UnboundedReceiver<Recorded>,
-    /// Flips this byte of the next connection from the dialling end.
-    pub spoil: Arc<Mutex<Option<usize>>>,
+    /// Done to the next connection.
+    pub spoil: Arc<Mutex<Option<Spoil>>>,
+    silent: watch::Sender<usize>,
 }
 
 impl Proxy {
@@ -116,57 +126,104 @@
         let (tell, ended) = mpsc::unbounded_channel();
         let spoil = Arc::new(Mutex::new(None));
         let next_spoil = spoil.clone();
+        let (silent, silent_before) = watch::channel(0);
         tokio::spawn(async move {
+            let mut number = 0;
             while let Ok((client, from)) = listener.accept().await {
                 let server = TcpStream::connect(to).await.unwrap();
                 let spoil = next_spoil.lock().unwrap().take();
-                tokio::spawn(pass(client, from, server, spoil, tell.clone()));
+                let connection = Connection {
+                    number,
+                    dialled_from: from,
+                    spoil,
+                    silent_before: silent_before.clone(),
+                };
+                tokio::spawn(connection.pass(client, server, tell.clone()));
+                number += 1;
             }
         });
         Self {
             socket,
             ended,
             spoil,
+            silent,
         }
     }
 
+    /// Swallows what goes through the first connection, and keeps it open.
+    pub fn silence_first(&self) {
+        self.silent.send_replace(1);
+    }
+
     pub async fn ended(&mut self) -> Recorded {
         guarded(self.ended.recv()).await.unwrap()
     }
 }
 
-async fn pass(
-    client: TcpStream,
+struct Connection {
+    number: usize,
     dialled_from: SocketAddr,
-    server: TcpStream,
-    spoil: Option<usize>,
-    tell: mpsc::UnboundedSender<Recorded>,
-) {
-    let (mut from_client, mut to_client) = client.into_split();
-    let (mut from_server, mut to_server) = server.into_split();
-    let mut bytes = Vec::new();
-    let forth = async {
-        let mut piece = [0u8; 4096];
-        while let Ok(length @ 1..) = from_client.read(&mut piece).await {
-            let position = spoil.and_then(|position| position.checked_sub(bytes.len()));
-            bytes.extend_from_slice(&piece[..length]);
-            if let Some(position) = position.filter(|position| *position < length) {
-                piece[position] ^= 1;
+    spoil: Option<Spoil>,
+    /// Connections with a lower number pass nothing on.
+    silent_before: watch::Receiver<usize>,
+}
+
+impl Connection {
+    async fn pass(
+        self,
+        client: TcpStream,
+        server: TcpStream,
+        tell: mpsc::UnboundedSender<Recorded>,
+    ) {
+        let (mut from_client, mut to_client) = client.into_split();
+        let (mut from_server, mut to_server) = server.into_split();
+        let mut bytes = Vec::new();
+        let forth = async {
+            let mut piece = [0u8; 4096];
+            while let Ok(length @ 1..) = from_client.read(&mut piece).await {
+                let passed = self.spoiled(bytes.len(), &piece[..length]);
+                bytes.extend_from_slice(&piece[..length]);
+                if to_server.write_all(&passed).await.is_err() {
+                    break;
+                }
+            }
+        };
+        let back = async {
+            let mut piece = [0u8; 4096];
+            while let Ok(length @ 1..) = from_server.read(&mut piece).await {
+                if self.is_silent() {
+                    continue;
+                }
+                if to_client.write_all(&piece[..length]).await.is_err() {
+                    break;
+                }
             }
-            if to_server.write_all(&piece[..length]).await.is_err() {
-                break;
+        };
+        tokio::select! {
+            () = forth => {}
+            () = back => {}
+        }
+        let dialled_from = self.dialled_from;
+        let _ = tell.send(Recorded {
+            dialled_from,
+            bytes,
+        });
+    }
+
+    fn is_silent(&self) -> bool {
+        self.number < *self.silent_before.borrow()
+    }
+
+    fn spoiled(&self, offset: usize, piece: &[u8]) -> Vec<u8> {
+        let mut passed = piece.to_vec();
+        match self.spoil {
+            _ if self.is_silent() => passed.clear(),
+            Some(Spoil::Flip(place)) if (offset..offset + piece.len()).contains(&place) => {
+                passed[place - offset] ^= 1;
             }
+            Some(Spoil::Repeat(place)) if offset >= place => passed.extend_from_slice(piece),
+            _ => {}
         }
-    };
-    let back = async {
-        let _ = tokio::io::copy(&mut from_server, &mut to_client).await;
-    };
-    tokio::select! {
-        () = forth => {}
-        () = back => {}
+        passed
     }
-    let _ = tell.send(Recorded {
-        dialled_from,
-        bytes,
-    });
 }
--- a/crates/peer/tests/strangers.rs
+++ b/crates/peer/tests/strangers.rs
@@ -4,7 +4,7 @@
 
 mod common;
 
-use common::{Daemon, KEY, Proxy, guarded, numbered};
+use common::{Daemon, KEY, Proxy, Spoil, guarded, numbered};
 use peer::{PROTOCOL_VERSION, PeerMessage};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -114,7 +114,7 @@
     for (attempt, place) in (0..).zip(places) {
         let sender = Daemon::start(10 + attempt, KEY).await;
         let mut proxy = Proxy::start(daemon.socket()).await;
-        *proxy.spoil.lock().unwrap() = Some(place);
+        *proxy.spoil.lock().unwrap() = Some(Spoil::Flip(place));
         let spoiled = numbered(100 + attempt as u32);
         sender.transport.send(proxy.socket, spoiled.clone());
         proxy.ended().await;
@@ -130,6 +130,25 @@
     }
 }
 
+#[tokio::test]
+async fn a_repeated_frame_ends_the_connection() {
+    let mut daemon = Daemon::start(1, KEY).await;
+    let sender = Daemon::start(2, KEY).await;
+    let mut proxy = Proxy::start(daemon.socket()).await;
+    sender.transport.send(proxy.socket, numbered(1));
+    daemon.receive().await;
+    sender.transport.shutdown().await;
+    let frame = hello_bytes(&proxy.ended().await.bytes) + PROOF_BYTES;
+    let sender = Daemon::start(3, KEY).await;
+    *proxy.spoil.lock().unwrap() = Some(Spoil::Repeat(frame));
+    sender.transport.send(proxy.socket, numbered(2));
+    assert_eq!(daemon.receive().await.body, numbered(2));
+    proxy.ended().await;
+    let later = numbered(3);
+    let next = receive_sending(&mut daemon, &sender, &proxy, &later);
+    assert_eq!(guarded(next).await, later);
+}
+
 /// Sends a message, again when it was lost, until something is received.
 async fn receive_sending(
     daemon: &mut Daemon,
--- a/crates/peer/tests/transport.rs
+++ b/crates/peer/tests/transport.rs
@@ -95,6 +95,21 @@
     guarded(restarted.reach(&mut Daemon::start(4, KEY).await)).await;
 }
 
+#[tokio::test]
+async fn a_connection_that_went_silent_is_given_up_and_dialled_again() {
+    let sender = Daemon::start(1, KEY).await;
+    let mut receiver = Daemon::start(2, KEY).await;
+    let mut proxy = Proxy::start(receiver.socket()).await;
+    sender.transport.send(proxy.socket, numbered(1));
+    assert_eq!(receiver.receive().await.body, numbered(1));
+    proxy.silence_first();
+    // Written into the void, and so never acknowledged.
+    sender.transport.send(proxy.socket, numbered(2));
+    proxy.ended().await;
+    sender.transport.send(proxy.socket, numbered(3));
+    assert_eq!(receiver.receive().await.body, numbered(3));
+}
+
 #[tokio::test]
 async fn everything_ends_with_the_last_transport() {
     let mut receiver = Daemon::start(1, KEY).await;
