--- a/crates/simulation/src/world.rs
+++ b/crates/simulation/src/world.rs
@@ -196,13 +196,20 @@
     }
 
     fn tick(&mut self, process: ProcessIndex, life: Life) {
-        if self.processes[process.0].life != life {
+        let stale = self.processes[process.0].life != life;
+        if stale || !self.is_due(self.processes[process.0].timer) {
             return;
         }
         self.processes[process.0].timer = None;
         self.input(process, Input::Tick);
     }
 
+    /// True when a timer's moment has come. An event of a timer that was set
+    /// anew for another moment is void.
+    pub(crate) fn is_due(&self, timer: Option<Micros>) -> bool {
+        timer.is_some_and(|at| at <= self.now)
+    }
+
     /// Gives an input to a daemon and carries out what it wants done.
     pub fn input(&mut self, process: ProcessIndex, input: Input) {
         let now = self.clock_of(process);
--- a/crates/simulation/src/world_http.rs
+++ b/crates/simulation/src/world_http.rs
@@ -29,8 +29,10 @@
         match event {
             Event::Arrival(caller) => self.arrival(caller),
             Event::CallerTimer(caller) => {
-                self.callers[caller].timer = None;
-                self.caller_acts(caller);
+                if self.is_due(self.callers[caller].timer) {
+                    self.callers[caller].timer = None;
+                    self.caller_acts(caller);
+                }
             }
             Event::RequestArrives(gateway, ticket, time_left, operation) => {
                 let input = Input::Request {
--- a/crates/simulation/src/world_runner.rs
+++ b/crates/simulation/src/world_runner.rs
@@ -20,7 +20,8 @@
     pub(crate) fn handle_runner_event(&mut self, event: Event) {
         match event {
             Event::RunnerTick(runner, life) => {
-                if self.runners[runner].life == life {
+                let due = self.is_due(self.runners[runner].timer);
+                if self.runners[runner].life == life && due {
                     self.runners[runner].timer = None;
                     self.tick_runner(runner);
                 }
