--- a/crates/checker/src/check/world.rs
+++ b/crates/checker/src/check/world.rs
@@ -38,6 +38,8 @@
 pub(super) struct TaskFacts {
     pub(super) open: BTreeSet<RunId>,
     pub(super) done_at: Option<Milliseconds>,
+    /// The run that was first seen to end done.
+    pub(super) done_run: Option<RunId>,
     /// Runs that ended failed, and when the last of them did.
     pub(super) failures: u32,
     pub(super) last_failure_at: Milliseconds,
@@ -54,6 +56,12 @@
     pub(super) resources: Resources,
     pub(super) started_at: Milliseconds,
     pub(super) is_open: bool,
+    /// When its runner's lease would have ended, as of its end.
+    pub(super) lease_until: Option<Milliseconds>,
+    /// True when its runner knows that the record has its end.
+    pub(super) end_recorded: bool,
+    /// True when its runner's process ended after it, unless recorded before.
+    pub(super) end_forgotten: bool,
 }
 
 impl JobFacts {
@@ -132,6 +140,9 @@
     held: BTreeMap<TenantId, Resources>,
     /// Acknowledged jobs that may have work left.
     pub(super) unfinished: BTreeSet<JobKey>,
+    /// Ended runs whose runner does not know yet that the record has them.
+    unrecorded: BTreeMap<RunnerId, BTreeSet<RunId>>,
+    frozen: BTreeSet<RunnerId>,
     is_disturbed: bool,
     healed_at: Milliseconds,
 }
@@ -157,6 +168,31 @@
         self.runs.get(&run)
     }
 
+    /// True while a runner's machine stands still.
+    pub(super) fn is_frozen(&self, runner: &RunnerId) -> bool {
+        self.frozen.contains(runner)
+    }
+
+    /// Open runs of a runner.
+    pub(super) fn open_on(&self, runner: &RunnerId) -> impl Iterator<Item = RunId> {
+        self.open_by_runner
+            .get(runner)
+            .into_iter()
+            .flatten()
+            .copied()
+    }
+
+    /// True when the end of a run may never have reached anyone by `at`: its
+    /// runner was not told that the record has it, and has either lost its
+    /// memory with its process or been silent past its run lease.
+    pub(super) fn may_be_unreported(&self, run: RunId, at: Milliseconds) -> bool {
+        let Some(facts) = self.runs.get(&run) else {
+            return false;
+        };
+        let lapsed = facts.lease_until.is_some_and(|until| at >= until);
+        !facts.end_recorded && (facts.end_forgotten || lapsed)
+    }
+
     /// What a tenant's runs hold over all runners.
     pub(super) fn held(&self, tenant: &TenantId) -> Resources {
         self.held.get(tenant).copied().unwrap_or_default()
@@ -199,8 +235,20 @@
                 self.job_mut(job).cancel_acknowledged_at.get_or_insert(at);
             }
             Event::RunStarted { .. } => self.start(observation),
-            Event::RunEnded { run, outcome, .. } => self.end(*run, outcome, at),
+            Event::RunEnded {
+                run,
+                outcome,
+                lease_until,
+                ..
+            } => self.end(*run, outcome, *lease_until, at),
+            Event::EndRecorded { runner, run } => self.record_end(runner, *run),
             Event::RunnerStopped { runner } => self.stop_runner(runner, at),
+            Event::RunnerFrozen { runner } => {
+                self.frozen.insert(runner.clone());
+            }
+            Event::RunnerWoke { runner } => {
+                self.frozen.remove(runner);
+            }
             Event::Fault { .. } => self.is_disturbed = true,
             Event::Healed => {
                 self.is_disturbed = false;
@@ -244,6 +292,9 @@
             resources: *resources,
             started_at: observation.at,
             is_open: true,
+            lease_until: None,
+            end_recorded: false,
+            end_forgotten: false,
         };
         self.runs.insert(*run, facts);
     }
@@ -251,16 +302,41 @@
     fn stop_runner(&mut self, runner: &RunnerId, at: Milliseconds) {
         let open = self.open_by_runner.get(runner).cloned().unwrap_or_default();
         for run in open {
-            self.end(run, &Outcome::Stopped, at);
+            self.end(run, &Outcome::Stopped, None, at);
+        }
+        for run in self.unrecorded.remove(runner).unwrap_or_default() {
+            if let Some(facts) = self.runs.get_mut(&run) {
+                facts.end_forgotten = true;
+            }
+        }
+    }
+
+    fn record_end(&mut self, runner: &RunnerId, run: RunId) {
+        if let Some(runs) = self.unrecorded.get_mut(runner) {
+            runs.remove(&run);
+        }
+        if let Some(facts) = self.runs.get_mut(&run) {
+            facts.end_recorded = true;
         }
     }
 
-    fn end(&mut self, id: RunId, outcome: &Outcome, at: Milliseconds) {
+    fn end(
+        &mut self,
+        id: RunId,
+        outcome: &Outcome,
+        lease_until: Option<Milliseconds>,
+        at: Milliseconds,
+    ) {
         let Some(run) = self.runs.get_mut(&id).filter(|run| run.is_open) else {
             return;
         };
         run.is_open = false;
+        run.lease_until = lease_until;
         let run = run.clone();
+        self.unrecorded
+            .entry(run.runner.clone())
+            .or_default()
+            .insert(id);
         self.free(id, &run);
         let facts = self.job_mut(&run.job);
         let limit = facts.step(&run.task.0).and_then(|step| step.time_limit);
@@ -269,6 +345,7 @@
         match outcome {
             Outcome::Done if task.done_at.is_none() => {
                 task.done_at = Some(at);
+                task.done_run = Some(id);
                 *facts.done_by_step.entry(run.task.0).or_default() += 1;
             }
             Outcome::Done => {}
--- a/crates/checker/src/event.rs
+++ b/crates/checker/src/event.rs
@@ -93,6 +93,27 @@
         run: RunId,
         /// How; a run that died with its runner has `stopped`.
         outcome: Outcome,
+        /// When the run lease that the runner held then would end, if no
+        /// further heartbeat of it is confirmed.
+        #[serde(default)]
+        lease_until: Option<Milliseconds>,
+    },
+    /// A runner was told that the record has the end of a run.
+    EndRecorded {
+        /// The runner.
+        runner: RunnerId,
+        /// The run.
+        run: RunId,
+    },
+    /// A runner's machine began to stand still; its runs do nothing.
+    RunnerFrozen {
+        /// The runner.
+        runner: RunnerId,
+    },
+    /// It goes on.
+    RunnerWoke {
+        /// The runner.
+        runner: RunnerId,
     },
     /// A runner took an order.
     OrderAccepted {
--- a/crates/checker/tests/support/mod.rs
+++ b/crates/checker/tests/support/mod.rs
@@ -92,6 +92,7 @@
         runner: runner(on),
         run: run(sequence),
         outcome,
+        lease_until: None,
     }
 }
 
--- a/crates/lab/src/runners.rs
+++ b/crates/lab/src/runners.rs
@@ -151,7 +151,9 @@
                 runner,
                 run,
                 outcome,
+                lease_until: None,
             },
+            RunnerEvent::EndRecorded { run } => Event::EndRecorded { runner, run },
             RunnerEvent::AcceptedStale(order) => Event::OrderAccepted {
                 runner,
                 term: order.term,
--- a/crates/lab/tests/report.rs
+++ b/crates/lab/tests/report.rs
@@ -64,6 +64,7 @@
             runner: "runner-1".parse().unwrap(),
             run,
             outcome: Outcome::Done,
+            lease_until: None,
         },
     )
 }
--- a/crates/simulation/src/fault.rs
+++ b/crates/simulation/src/fault.rs
@@ -214,6 +214,10 @@
             let until = self.now + for_ms * 1_000;
             self.machines[machine.0].frozen_until = Some(until);
             self.schedule(until, Event::Wake(machine));
+            if let Some(runner) = self.runner_on(name) {
+                let id = self.runners[runner].id().clone();
+                self.observe(id.as_str(), Seen::RunnerFrozen { runner: id.clone() });
+            }
         }
     }
 
--- a/crates/simulation/src/world.rs
+++ b/crates/simulation/src/world.rs
@@ -184,11 +184,20 @@
             return;
         }
         self.machines[machine.0].frozen_until = None;
+        self.observe_wake(machine);
         for event in std::mem::take(&mut self.machines[machine.0].held) {
             self.schedule_in(0, event);
         }
     }
 
+    fn observe_wake(&mut self, machine: MachineIndex) {
+        let host = self.runners.iter().find(|host| host.machine == machine);
+        if let Some(id) = host.map(|host| host.id().clone()) {
+            let seen = checker::Event::RunnerWoke { runner: id.clone() };
+            self.observe(id.as_str(), seen);
+        }
+    }
+
     /// Both clocks of the machine a process stands on.
     pub fn clock_of(&self, process: ProcessIndex) -> Now {
         let machine = self.processes[process.0].machine;
--- a/crates/simulation/src/world_runner.rs
+++ b/crates/simulation/src/world_runner.rs
@@ -8,7 +8,7 @@
 use checker::Event as Seen;
 use rand::Rng;
 use standin::runner::{Behaviour, RunnerEvent, RunnerInstruction};
-use types::{Outcome, RunnerOrder};
+use types::{Milliseconds, Outcome, RunnerOrder};
 
 /// Time between a runner's heartbeats.
 pub const HEARTBEAT_MICROS: Micros = 200_000;
@@ -84,12 +84,21 @@
                 runner: id.clone(),
                 run,
                 outcome: Outcome::Stopped,
+                lease_until: None,
             };
             self.observe(id.as_str(), seen);
         }
         self.observe(id.as_str(), Seen::RunnerStopped { runner: id.clone() });
     }
 
+    /// When a runner's lease ends, on the observer's clock.
+    fn lease_until(&self, runner: usize) -> Option<Milliseconds> {
+        let host = &self.runners[runner];
+        let until = host.runner.as_ref()?.lease_until()?;
+        let at = self.machines[host.machine.0].when(until);
+        Some(Milliseconds(at / 1_000))
+    }
+
     fn tick_runner(&mut self, runner: usize) {
         let machine = self.runners[runner].machine;
         let now = self.machines[machine.0].clock(self.now).monotonic;
@@ -252,6 +261,11 @@
                     runner: id.clone(),
                     run,
                     outcome,
+                    lease_until: self.lease_until(runner),
+                },
+                RunnerEvent::EndRecorded { run } => Seen::EndRecorded {
+                    runner: id.clone(),
+                    run,
                 },
                 RunnerEvent::AcceptedStale(_) => continue,
             };
--- a/crates/standin/src/runner.rs
+++ b/crates/standin/src/runner.rs
@@ -31,6 +31,11 @@
         /// How.
         outcome: Outcome,
     },
+    /// The record has the end of this run.
+    EndRecorded {
+        /// The run.
+        run: RunId,
+    },
     /// An order was taken although a higher term had been seen before. Never
     /// happens unless fencing is off.
     AcceptedStale(RunnerOrder),
@@ -139,6 +144,7 @@
         }
         for run in &answer.recorded {
             if self.ended.remove(run).is_some() {
+                events.push(RunnerEvent::EndRecorded { run: *run });
                 self.bury(*run);
             }
         }
@@ -192,6 +198,11 @@
         self.held.keys().copied().collect()
     }
 
+    /// When its run lease ends if no further heartbeat is confirmed.
+    pub fn lease_until(&self) -> Option<Monotonic> {
+        self.lease.map(|lease| lease.ends())
+    }
+
     /// When [`Runner::tick`] wants to be called next; none when idle.
     pub fn next_wakeup(&self) -> Option<Monotonic> {
         let due = self.held.values().filter_map(Work::ends_at).min();
