--- a/crates/simulation/src/process.rs
+++ b/crates/simulation/src/process.rs
@@ -195,12 +195,14 @@
         self.core = None;
         self.writes.clear();
         self.life = Life(self.life.0 + 1);
-        if let DiskSlot::Open(store) = std::mem::replace(&mut self.disk, DiskSlot::None) {
-            let mut disk = store.into_disk();
-            if power_loss {
-                disk.crash(random);
-            }
-            self.disk = DiskSlot::Closed(disk);
+        let disk = match std::mem::replace(&mut self.disk, DiskSlot::None) {
+            DiskSlot::None => return,
+            DiskSlot::Closed(disk) => disk,
+            DiskSlot::Open(store) => store.into_disk(),
+        };
+        self.disk = DiskSlot::Closed(disk);
+        if power_loss && let DiskSlot::Closed(disk) = &mut self.disk {
+            disk.crash(random);
         }
     }
 
