--- a/crates/simulation/src/world_http.rs
+++ b/crates/simulation/src/world_http.rs
@@ -28,12 +28,7 @@
     pub(crate) fn handle_http_event(&mut self, event: Event) {
         match event {
             Event::Arrival(caller) => self.arrival(caller),
-            Event::CallerTimer(caller) => {
-                if self.is_due(self.callers[caller].timer) {
-                    self.callers[caller].timer = None;
-                    self.caller_acts(caller);
-                }
-            }
+            Event::CallerTimer(caller) => self.caller_timer(caller),
             Event::RequestArrives(gateway, ticket, time_left, operation) => {
                 let input = Input::Request {
                     ticket,
@@ -50,6 +45,13 @@
         }
     }
 
+    fn caller_timer(&mut self, caller: usize) {
+        if self.is_due(self.callers[caller].timer) {
+            self.callers[caller].timer = None;
+            self.caller_acts(caller);
+        }
+    }
+
     fn outside_delay(&mut self) -> Micros {
         self.random
             .random_range(OUTSIDE_MICROS.0..=OUTSIDE_MICROS.1)
--- a/crates/simulation/src/world_runner.rs
+++ b/crates/simulation/src/world_runner.rs
@@ -1,7 +1,7 @@
 //! The world's runners: heartbeats, orders and answers between a runner and
 //! the agent beside it.
 
-use crate::event::Event;
+use crate::event::{Event, Life};
 use crate::network::{Micros, per_thousand};
 use crate::process::{Input, ProcessIndex};
 use crate::world::World;
@@ -19,46 +19,60 @@
     /// Handles an event at a runner or between it and its agent.
     pub(crate) fn handle_runner_event(&mut self, event: Event) {
         match event {
-            Event::RunnerTick(runner, life) => {
-                let due = self.is_due(self.runners[runner].timer);
-                if self.runners[runner].life == life && due {
-                    self.runners[runner].timer = None;
-                    self.tick_runner(runner);
-                }
-            }
-            Event::RunnerHeartbeat(runner, life) => {
-                if self.runners[runner].life == life {
-                    self.send_heartbeat(runner);
-                    self.schedule_in(HEARTBEAT_MICROS, Event::RunnerHeartbeat(runner, life));
-                }
-            }
+            Event::RunnerTick(runner, life) => self.runner_timer(runner, life),
+            Event::RunnerHeartbeat(runner, life) => self.heartbeat_timer(runner, life),
             Event::HeartbeatArrives(runner, life, report) => {
                 self.heartbeat_arrives(runner, life, report);
             }
             Event::HeartbeatAnswered(runner, life, answer) => {
-                if self.runners[runner].life == life {
-                    self.heartbeat_answered(runner, &answer);
-                }
+                self.heartbeat_answered(runner, life, &answer);
             }
             Event::OrderArrives(runner, order) => self.order_arrives(runner, &order),
             Event::OrderAnswered(agent, life, order, answer) => {
-                if self.processes[agent.0].life == life {
-                    self.input(agent, Input::Answered(order, answer));
-                }
+                self.order_answered(agent, life, order, answer);
             }
             Event::StartRunner(runner) => self.start_runner(runner),
-            Event::RunnerHealthy(runner, life) => {
-                let host = &mut self.runners[runner];
-                if host.life == life
-                    && let Some(inner) = &mut host.runner
-                {
-                    inner.behave(Behaviour::Healthy);
-                }
-            }
+            Event::RunnerHealthy(runner, life) => self.runner_healthy(runner, life),
             _ => {}
         }
     }
 
+    fn runner_timer(&mut self, runner: usize, life: Life) {
+        let due = self.is_due(self.runners[runner].timer);
+        if self.runners[runner].life == life && due {
+            self.runners[runner].timer = None;
+            self.tick_runner(runner);
+        }
+    }
+
+    fn heartbeat_timer(&mut self, runner: usize, life: Life) {
+        if self.runners[runner].life == life {
+            self.send_heartbeat(runner);
+            self.schedule_in(HEARTBEAT_MICROS, Event::RunnerHeartbeat(runner, life));
+        }
+    }
+
+    fn order_answered(
+        &mut self,
+        agent: ProcessIndex,
+        life: Life,
+        order: RunnerOrder,
+        answer: types::OrderAnswer,
+    ) {
+        if self.processes[agent.0].life == life {
+            self.input(agent, Input::Answered(order, answer));
+        }
+    }
+
+    fn runner_healthy(&mut self, runner: usize, life: Life) {
+        let host = &mut self.runners[runner];
+        if host.life == life
+            && let Some(inner) = &mut host.runner
+        {
+            inner.behave(Behaviour::Healthy);
+        }
+    }
+
     /// Starts a runner that is down.
     pub fn start_runner(&mut self, runner: usize) {
         if self.runners[runner].runner.is_some() {
@@ -146,12 +160,7 @@
         self.schedule_in(delay, Event::HeartbeatArrives(runner, life, report));
     }
 
-    fn heartbeat_arrives(
-        &mut self,
-        runner: usize,
-        life: crate::event::Life,
-        report: types::RunnerReport,
-    ) {
+    fn heartbeat_arrives(&mut self, runner: usize, life: Life, report: types::RunnerReport) {
         let agent = self.runners[runner].agent;
         if !self.processes[agent.0].is_up() {
             return;
@@ -166,7 +175,10 @@
         self.schedule_in(delay, Event::HeartbeatAnswered(runner, life, answer));
     }
 
-    fn heartbeat_answered(&mut self, runner: usize, answer: &agent::HeartbeatAnswer) {
+    fn heartbeat_answered(&mut self, runner: usize, life: Life, answer: &agent::HeartbeatAnswer) {
+        if self.runners[runner].life != life {
+            return;
+        }
         let machine = self.runners[runner].machine;
         let now = self.machines[machine.0].clock(self.now).monotonic;
         let instruction = RunnerInstruction {
