--- a/crates/coordinator/src/disk.rs
+++ b/crates/coordinator/src/disk.rs
@@ -43,6 +43,16 @@
         }
     }
 
+    /// Ends what is queued and waits until the thread has let go of the store:
+    /// another process, or a restart, may open it then.
+    pub(crate) async fn finish(mut self) -> Result<(), StorageError> {
+        drop(self.jobs);
+        while let Some(done) = self.done.recv().await {
+            done?;
+        }
+        Ok(())
+    }
+
     /// The next finished write, or the error that ended the thread.
     pub(crate) async fn done(&mut self) -> Option<Result<Input, StorageError>> {
         self.done.recv().await
--- a/crates/coordinator/src/shell.rs
+++ b/crates/coordinator/src/shell.rs
@@ -103,7 +103,9 @@
     let result = shell.serve().await;
     shell.transport.shutdown().await;
     admin_routes.server.abort();
-    result
+    let finished = shell.disk.finish().await;
+    result?;
+    Ok(finished?)
 }
 
 struct AdminRoutes {
