--- a/crates/consensus/src/follower.rs
+++ b/crates/consensus/src/follower.rs
@@ -1,11 +1,47 @@
 //! A follower's side of replication.
 
+use crate::lease::NO_ROUND;
 use crate::log::{after, before};
 use crate::node::Role;
+use crate::snapshot::Piece;
 use crate::{Entry, Message, Node, Payload};
 use types::{LogIndex, NodeId, Term};
 
 impl Node {
+    /// Takes a message that only a leader sends.
+    pub(crate) fn step_follower(&mut self, from: NodeId, message: Message) {
+        match message {
+            Message::Append {
+                term,
+                previous_index,
+                previous_term,
+                entries,
+                commit,
+                round,
+            } => {
+                let previous = (previous_index, previous_term);
+                self.on_append(from, term, previous, entries, commit, round);
+            }
+            Message::SnapshotChunk {
+                term,
+                meta,
+                offset,
+                total,
+                data,
+                round,
+            } => {
+                let piece = Piece {
+                    meta,
+                    offset,
+                    total,
+                    data,
+                };
+                self.on_snapshot_chunk(from, term, piece, round);
+            }
+            _ => {}
+        }
+    }
+
     /// Takes a message of a leader of `term`. Returns false if it is of an
     /// earlier term, or if this node itself leads that term, which only a
     /// malformed message can claim.
@@ -20,7 +56,7 @@
         true
     }
 
-    pub(crate) fn on_append(
+    fn on_append(
         &mut self,
         from: NodeId,
         term: Term,
@@ -34,7 +70,7 @@
             return;
         }
         if !self.hear_leader(from, term) {
-            self.reply_append(from, false, LogIndex(0), round);
+            self.reply_append(from, false, LogIndex(0), NO_ROUND);
             return;
         }
         match self.take_entries(previous, entries) {
