Make the folder above the data folders before the shell's test starts

Cause: three stores that make the same missing parent at once race in the store's folder creation; the loser ended with AlreadyExists and the first start waited for it for ever. Ruled out: the first start itself, ports taken by others. Change: the test makes the parent, as a platform does. The race itself is the store's and is reported.

--- a/crates/coordinator/tests/shell.rs
+++ b/crates/coordinator/tests/shell.rs
@@ -177,6 +177,8 @@
 async fn three_real_coordinators_start_stop_and_come_back_with_what_they_had() {
     let name = format!("coordinator-shell-{}", std::process::id());
     let folder = std::env::temp_dir().join(name);
+    // The folder above the data folders is the platform's to make.
+    std::fs::create_dir_all(&folder).unwrap();
     let run = first_start_stop_and_return(&folder);
     let result = tokio::time::timeout(PATIENCE, run).await;
     std::fs::remove_dir_all(&folder).unwrap();
