Acknowledge a resent configuration after newer versions

Cause: an operator whose acknowledgement was lost got a conflict for an order that had been taken, once anybody took a newer version. Ruled out: keeping the documents themselves (large), or the digest of the last version alone (two operators in turn still lose one). The same content under a taken version is known again; other content is a conflict. Before: version 1 resent after version 2 was refused. After: known.

--- a/crates/record/src/command.rs
+++ b/crates/record/src/command.rs
@@ -41,8 +41,9 @@
         /// Leader's wall time.
         at: WallTime,
     },
-    /// Take a configuration if `version` is the current one plus one. Equal
-    /// content under the current version is acknowledged again.
+    /// Take a configuration if `version` is the current one plus one. The
+    /// content a version was taken with is acknowledged again under it, while
+    /// the version is among the last 1,024.
     PutConfiguration {
         /// The version wanted.
         version: ConfigurationVersion,
@@ -200,7 +201,8 @@
         /// When to come back.
         retry_after: Milliseconds,
     },
-    /// The version is not the current one plus one.
+    /// The version is not the current one plus one, and was not taken with
+    /// this content.
     #[error("version {wanted} was not taken: the current one is {current}")]
     VersionConflict {
         /// Version in the order.
--- a/crates/record/src/state.rs
+++ b/crates/record/src/state.rs
@@ -16,6 +16,7 @@
 mod runs;
 mod snapshot;
 pub mod submission;
+mod taken;
 
 pub use queries::TaskStanding;
 
@@ -24,6 +25,7 @@
 use indexes::Indexes;
 use job::Job;
 use std::collections::{BTreeMap, BTreeSet};
+use taken::TakenConfigurations;
 use types::{ConfigurationVersion, JobNumber, OpenRun, RunId, RunnerId};
 
 /// Jobs, runs, configuration and operators' words on runners.
@@ -31,6 +33,7 @@
 pub struct Record {
     version: ConfigurationVersion,
     document: ClusterConfiguration,
+    taken: TakenConfigurations,
     last_number: JobNumber,
     jobs: BTreeMap<JobNumber, Job>,
     open_runs: BTreeMap<RunId, OpenRun>,
--- a/crates/record/src/state/configuration.rs
+++ b/crates/record/src/state/configuration.rs
@@ -6,14 +6,17 @@
 use types::{ConfigurationVersion, RunnerId};
 
 impl Record {
-    /// Takes a document by compare-and-set on its version.
+    /// Takes a document by compare-and-set on its version. The same document
+    /// under a version that was taken is acknowledged again, also after newer
+    /// ones: the first acknowledgement may have been lost.
     pub(super) fn put_configuration(
         &mut self,
         version: ConfigurationVersion,
         document: &ClusterConfiguration,
         changes: &mut Vec<Change>,
     ) -> Result<CommandReply, RecordRefusal> {
-        if version == self.version && *document == self.document {
+        let in_force = version == self.version && *document == self.document;
+        if in_force || self.taken.holds(version, document) {
             return Ok(CommandReply::Configured {
                 version,
                 known: true,
@@ -32,6 +35,7 @@
         }
         self.version = version;
         self.document = document.clone();
+        self.taken.note(version, document);
         changes.push(Change::ConfigurationChanged(version));
         Ok(CommandReply::Configured {
             version,
--- a/crates/record/src/state/snapshot.rs
+++ b/crates/record/src/state/snapshot.rs
@@ -4,6 +4,7 @@
 use super::Record;
 use super::job::{Job, Progress};
 use super::submission::{MAX_COPIES, MAX_STEPS, MAX_TASKS};
+use super::taken::TakenConfigurations;
 use crate::RecordError;
 use configuration::ClusterConfiguration;
 use serde::{Deserialize, Serialize};
@@ -14,7 +15,7 @@
 };
 
 /// Version of the bytes; a program reads only its own.
-pub const SNAPSHOT_VERSION: u32 = 1;
+pub const SNAPSHOT_VERSION: u32 = 2;
 
 /// The version stands before the body, little-endian.
 const VERSION_BYTES: usize = size_of::<u32>();
@@ -23,6 +24,7 @@
 struct StoredRecord<'a> {
     version: ConfigurationVersion,
     document: Cow<'a, ClusterConfiguration>,
+    taken: Cow<'a, TakenConfigurations>,
     last_number: JobNumber,
     jobs: Vec<StoredJob<'a>>,
     open_runs: Vec<Cow<'a, OpenRun>>,
@@ -59,6 +61,7 @@
         let stored = StoredRecord {
             version: self.version,
             document: Cow::Borrowed(&self.document),
+            taken: Cow::Borrowed(&self.taken),
             last_number: self.last_number,
             jobs: self
                 .jobs
@@ -84,11 +87,17 @@
         let mut record = Self {
             version: stored.version,
             document: stored.document.into_owned(),
+            taken: stored.taken.into_owned(),
             last_number: stored.last_number,
             draining_runners: stored.draining_runners.into_owned(),
             highest_forgotten_run: stored.highest_forgotten_run,
             ..Self::default()
         };
+        if !record.taken.fits(record.version) {
+            return Err(RecordError::Inconsistent(
+                "the taken configurations do not fit the version",
+            ));
+        }
         if record.last_number.0 == u64::MAX {
             return Err(RecordError::Inconsistent("there are no more job numbers"));
         }
--- a/crates/record/tests/properties/step.rs
+++ b/crates/record/tests/properties/step.rs
@@ -46,6 +46,10 @@
         mode: QueueMode,
         drop_tenant: bool,
     },
+    ConfigureAgain {
+        pick: prop::sample::Index,
+        other: prop::sample::Index,
+    },
     Drain {
         runner: usize,
         draining: bool,
@@ -91,6 +95,8 @@
         2 => (index(), close()).prop_map(|(pick, close)| Step::CloseAgain { pick, close }),
         1 => (1..5_u32, mode(), prop::bool::weighted(0.3)).prop_map(
             |(ceiling, mode, drop_tenant)| Step::Configure { ceiling, mode, drop_tenant }),
+        1 => (index(), index())
+            .prop_map(|(pick, other)| Step::ConfigureAgain { pick, other }),
         1 => (0..2_usize, prop::bool::weighted(0.3))
             .prop_map(|(runner, draining)| Step::Drain { runner, draining }),
         1 => (0..40_u64, 0..3_u32).prop_map(|(age, limit)| Step::Forget { age, limit }),
--- a/crates/record/tests/properties/world.rs
+++ b/crates/record/tests/properties/world.rs
@@ -2,7 +2,7 @@
 
 use crate::step::{QUEUES, RUNNERS, Step, TENANTS, spec};
 use crate::support::*;
-use configuration::QueueMode;
+use configuration::{ClusterConfiguration, QueueMode};
 use record::{
     Applied, CancelSelector, Change, ClosedRun, Command, CommandReply, Record, RecordRefusal,
     ReserveRefusal,
@@ -24,6 +24,7 @@
     pub closed: BTreeSet<RunId>,
     pub done: BTreeSet<TaskRef>,
     pub ended: BTreeMap<JobNumber, (JobState, WallTime)>,
+    pub configured: BTreeMap<ConfigurationVersion, ClusterConfiguration>,
 }
 
 impl World {
@@ -41,6 +42,7 @@
             closed: BTreeSet::new(),
             done: BTreeSet::new(),
             ended: BTreeMap::new(),
+            configured: BTreeMap::from([(ConfigurationVersion(1), document())]),
         }
     }
 
@@ -161,6 +163,7 @@
             } => {
                 self.configure(*ceiling, *mode, *drop_tenant);
             }
+            Step::ConfigureAgain { pick, other } => self.configure_again(pick, other),
             Step::Drain {
                 runner: at_runner,
                 draining,
@@ -268,10 +271,39 @@
         let busy = drop_tenant && self.first.unfinished_of_tenant(&dropped) > 0;
         let reply = self.apply(Command::PutConfiguration {
             version: version.next(),
-            document,
+            document: document.clone(),
             at: self.at,
         });
         assert_eq!(busy, matches!(reply.reply, CommandReply::Refused(_)));
+        if !busy {
+            self.configured.insert(version.next(), document);
+        }
+    }
+
+    /// Sends a document under a version taken before: its own, or another's.
+    fn configure_again(&mut self, pick: &proptest::sample::Index, other: &proptest::sample::Index) {
+        let versions: Vec<ConfigurationVersion> = self.configured.keys().copied().collect();
+        let version = *pick.get(&versions);
+        let document = self.configured[other.get(&versions)].clone();
+        let same = document == self.configured[&version];
+        let before = self.first.clone();
+        let at = self.at;
+        let reply = self.apply(Command::PutConfiguration {
+            version,
+            document,
+            at,
+        });
+        let current = before.configuration().0;
+        let wanted = version;
+        let expected = match same {
+            true => CommandReply::Configured {
+                version,
+                known: true,
+            },
+            false => CommandReply::Refused(RecordRefusal::VersionConflict { wanted, current }),
+        };
+        assert_eq!(reply.reply, expected);
+        assert_eq!(self.first, before, "an order is taken once");
     }
 
     fn forget(&mut self, age: u64, limit: u32) {
