Pass a relay on once, and let none nest

Cause: a coordinator passed any relay on to any socket, so two that were named in one another's relays could send it round for ever; and the body was decoded recursively, so that one frame of relays within relays could exhaust the stack of the thread that read it. Ruled out: a hop count (two hops are all there are), a bigger stack. Change: the coordinator opens relays as session::route does, which also drops those that lead back to their origin or claim to come from the receiver.

--- a/crates/coordinator/src/core.rs
+++ b/crates/coordinator/src/core.rs
@@ -10,9 +10,10 @@
 use crate::leader::Leader;
 use crate::replica::Replica;
 use consensus::Recovered;
-use peer::{Envelope, PeerMessage, Relay};
+use peer::{Envelope, PeerMessage};
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
+use session::route::{self, Opened};
 use std::net::SocketAddr;
 use storage::{Batch, Identity};
 use types::{Address, Milliseconds, Monotonic, Now};
@@ -290,23 +291,17 @@
         }
     }
 
-    /// Opens a relay meant for this process; passes any other on unchanged.
+    /// Opens a relay meant for this process; passes one on that comes from its
+    /// origin.
     fn open_relay(&self, envelope: Envelope, effects: &mut Vec<Effect>) -> Option<Envelope> {
-        let PeerMessage::Relay(relay) = envelope.body else {
-            return Some(envelope);
-        };
-        if relay.destination == self.own.socket {
-            return Some(Envelope {
-                from: relay.origin,
-                via: Some(envelope.from.socket),
-                body: *relay.body,
-            });
+        match route::open(&self.own, envelope) {
+            Opened::Own(envelope) => Some(envelope),
+            Opened::Forward(to, message) => {
+                effects.push(Effect::Send { to, message });
+                None
+            }
+            Opened::Dropped => None,
         }
-        effects.push(Effect::Send {
-            to: relay.destination,
-            message: PeerMessage::Relay(relay),
-        });
-        None
     }
 }
 
@@ -324,14 +319,7 @@
     pub(crate) fn answer(&self, own: &Address, message: PeerMessage) -> (SocketAddr, PeerMessage) {
         match self.via {
             None => (self.address.socket, message),
-            Some(via) => {
-                let relay = Relay {
-                    origin: own.clone(),
-                    destination: self.address.socket,
-                    body: Box::new(message),
-                };
-                (via, PeerMessage::Relay(relay))
-            }
+            Some(via) => route::through(own, via, self.address.socket, message),
         }
     }
 }
--- a/crates/coordinator/tests/common/mod.rs
+++ b/crates/coordinator/tests/common/mod.rs
@@ -332,7 +332,8 @@
         }
     }
 
-    fn effects(&mut self, server: usize, input: Input) -> Vec<Effect> {
+    /// What a coordinator does at an input; nothing is carried out.
+    pub fn effects(&mut self, server: usize, input: Input) -> Vec<Effect> {
         let now = self.clock();
         let mut effects = Vec::new();
         if let Some(core) = &mut self.servers[server].core {
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -8,13 +8,15 @@
 
 pub mod clock;
 pub mod message;
+pub mod relay;
 pub mod request;
 pub mod transport;
 
 pub use message::{
-    AgentReport, Bootstrap, Envelope, Hello, Members, OrderResult, PeerMessage, Relay,
-    RunnerUpdate, SessionLease,
+    AgentReport, Bootstrap, Envelope, Hello, Members, OrderResult, PeerMessage, RunnerUpdate,
+    SessionLease,
 };
+pub use relay::Relay;
 pub use request::{
     DecisionEntry, DecisionEvent, JobFilter, MemberView, Operation, OperationReply, QueueView,
     Refusal, RefusalCode, Reply, Request, RequestId, TenantView,
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -1,6 +1,6 @@
 //! Every message between daemons.
 
-use crate::{Reply, Request};
+use crate::{Relay, Reply, Request};
 use configuration::ClusterConfiguration;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
@@ -186,14 +186,3 @@
     /// What the runner said, or that it said nothing.
     pub answer: OrderAnswer,
 }
-
-/// A message carried by a member that reaches both ends.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Relay {
-    /// The sender.
-    pub origin: Address,
-    /// Socket of the receiver.
-    pub destination: SocketAddr,
-    /// The message; never itself a relay.
-    pub body: Box<PeerMessage>,
-}
--- a/crates/session/src/route.rs
+++ b/crates/session/src/route.rs
@@ -44,14 +44,17 @@
 }
 
 /// Opens a relay meant for `own`. A relay for another process is sent on only
-/// if it comes from its origin, and a relay inside a relay never: so a message
-/// takes two hops at most and cannot go round.
+/// if it comes from its origin and does not lead back there, and a relay inside
+/// a relay never: so a message takes two hops at most and cannot go round.
+/// What claims to come from `own` is dropped.
 pub fn open(own: &Address, envelope: Envelope) -> Opened {
     let Envelope { from, via, body } = envelope;
     let PeerMessage::Relay(relay) = body else {
         return Opened::Own(Envelope { from, via, body });
     };
-    if via.is_some() || matches!(*relay.body, PeerMessage::Relay(_)) {
+    let nested = via.is_some() || matches!(*relay.body, PeerMessage::Relay(_));
+    let of_own = from.node == own.node || relay.origin.node == own.node;
+    if nested || of_own {
         return Opened::Dropped;
     }
     if relay.destination == own.socket {
@@ -61,7 +64,8 @@
             body: *relay.body,
         });
     }
-    if from.node == relay.origin.node {
+    let leads_back = relay.destination == relay.origin.socket;
+    if from.node == relay.origin.node && !leads_back {
         return Opened::Forward(relay.destination, PeerMessage::Relay(relay));
     }
     Opened::Dropped
