Take answers to orders of the own term only

Cause: an answer to an earlier leader's order was taken for one of this term's. A voided start of then said nothing of a run kept since. Ruled out: leaving it to the agents' fence; answers cross it later. Before: a voided answer of another term closed an open run. After: it stays open, and the same answer of the own term closes it.

--- a/crates/coordinator/src/orders.rs
+++ b/crates/coordinator/src/orders.rs
@@ -130,8 +130,12 @@
         self.send_order(&open, kind, now);
     }
 
-    /// Takes what became of orders.
+    /// Takes what became of an order of this term. Answers to orders of an
+    /// earlier leader say nothing of what this one has asked since.
     pub(crate) fn order_answered(&mut self, record: &Record, result: &OrderResult, now: Now) {
+        if result.order.term != self.identity.term {
+            return;
+        }
         let run = result.order.kind.run();
         let Some(tracked) = self.runs.get_mut(run) else {
             return;
--- a/crates/coordinator/tests/common/mod.rs
+++ b/crates/coordinator/tests/common/mod.rs
@@ -380,6 +380,17 @@
         }
     }
 
+    /// Hands the leader a message at once.
+    pub fn tell_leader(&mut self, from: Address, body: PeerMessage) {
+        let leader = self.leader().expect("no leader to tell");
+        let envelope = Envelope {
+            from,
+            via: None,
+            body,
+        };
+        self.input(leader, Input::Peer(envelope));
+    }
+
     /// Sends a request to the leader; gives its number.
     pub fn ask(&mut self, operation: Operation) -> u64 {
         let leader = self.leader().expect("no leader to ask");
--- a/crates/coordinator/tests/runs.rs
+++ b/crates/coordinator/tests/runs.rs
@@ -4,8 +4,8 @@
 
 use common::{World, document};
 use coordinator::Effect;
-use peer::PeerMessage;
-use types::{JobState, OrderAnswer, Outcome, RefusalReason};
+use peer::{OrderResult, PeerMessage};
+use types::{JobState, OrderAnswer, Outcome, RefusalReason, RunnerOrder, Term};
 
 fn with_runner() -> World {
     let mut world = World::served();
@@ -147,6 +147,35 @@
     assert!(world.each_start_is_sent_once());
 }
 
+#[test]
+fn answers_to_orders_of_another_term_are_ignored() {
+    let mut world = with_runner();
+    world.submit("job");
+    world.run(500);
+    let order = world.orders()[0].clone();
+    let own_term = order.term;
+    for (term, stays_open) in [
+        (Term(own_term.0 - 1), true),
+        (own_term.next(), true),
+        (own_term, false),
+    ] {
+        let results = vec![OrderResult {
+            order: RunnerOrder {
+                term,
+                ..order.clone()
+            },
+            answer: OrderAnswer::Voided,
+        }];
+        // The runner is silent, so nothing else speaks of the run.
+        world.agents[0].silent = true;
+        let from = world.agents[0].address.clone();
+        world.tell_leader(from, PeerMessage::OrderResults { results });
+        world.run(100);
+        let open = world.record().open_run(order.kind.run()).is_some();
+        assert_eq!(open, stays_open, "{term}");
+    }
+}
+
 #[test]
 fn a_new_leader_keeps_runs_that_go_on() {
     let mut world = with_runner();
