Run campaigns of the simulation from the lab

Cause: whole fleets could be simulated only from code; nobody could repeat a failing seed by a command. Ruled out: a program of its own; the lab already holds all trials. Mutations have names that can be read and shown. Before: no command.

--- a/crates/lab/src/error.rs
+++ b/crates/lab/src/error.rs
@@ -68,6 +68,15 @@
         /// Why.
         problem: String,
     },
+    /// A fault plan cannot be read.
+    #[error(transparent)]
+    Plan(#[from] simulation::PlanError),
+    /// A simulated fleet cannot be built.
+    #[error("the fleet of the plan cannot be built: {0}")]
+    Fleet(#[from] types::InvalidName),
+    /// The result cannot be printed.
+    #[error("the result cannot be printed: {0}")]
+    Output(String),
     /// The history cannot be written.
     #[error(transparent)]
     History(#[from] checker::HistoryError),
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod process;
 pub mod report;
 pub mod runners;
+pub mod simulate;
 pub mod trial;
 
 pub use error::LabError;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -3,6 +3,7 @@
 use clap::{Parser, Subcommand};
 use lab::daemon::{self, DaemonArguments};
 use lab::demo::{self, DemoArguments};
+use lab::simulate::{self, SimulateArguments};
 use std::process::ExitCode;
 
 /// Trials of cypressdrum on one machine.
@@ -17,6 +18,8 @@
 enum Command {
     /// Run a fleet of today's size under load, and kill its leader once.
     Demo(DemoArguments),
+    /// Run whole fleets in one process under random or given faults.
+    Simulate(SimulateArguments),
     /// Run one daemon; the lab starts its own children with it.
     #[command(hide = true)]
     Daemon(DaemonArguments),
@@ -25,6 +28,7 @@
 fn main() -> ExitCode {
     match Arguments::parse().command {
         Command::Demo(arguments) => demo::run(arguments).into(),
+        Command::Simulate(arguments) => simulate::run(arguments).into(),
         Command::Daemon(arguments) => daemon::run(arguments).into(),
     }
 }
--- a/crates/simulation/src/campaign.rs
+++ b/crates/simulation/src/campaign.rs
@@ -41,6 +41,12 @@
     pub fn is_good(&self) -> bool {
         self.error.is_none() && self.report.violations.is_empty()
     }
+
+    /// True when a promise of this kind broke.
+    pub fn breaks(&self, kind: ViolationKind) -> bool {
+        let mut violations = self.report.violations.iter();
+        violations.any(|violation| violation.kind == kind)
+    }
 }
 
 /// What a campaign gave.
@@ -54,6 +60,10 @@
     pub jobs: u64,
     /// Runs started over all.
     pub runs: u64,
+    /// Of those, runs of a task whose done end could not be reported in time.
+    pub repeated_unreported: u64,
+    /// Seeds whose run could not be made at all.
+    pub not_run: u64,
     /// Seeds in which each kind of promise broke.
     pub broken: BTreeMap<ViolationKind, u64>,
     /// Seeds in which some promise broke, in order.
@@ -107,11 +117,14 @@
 }
 
 impl Summary {
-    fn add(&mut self, result: SeedResult) {
+    /// Adds what one seed gave.
+    pub fn add(&mut self, result: SeedResult) {
         self.seeds += 1;
         self.events += result.events;
         self.jobs += result.report.acknowledged_jobs;
         self.runs += result.report.started_runs;
+        self.repeated_unreported += result.report.repeated_unreported;
+        self.not_run += u64::from(result.error.is_some());
         let mut kinds: Vec<ViolationKind> = result
             .report
             .violations
--- a/crates/simulation/src/mutation.rs
+++ b/crates/simulation/src/mutation.rs
@@ -4,8 +4,12 @@
 //! them in one list and adds those of the world itself: its disks and its
 //! starts of processes.
 
+use serde::de::IntoDeserializer;
+use serde::de::value::Error as NameError;
 use serde::{Deserialize, Serialize};
 use standin::runner::RunnerMutation;
+use std::fmt;
+use std::str::FromStr;
 
 /// A mechanism turned off in a run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -89,3 +93,18 @@
         }
     }
 }
+
+impl FromStr for Mutation {
+    type Err = NameError;
+
+    /// Takes the name as it stands in plans, in snake case.
+    fn from_str(name: &str) -> Result<Self, NameError> {
+        Self::deserialize(name.into_deserializer())
+    }
+}
+
+impl fmt::Display for Mutation {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.serialize(formatter)
+    }
+}
