--- a/crates/coordinator/tests/common/mod.rs
+++ b/crates/coordinator/tests/common/mod.rs
@@ -332,7 +332,8 @@
         }
     }
 
-    fn effects(&mut self, server: usize, input: Input) -> Vec<Effect> {
+    /// What a coordinator does at an input; nothing is carried out.
+    pub fn effects(&mut self, server: usize, input: Input) -> Vec<Effect> {
         let now = self.clock();
         let mut effects = Vec::new();
         if let Some(core) = &mut self.servers[server].core {
@@ -379,6 +380,17 @@
         }
     }
 
+    /// Hands the leader a message at once.
+    pub fn tell_leader(&mut self, from: Address, body: PeerMessage) {
+        let leader = self.leader().expect("no leader to tell");
+        let envelope = Envelope {
+            from,
+            via: None,
+            body,
+        };
+        self.input(leader, Input::Peer(envelope));
+    }
+
     /// Sends a request to the leader; gives its number.
     pub fn ask(&mut self, operation: Operation) -> u64 {
         let leader = self.leader().expect("no leader to ask");
