Try faults on a fleet of real processes with lab trial

Cause: the demo caused one fault only. Ruled out: a script language for trials; nine named scenarios read better. Change: what a trial shares is apart from the demo, and scenarios kill, freeze, wipe, replace and restart daemons under load. Before: one kill of a leader.

--- a/crates/lab/src/fleet.rs
+++ b/crates/lab/src/fleet.rs
@@ -2,6 +2,7 @@
 
 mod member;
 mod plan;
+mod standing;
 
 pub use member::{Member, MemberId};
 pub use plan::FleetPlan;
@@ -9,11 +10,10 @@
 use crate::LabError;
 use crate::ports::Addresses;
 use crate::process::{Process, Program};
-use api::operator::MembersBody;
-use api::route;
 use cypressdrum::client::{Connection, GatewayClient};
 use cypressdrum::output::OutputFormat;
 use nix::sys::signal::Signal;
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::time::{Duration, Instant};
 use types::Role;
@@ -30,6 +30,9 @@
 pub struct Fleet {
     program: Program,
     folder: PathBuf,
+    addresses: Addresses,
+    seeds: Vec<SocketAddr>,
+    key: PathBuf,
     members: Vec<Member>,
 }
 
@@ -39,7 +42,8 @@
         std::fs::create_dir_all(folder).map_err(LabError::file(folder))?;
         let key = folder.join("cluster.key");
         std::fs::write(&key, CLUSTER_SECRET).map_err(LabError::file(&key))?;
-        let members = plan.members(&Addresses::default(), folder)?;
+        let addresses = Addresses::default();
+        let members = plan.members(&addresses, folder)?;
         let seeds = plan::seeds(&members);
         for member in &members {
             member.write_settings(&seeds, &key)?;
@@ -47,10 +51,25 @@
         Ok(Self {
             program,
             folder: folder.to_owned(),
+            addresses,
+            seeds,
+            key,
             members,
         })
     }
 
+    /// Lays out one more daemon of a role, at an address of its own and with
+    /// an empty data folder; it is not started yet.
+    pub fn add(&mut self, role: Role) -> Result<MemberId, LabError> {
+        let count = self.of_role(role).count();
+        let place = u8::try_from(count + 1).unwrap_or(u8::MAX);
+        let id = MemberId { role, place };
+        let member = plan::member(id, &self.addresses, &self.folder)?;
+        member.write_settings(&self.seeds, &self.key)?;
+        self.members.push(member);
+        Ok(id)
+    }
+
     /// The folder that holds everything of this fleet.
     pub fn folder(&self) -> &Path {
         &self.folder
@@ -68,6 +87,11 @@
             .filter(move |member| member.id.role == role)
     }
 
+    /// Which daemons a role has.
+    pub fn ids_of_role(&self, role: Role) -> Vec<MemberId> {
+        self.of_role(role).map(|member| member.id).collect()
+    }
+
     /// URLs of all gateways.
     pub fn gateway_urls(&self) -> Vec<String> {
         self.of_role(Role::Gateway).map(Member::http_url).collect()
@@ -178,24 +202,6 @@
         Ok(())
     }
 
-    /// The coordinator that leads now, as the gateways are told.
-    pub async fn leader(&self) -> Result<Option<MemberId>, LabError> {
-        let client = self.client()?;
-        let answer: MembersBody = client.get(route::MEMBERS, Vec::new()).await?;
-        let leader = answer
-            .members
-            .iter()
-            .find(|member| member.standing == "leader");
-        let Some(leader) = leader else {
-            return Ok(None);
-        };
-        let found = self
-            .members
-            .iter()
-            .find(|member| member.peer.to_string() == leader.socket);
-        Ok(found.map(|member| member.id))
-    }
-
     /// Ends all daemons at once.
     pub fn kill_all(&mut self) {
         for member in &mut self.members {
--- a/crates/lab/src/fleet/plan.rs
+++ b/crates/lab/src/fleet/plan.rs
@@ -37,26 +37,36 @@
         folder: &Path,
     ) -> Result<Vec<Member>, LabError> {
         let mut members = Vec::new();
-        for (group, (role, count)) in (1..).zip([
+        for (role, count) in [
             (Role::Coordinator, self.coordinators),
             (Role::Gateway, self.gateways),
             (Role::Agent, self.agents),
-        ]) {
+        ] {
             for place in 1..=count {
-                let [peer, http] = free_sockets(addresses.machine(group, place))?;
-                members.push(member(MemberId { role, place }, peer, http, folder)?);
+                members.push(member(MemberId { role, place }, addresses, folder)?);
             }
         }
         Ok(members)
     }
 }
 
-fn member(
+/// Third byte of the addresses of a role.
+fn address_group(role: Role) -> u8 {
+    match role {
+        Role::Coordinator => 1,
+        Role::Gateway => 2,
+        Role::Agent => 3,
+    }
+}
+
+/// A daemon with a machine, and so an address, of its own.
+pub(super) fn member(
     id: MemberId,
-    peer: SocketAddr,
-    http: SocketAddr,
+    addresses: &Addresses,
     folder: &Path,
 ) -> Result<Member, LabError> {
+    let machine = addresses.machine(address_group(id.role), id.place);
+    let [peer, http] = free_sockets(machine)?;
     let zone = ZONES[usize::from(id.place - 1) % ZONES.len()];
     let zone = ZoneName::new(zone).map_err(std::io::Error::other);
     Ok(Member {
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -14,6 +14,8 @@
 pub mod process;
 pub mod report;
 pub mod runners;
+pub mod scenario;
+pub mod setup;
 pub mod simulate;
 pub mod trial;
 
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -3,6 +3,7 @@
 use clap::{Parser, Subcommand};
 use lab::daemon::{self, DaemonArguments};
 use lab::demo::{self, DemoArguments};
+use lab::scenario::{self, ScenarioArguments};
 use lab::simulate::{self, SimulateArguments};
 use std::process::ExitCode;
 
@@ -18,6 +19,8 @@
 enum Command {
     /// Run a fleet of today's size under load, and kill its leader once.
     Demo(DemoArguments),
+    /// Run a fleet of today's size under load while parts of it fail.
+    Trial(ScenarioArguments),
     /// Run whole fleets in one process under random or given faults.
     Simulate(SimulateArguments),
     /// Run one daemon; the lab starts its own children with it.
@@ -28,6 +31,7 @@
 fn main() -> ExitCode {
     match Arguments::parse().command {
         Command::Demo(arguments) => demo::run(arguments).into(),
+        Command::Trial(arguments) => scenario::run(arguments).into(),
         Command::Simulate(arguments) => simulate::run(arguments).into(),
         Command::Daemon(arguments) => daemon::run(arguments).into(),
     }
--- a/crates/lab/src/ports.rs
+++ b/crates/lab/src/ports.rs
@@ -35,12 +35,6 @@
     }
 }
 
-/// A port that is free now on this address.
-pub fn free_socket(address: IpAddr) -> Result<SocketAddr, LabError> {
-    let listener = TcpListener::bind((address, 0)).map_err(LabError::Address)?;
-    listener.local_addr().map_err(LabError::Address)
-}
-
 /// Several different free ports on this address.
 pub fn free_sockets<const COUNT: usize>(address: IpAddr) -> Result<[SocketAddr; COUNT], LabError> {
     let bind = || TcpListener::bind((address, 0)).map_err(LabError::Address);
--- /dev/null
+++ b/crates/lab/src/scenario.rs
@@ -0,0 +1,171 @@
+//! `trial NAME`: today's fleet under both job mixes while parts of it fail.
+
+use crate::trial::{self, READY_TIME, Trial, TrialArguments};
+use crate::{LabError, MemberId};
+use clap::{Args, ValueEnum};
+use cypressdrum::Exit;
+use std::time::Duration;
+use types::Role;
+
+/// Work before the first fault, and after the last.
+const CALM: Duration = Duration::from_secs(8);
+/// How long a killed daemon stays down.
+const DOWN: Duration = Duration::from_secs(5);
+/// How long a machine is frozen: longer than every lease.
+const FROZEN: Duration = Duration::from_secs(25);
+/// After the last fault: longer than the time in which service must be back.
+const AFTER: Duration = Duration::from_secs(15);
+/// Between the restarts of a rolling restart.
+const BETWEEN_RESTARTS: Duration = Duration::from_millis(500);
+
+/// What is done to the fleet.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, ValueEnum)]
+pub enum Scenario {
+    /// The leader is killed and comes back with its disk.
+    KillLeader,
+    /// One gateway is killed and comes back.
+    KillGateway,
+    /// One agent is killed and comes back; its runner runs on.
+    KillAgent,
+    /// All coordinators are killed at once and come back with their disks.
+    KillAllCoordinators,
+    /// The leader is frozen for 25 s and wakes.
+    FreezeLeader,
+    /// One agent is frozen for 25 s and wakes.
+    FreezeAgent,
+    /// A follower loses its disk; after its repair another coordinator dies.
+    WipeFollower,
+    /// A follower is replaced by an empty one at another address; after the
+    /// repair another coordinator dies.
+    ReplaceFollower,
+    /// Every daemon is restarted in turn, politely.
+    RollingRestart,
+}
+
+/// Which trial to run.
+#[derive(Debug, Clone, Args)]
+pub struct ScenarioArguments {
+    /// What is done to the fleet.
+    pub scenario: Scenario,
+    /// What every trial has.
+    #[command(flatten)]
+    pub trial: TrialArguments,
+}
+
+/// Runs one trial.
+pub fn run(arguments: ScenarioArguments) -> Exit {
+    trial::run(play(arguments))
+}
+
+async fn play(arguments: ScenarioArguments) -> Result<Exit, LabError> {
+    let mut trial = Trial::start(arguments.trial).await?;
+    trial.work_for(CALM).await;
+    match arguments.scenario {
+        Scenario::KillLeader => kill_leader(&mut trial).await?,
+        Scenario::KillGateway => kill_and_restart(&mut trial, first(Role::Gateway)).await?,
+        Scenario::KillAgent => kill_and_restart(&mut trial, first(Role::Agent)).await?,
+        Scenario::KillAllCoordinators => kill_all_coordinators(&mut trial).await?,
+        Scenario::FreezeLeader => freeze_leader(&mut trial).await?,
+        Scenario::FreezeAgent => freeze(&mut trial, first(Role::Agent)).await?,
+        Scenario::WipeFollower => wipe_follower(&mut trial).await?,
+        Scenario::ReplaceFollower => replace_follower(&mut trial).await?,
+        Scenario::RollingRestart => rolling_restart(&mut trial).await?,
+    }
+    trial.work_for(AFTER).await;
+    trial.finish().await
+}
+
+fn first(role: Role) -> MemberId {
+    MemberId { role, place: 1 }
+}
+
+async fn kill_leader(trial: &mut Trial) -> Result<(), LabError> {
+    let leader = trial.kill_leader().await?;
+    trial.work_for(DOWN).await;
+    restart(trial, leader).await
+}
+
+async fn kill_and_restart(trial: &mut Trial, id: MemberId) -> Result<(), LabError> {
+    trial.fleet.kill(id)?;
+    trial.note_borne_fault(format!("killed {id}"));
+    trial.work_for(DOWN).await;
+    restart(trial, id).await
+}
+
+async fn restart(trial: &mut Trial, id: MemberId) -> Result<(), LabError> {
+    println!("{id} starts again");
+    trial.fleet.start(id)?;
+    trial.fleet.wait_ready(id, READY_TIME).await
+}
+
+async fn kill_all_coordinators(trial: &mut Trial) -> Result<(), LabError> {
+    let coordinators = trial.fleet.ids_of_role(Role::Coordinator);
+    for id in &coordinators {
+        trial.fleet.kill(*id)?;
+    }
+    trial.note_fault("killed all coordinators".to_owned());
+    trial.work_for(DOWN).await;
+    println!("all coordinators start again");
+    for id in &coordinators {
+        trial.fleet.start(*id)?;
+    }
+    trial.note_healed();
+    for id in coordinators {
+        trial.fleet.wait_ready(id, READY_TIME).await?;
+    }
+    Ok(())
+}
+
+async fn freeze_leader(trial: &mut Trial) -> Result<(), LabError> {
+    let leader = trial.fleet.wait_leader(READY_TIME).await?;
+    freeze(trial, leader).await
+}
+
+async fn freeze(trial: &mut Trial, id: MemberId) -> Result<(), LabError> {
+    trial.fleet.freeze(id)?;
+    trial.note_borne_fault(format!("froze {id}"));
+    trial.work_for(FROZEN).await;
+    trial.fleet.wake(id)?;
+    println!("woke {id}");
+    trial.fleet.wait_ready(id, READY_TIME).await
+}
+
+async fn wipe_follower(trial: &mut Trial) -> Result<(), LabError> {
+    let follower = trial.fleet.wait_follower(READY_TIME).await?;
+    trial.fleet.kill(follower)?;
+    trial.fleet.wipe(follower)?;
+    trial.note_borne_fault(format!("{follower} lost its disk"));
+    restart(trial, follower).await?;
+    trial.fleet.wait_voter(follower, READY_TIME).await?;
+    println!("{follower} votes again");
+    kill_leader(trial).await
+}
+
+async fn replace_follower(trial: &mut Trial) -> Result<(), LabError> {
+    let follower = trial.fleet.wait_follower(READY_TIME).await?;
+    trial.fleet.kill(follower)?;
+    let replacement = trial.fleet.add(Role::Coordinator)?;
+    trial.note_borne_fault(format!(
+        "{replacement}, empty, takes the place of {follower}"
+    ));
+    trial.fleet.start(replacement)?;
+    trial.fleet.wait_voter(replacement, READY_TIME).await?;
+    println!("{replacement} votes");
+    kill_leader(trial).await
+}
+
+async fn rolling_restart(trial: &mut Trial) -> Result<(), LabError> {
+    let ids: Vec<_> = trial
+        .fleet
+        .members()
+        .iter()
+        .map(|member| member.id)
+        .collect();
+    for id in ids {
+        trial.fleet.terminate(id, READY_TIME).await?;
+        trial.note_borne_fault(format!("{id} restarts"));
+        restart(trial, id).await?;
+        trial.work_for(BETWEEN_RESTARTS).await;
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/lab/src/setup.rs
@@ -0,0 +1,137 @@
+//! Steps that every trial begins with.
+
+use crate::fleet::timed_out;
+use crate::{Fleet, History, LabError};
+use api::configuration::ConfigurationBody;
+use api::operator::RunnersBody;
+use api::route;
+use api::version::ConfiguredBody;
+use checker::Event;
+use configuration::ClusterConfiguration;
+use cypressdrum::client::ClientError;
+use reqwest::Method;
+use std::path::{Path, PathBuf};
+use std::time::{Duration, Instant};
+use types::ConfigurationVersion;
+
+/// Name of the operator in the history.
+const OPERATOR: &str = "operator";
+/// Longest wait for a configuration to be taken.
+const PUT_TIME: Duration = Duration::from_secs(20);
+/// Time between two tries.
+const TRY_INTERVAL: Duration = Duration::from_millis(200);
+
+/// A fresh folder that is removed at the end, unless it is to be kept.
+#[derive(Debug)]
+pub struct TrialFolder {
+    path: PathBuf,
+    keep: bool,
+}
+
+impl TrialFolder {
+    /// Makes the folder among the system's temporary ones.
+    pub fn create(keep: bool) -> Result<Self, LabError> {
+        let name = format!(
+            "cypressdrum-lab-{}-{:08x}",
+            std::process::id(),
+            rand::random::<u32>()
+        );
+        Self::create_at(std::env::temp_dir().join(name), keep)
+    }
+
+    /// Makes the folder at a given place.
+    pub fn create_at(path: PathBuf, keep: bool) -> Result<Self, LabError> {
+        std::fs::create_dir_all(&path).map_err(LabError::file(&path))?;
+        Ok(Self { path, keep })
+    }
+
+    /// Where it is.
+    pub fn path(&self) -> &Path {
+        &self.path
+    }
+}
+
+impl Drop for TrialFolder {
+    fn drop(&mut self) {
+        if !self.keep {
+            // What stays behind is only a temporary folder.
+            let _ = std::fs::remove_dir_all(&self.path);
+        }
+    }
+}
+
+/// Puts the first configuration through any gateway, again until it is taken.
+pub async fn put_configuration(
+    fleet: &Fleet,
+    history: &History,
+    document: ClusterConfiguration,
+) -> Result<(), LabError> {
+    let version = ConfigurationVersion(1);
+    let digest = "first".to_owned();
+    for (tenant, settings) in &document.tenants {
+        history.record(
+            OPERATOR,
+            Event::CeilingSent {
+                tenant: tenant.clone(),
+                ceiling: settings.ceiling,
+            },
+        );
+    }
+    let sent = Event::ConfigurationSent {
+        version,
+        digest: digest.clone(),
+    };
+    history.record(OPERATOR, sent);
+    put_until_taken(fleet, version, document.clone()).await?;
+    history.record(
+        OPERATOR,
+        Event::ConfigurationAcknowledged { version, digest },
+    );
+    for (tenant, settings) in document.tenants {
+        let ceiling = settings.ceiling;
+        history.record(OPERATOR, Event::CeilingInForce { tenant, ceiling });
+    }
+    Ok(())
+}
+
+async fn put_until_taken(
+    fleet: &Fleet,
+    version: ConfigurationVersion,
+    document: ClusterConfiguration,
+) -> Result<(), LabError> {
+    let client = fleet.client()?;
+    let body = ConfigurationBody::from(document);
+    let path = route::CONFIGURATION_VERSION.replace("{version}", &version.to_string());
+    let started = Instant::now();
+    loop {
+        let answer = client.send::<_, ConfiguredBody>(Method::PUT, &path, Some(&body));
+        match answer.await {
+            Ok(_) => return Ok(()),
+            Err(ClientError::Unavailable(_)) if started.elapsed() < PUT_TIME => {
+                tokio::time::sleep(TRY_INTERVAL).await;
+            }
+            Err(error) => return Err(error.into()),
+        }
+    }
+}
+
+/// Waits until the leader knows this many runners.
+pub async fn wait_for_runners(
+    fleet: &Fleet,
+    count: usize,
+    longest: Duration,
+) -> Result<(), LabError> {
+    let client = fleet.client()?;
+    let started = Instant::now();
+    loop {
+        let known = client.get::<RunnersBody>(route::RUNNERS, Vec::new()).await;
+        match known {
+            Ok(known) if known.runners.len() >= count => return Ok(()),
+            Ok(_) | Err(ClientError::Unavailable(_)) if started.elapsed() < longest => {
+                tokio::time::sleep(TRY_INTERVAL).await;
+            }
+            Ok(_) => return Err(timed_out(format!("{count} runners to be known"), longest)),
+            Err(error) => return Err(error.into()),
+        }
+    }
+}
--- a/crates/lab/src/trial.rs
+++ b/crates/lab/src/trial.rs
@@ -1,137 +1,256 @@
-//! Steps that every trial has.
+//! A trial: today's fleet with its runners under both job mixes, one history,
+//! and whatever is done to it meanwhile.
 
+use crate::callers::{CallerPlan, Callers};
 use crate::fleet::timed_out;
-use crate::{Fleet, History, LabError};
-use api::configuration::ConfigurationBody;
-use api::operator::RunnersBody;
-use api::route;
-use api::version::ConfiguredBody;
-use checker::Event;
-use configuration::ClusterConfiguration;
-use cypressdrum::client::ClientError;
-use reqwest::Method;
-use std::path::{Path, PathBuf};
+use crate::process::Program;
+use crate::report::summarise;
+use crate::runners::{RunnerPlan, Runners};
+use crate::setup::{TrialFolder, put_configuration, wait_for_runners};
+use crate::{Fleet, FleetPlan, History, LabError, MemberId};
+use checker::{Event, Limits, Violation};
+use clap::Args;
+use cypressdrum::Exit;
+use standin::workload::{Mix, example_configuration, pool_runners};
+use std::future::Future;
+use std::path::PathBuf;
+use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
-use types::ConfigurationVersion;
-
-/// Name of the operator in the history.
-const OPERATOR: &str = "operator";
-/// Longest wait for a configuration to be taken.
-const PUT_TIME: Duration = Duration::from_secs(20);
-/// Time between two tries.
-const TRY_INTERVAL: Duration = Duration::from_millis(200);
-
-/// A fresh folder that is removed at the end, unless it is to be kept.
-#[derive(Debug)]
-pub struct TrialFolder {
-    path: PathBuf,
-    keep: bool,
+use tokio::signal::unix::{SignalKind, signal};
+use types::{Milliseconds, Role};
+
+/// Longest wait for daemons to be ready.
+pub const READY_TIME: Duration = Duration::from_secs(30);
+/// Longest wait for all jobs to end once no more are sent.
+const END_TIME: Duration = Duration::from_secs(60);
+/// Time between two progress lines.
+const PROGRESS_INTERVAL: Duration = Duration::from_secs(1);
+/// Name of the lab in the history.
+const OBSERVER: &str = "lab";
+/// Broken promises that are printed; the history has all.
+const MAX_VIOLATIONS_SHOWN: usize = 20;
+
+/// Flags of every trial.
+#[derive(Debug, Clone, Args)]
+pub struct TrialArguments {
+    /// Keep the folder with data, settings and logs.
+    #[arg(long)]
+    pub keep: bool,
+    /// Write the history here, one JSON line for each event.
+    #[arg(long, value_name = "FILE")]
+    pub history: Option<PathBuf>,
+    /// Seed of the jobs and their times.
+    #[arg(long, default_value_t = 1)]
+    pub seed: u64,
+    /// Times the ordinary load.
+    #[arg(long, default_value_t = 1.0)]
+    pub load: f64,
 }
 
-impl TrialFolder {
-    /// Makes the folder among the system's temporary ones.
-    pub fn create(keep: bool) -> Result<Self, LabError> {
-        let name = format!(
-            "cypressdrum-lab-{}-{:08x}",
-            std::process::id(),
-            rand::random::<u32>()
+/// A fleet under load. Dropping it ends every child.
+pub struct Trial {
+    /// The daemons.
+    pub fleet: Fleet,
+    arguments: TrialArguments,
+    history: History,
+    runners: Runners,
+    callers: Callers,
+    killed_at: Option<Milliseconds>,
+    _folder: TrialFolder,
+}
+
+impl Trial {
+    /// Starts daemons and runners, and begins to send jobs.
+    pub async fn start(arguments: TrialArguments) -> Result<Self, LabError> {
+        let folder = TrialFolder::create(arguments.keep)?;
+        let mut fleet = Fleet::build(&FleetPlan::TODAY, Program::current()?, folder.path())?;
+        let history = History::default();
+        println!("fleet in {}", folder.path().display());
+
+        fleet.start_all()?;
+        fleet.wait_all_ready(READY_TIME).await?;
+        let daemons = fleet.members().len();
+        println!("{daemons} daemons are ready after {}", history.now());
+        put_configuration(&fleet, &history, example_configuration()).await?;
+        let runners = Runners::start(runner_plans(&fleet, arguments.seed), &history).await?;
+        wait_for_runners(&fleet, runners.count(), READY_TIME).await?;
+        println!(
+            "{} runners are known after {}",
+            runners.count(),
+            history.now()
         );
-        Self::create_at(std::env::temp_dir().join(name), keep)
+        let callers = Callers::start(caller_plans(&arguments), &fleet.gateway_urls(), &history)?;
+        Ok(Self {
+            fleet,
+            arguments,
+            history,
+            runners,
+            callers,
+            killed_at: None,
+            _folder: folder,
+        })
     }
 
-    /// Makes the folder at a given place.
-    pub fn create_at(path: PathBuf, keep: bool) -> Result<Self, LabError> {
-        std::fs::create_dir_all(&path).map_err(LabError::file(&path))?;
-        Ok(Self { path, keep })
+    /// Lets the fleet work for a while, with a progress line each second.
+    pub async fn work_for(&self, length: Duration) {
+        let started = Instant::now();
+        loop {
+            let left = length.saturating_sub(started.elapsed());
+            if left.is_zero() {
+                return;
+            }
+            tokio::time::sleep(left.min(PROGRESS_INTERVAL)).await;
+            self.print_progress();
+        }
     }
 
-    /// Where it is.
-    pub fn path(&self) -> &Path {
-        &self.path
+    /// Notes a fault that should stop service until [`Trial::note_healed`].
+    pub fn note_fault(&self, what: String) {
+        println!("{what}");
+        self.history.record(OBSERVER, Event::Fault { what });
     }
-}
 
-impl Drop for TrialFolder {
-    fn drop(&mut self) {
-        if !self.keep {
-            // What stays behind is only a temporary folder.
-            let _ = std::fs::remove_dir_all(&self.path);
-        }
+    /// Notes that nothing is broken any more that should stop service.
+    pub fn note_healed(&self) {
+        self.history.record(OBSERVER, Event::Healed);
     }
-}
 
-/// Puts the first configuration through any gateway, again until it is taken.
-pub async fn put_configuration(
-    fleet: &Fleet,
-    history: &History,
-    document: ClusterConfiguration,
-) -> Result<(), LabError> {
-    let version = ConfigurationVersion(1);
-    let digest = "first".to_owned();
-    for (tenant, settings) in &document.tenants {
-        history.record(
-            OPERATOR,
-            Event::CeilingSent {
-                tenant: tenant.clone(),
-                ceiling: settings.ceiling,
-            },
-        );
+    /// Notes a fault that a fleet of this size must bear: service has to come
+    /// back although it lasts.
+    pub fn note_borne_fault(&self, what: String) {
+        self.note_fault(what);
+        self.note_healed();
     }
-    let sent = Event::ConfigurationSent {
-        version,
-        digest: digest.clone(),
-    };
-    history.record(OPERATOR, sent);
-    put_until_taken(fleet, version, document.clone()).await?;
-    history.record(
-        OPERATOR,
-        Event::ConfigurationAcknowledged { version, digest },
-    );
-    for (tenant, settings) in document.tenants {
-        let ceiling = settings.ceiling;
-        history.record(OPERATOR, Event::CeilingInForce { tenant, ceiling });
+
+    /// Kills the coordinator that leads, and gives which it was.
+    pub async fn kill_leader(&mut self) -> Result<MemberId, LabError> {
+        let leader = self.fleet.wait_leader(READY_TIME).await?;
+        self.fleet.kill(leader)?;
+        self.killed_at = Some(self.history.now());
+        self.note_borne_fault(format!("killed {leader}, which leads"));
+        Ok(leader)
     }
-    Ok(())
-}
 
-async fn put_until_taken(
-    fleet: &Fleet,
-    version: ConfigurationVersion,
-    document: ClusterConfiguration,
-) -> Result<(), LabError> {
-    let client = fleet.client()?;
-    let body = ConfigurationBody::from(document);
-    let path = route::CONFIGURATION_VERSION.replace("{version}", &version.to_string());
-    let started = Instant::now();
-    loop {
-        let answer = client.send::<_, ConfiguredBody>(Method::PUT, &path, Some(&body));
-        match answer.await {
-            Ok(_) => return Ok(()),
-            Err(ClientError::Unavailable(_)) if started.elapsed() < PUT_TIME => {
-                tokio::time::sleep(TRY_INTERVAL).await;
-            }
-            Err(error) => return Err(error.into()),
+    /// Sends no more jobs, waits until all have ended, and judges the history.
+    pub async fn finish(self) -> Result<Exit, LabError> {
+        self.callers.stop_sending();
+        self.wait_for_jobs().await;
+        self.history.record(OBSERVER, Event::Finished);
+        let Self {
+            arguments,
+            history,
+            runners,
+            callers,
+            killed_at,
+            ..
+        } = self;
+        drop(callers);
+        runners.stop().await;
+        if let Some(path) = &arguments.history {
+            history.write(path)?;
+            println!("history in {}", path.display());
         }
+        Ok(conclude(&history, killed_at))
     }
-}
 
-/// Waits until the leader knows this many runners.
-pub async fn wait_for_runners(
-    fleet: &Fleet,
-    count: usize,
-    longest: Duration,
-) -> Result<(), LabError> {
-    let client = fleet.client()?;
-    let started = Instant::now();
-    loop {
-        let known = client.get::<RunnersBody>(route::RUNNERS, Vec::new()).await;
-        match known {
-            Ok(known) if known.runners.len() >= count => return Ok(()),
-            Ok(_) | Err(ClientError::Unavailable(_)) if started.elapsed() < longest => {
-                tokio::time::sleep(TRY_INTERVAL).await;
+    /// Waits until every job is over; one that never is shows in the report.
+    async fn wait_for_jobs(&self) {
+        let started = Instant::now();
+        while self.callers.progress().unfinished() > 0 {
+            if started.elapsed() > END_TIME {
+                eprintln!("{}", timed_out("all jobs to end", END_TIME));
+                return;
             }
-            Ok(_) => return Err(timed_out(format!("{count} runners to be known"), longest)),
-            Err(error) => return Err(error.into()),
+            self.work_for(Duration::from_millis(500)).await;
         }
     }
+
+    fn print_progress(&self) {
+        let progress = self.callers.progress();
+        println!(
+            "{:>6} ms  {:>6} submitted  {:>6} acknowledged  {:>6} ended  {:>5} unfinished",
+            self.history.now().0,
+            progress.submitted.load(Ordering::Relaxed),
+            progress.acknowledged.load(Ordering::Relaxed),
+            progress.ended.load(Ordering::Relaxed),
+            progress.unfinished(),
+        );
+    }
+}
+
+fn conclude(history: &History, killed_at: Option<Milliseconds>) -> Exit {
+    let observations = history.observations();
+    let report = checker::check(&observations, &Limits::default());
+    let summary = summarise(&observations, &report, killed_at);
+    println!("\n{}", summary.render());
+    let shown = report.violations.iter().take(MAX_VIOLATIONS_SHOWN);
+    shown.for_each(print_violation);
+    match report.violations.is_empty() {
+        true => Exit::Done,
+        false => Exit::PromiseBroken,
+    }
+}
+
+fn print_violation(violation: &Violation) {
+    let Violation { kind, at, detail } = violation;
+    println!("broken at {at}: {kind:?}: {detail}");
+}
+
+/// Each runner stands beside its agent; the first pool has the first five.
+fn runner_plans(fleet: &Fleet, seed: u64) -> Vec<RunnerPlan> {
+    let templates = [Mix::Stills, Mix::Documents]
+        .into_iter()
+        .flat_map(pool_runners);
+    fleet
+        .of_role(Role::Agent)
+        .zip(templates)
+        .map(|(agent, template)| RunnerPlan::beside(agent, template, seed))
+        .collect()
+}
+
+fn caller_plans(arguments: &TrialArguments) -> Vec<CallerPlan> {
+    let plan = |name: &str, mix, offset| CallerPlan {
+        name: name.to_owned(),
+        mix,
+        load: arguments.load,
+        seed: arguments.seed.wrapping_mul(2).wrapping_add(offset),
+    };
+    vec![
+        plan("stills", Mix::Stills, 0),
+        plan("documents", Mix::Documents, 1),
+    ]
+}
+
+/// Runs a trial to its end, or to SIGINT or SIGTERM. Either way no child is
+/// left behind.
+pub fn run(trial: impl Future<Output = Result<Exit, LabError>>) -> Exit {
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .build();
+    let ended = match runtime {
+        Ok(runtime) => runtime.block_on(until_interrupted(trial)),
+        Err(error) => Err(LabError::file("runtime")(error)),
+    };
+    ended.unwrap_or_else(|error| {
+        eprintln!("{error}");
+        Exit::Unavailable
+    })
+}
+
+async fn until_interrupted(
+    trial: impl Future<Output = Result<Exit, LabError>>,
+) -> Result<Exit, LabError> {
+    let listen = |kind| signal(kind).map_err(LabError::file("signals"));
+    let mut interrupt = listen(SignalKind::interrupt())?;
+    let mut terminate = listen(SignalKind::terminate())?;
+    tokio::select! {
+        ended = trial => ended,
+        _ = interrupt.recv() => Ok(interrupted()),
+        _ = terminate.recv() => Ok(interrupted()),
+    }
+}
+
+fn interrupted() -> Exit {
+    eprintln!("interrupted; the fleet is ended");
+    Exit::Unavailable
 }
--- a/crates/lab/tests/processes.rs
+++ b/crates/lab/tests/processes.rs
@@ -1,7 +1,7 @@
 //! Children of the lab: settings they accept, and no child left behind.
 
 use lab::process::{Process, Program};
-use lab::trial::TrialFolder;
+use lab::setup::TrialFolder;
 use lab::{Fleet, FleetPlan};
 use std::path::Path;
 use std::process::{Command, Stdio};
--- a/crates/lab/tests/small_fleet.rs
+++ b/crates/lab/tests/small_fleet.rs
@@ -4,7 +4,7 @@
 use lab::callers::{CallerPlan, Callers};
 use lab::process::Program;
 use lab::runners::{RunnerPlan, Runners};
-use lab::trial::{TrialFolder, put_configuration, wait_for_runners};
+use lab::setup::{TrialFolder, put_configuration, wait_for_runners};
 use lab::{Fleet, FleetPlan, History};
 use standin::workload::{Mix, example_configuration, pool_runners};
 use std::path::Path;
