Tell a repaired coordinator by the identity that is gone

Cause: the trial took an old voter, silent for less than a second, for its repaired successor at the same address, and killed the leader too soon: a loss of two at once, and 7 s without starts. Ruled out: a fault of the repair, the log shows the change still under way. Change: wait until the old identity votes no more.

--- a/crates/lab/src/fleet/standing.rs
+++ b/crates/lab/src/fleet/standing.rs
@@ -13,8 +13,6 @@
 const VOTER: &str = "voter";
 /// Voters of a full group.
 const VOTERS: usize = 3;
-/// A voter that runs is heard this often by far.
-const HEARD_WITHIN_MS: u64 = 1_000;
 
 impl Fleet {
     /// The coordinator that leads now, as the gateways are told.
@@ -53,22 +51,32 @@
         }
     }
 
-    /// Waits until the process that runs as this coordinator now may vote, in a
-    /// full group whose every voter is heard: one that is gone, or that lost
-    /// its disk and has a new identity, falls silent under its old one.
-    pub async fn wait_voter(&self, id: MemberId, longest: Duration) -> Result<(), LabError> {
+    /// Identity under which this coordinator votes; a lost disk ends it.
+    pub async fn voting_identity(&self, id: MemberId) -> Result<Option<String>, LabError> {
+        let members = self.standings_or_none().await?;
+        let mut voters = members.iter().filter(|member| may_vote(member));
+        let voter = voters.find(|voter| self.id_of(voter) == Some(id));
+        Ok(voter.map(|voter| voter.node.clone()))
+    }
+
+    /// Waits until a full group of voters has this coordinator and no longer
+    /// the identity that is gone.
+    pub async fn wait_replaced(
+        &self,
+        gone: &str,
+        by: MemberId,
+        longest: Duration,
+    ) -> Result<(), LabError> {
         let started = Instant::now();
         loop {
             let members = self.standings_or_none().await?;
             let voters: Vec<_> = members.iter().filter(|member| may_vote(member)).collect();
-            let votes = voters.iter().any(|voter| self.id_of(voter) == Some(id));
-            let all_heard = voters
-                .iter()
-                .all(|voter| voter.silence_ms < HEARD_WITHIN_MS);
-            if votes && all_heard && voters.len() == VOTERS {
+            let is_gone = voters.iter().all(|voter| voter.node != gone);
+            let votes = voters.iter().any(|voter| self.id_of(voter) == Some(by));
+            if is_gone && votes && voters.len() == VOTERS {
                 return Ok(());
             }
-            give_up_after(started, longest, &format!("{id} to vote"))?;
+            give_up_after(started, longest, &format!("{by} to vote"))?;
             tokio::time::sleep(LOOK_INTERVAL).await;
         }
     }
--- a/crates/lab/src/scenario.rs
+++ b/crates/lab/src/scenario.rs
@@ -4,7 +4,7 @@
 use crate::{LabError, MemberId};
 use clap::{Args, ValueEnum};
 use cypressdrum::Exit;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use types::Role;
 
 /// Work before the first fault, and after the last.
@@ -132,25 +132,40 @@
 
 async fn wipe_follower(trial: &mut Trial) -> Result<(), LabError> {
     let follower = trial.fleet.wait_follower(READY_TIME).await?;
+    let gone = identity(trial, follower).await?;
     trial.fleet.kill(follower)?;
     trial.fleet.wipe(follower)?;
     trial.note_borne_fault(format!("{follower} lost its disk"));
-    restart(trial, follower).await?;
-    trial.fleet.wait_voter(follower, READY_TIME).await?;
-    println!("{follower} votes again");
-    kill_leader(trial).await
+    trial.fleet.start(follower)?;
+    kill_leader_after_repair(trial, &gone, follower).await
 }
 
 async fn replace_follower(trial: &mut Trial) -> Result<(), LabError> {
     let follower = trial.fleet.wait_follower(READY_TIME).await?;
+    let gone = identity(trial, follower).await?;
     trial.fleet.kill(follower)?;
     let replacement = trial.fleet.add(Role::Coordinator)?;
     trial.note_borne_fault(format!(
         "{replacement}, empty, takes the place of {follower}"
     ));
     trial.fleet.start(replacement)?;
-    trial.fleet.wait_voter(replacement, READY_TIME).await?;
-    println!("{replacement} votes");
+    kill_leader_after_repair(trial, &gone, replacement).await
+}
+
+async fn identity(trial: &Trial, id: MemberId) -> Result<String, LabError> {
+    let identity = trial.fleet.voting_identity(id).await?;
+    identity.ok_or_else(|| LabError::NotRunning(format!("{id} as a voter")))
+}
+
+/// The second loss comes the moment the first is repaired.
+async fn kill_leader_after_repair(
+    trial: &mut Trial,
+    gone: &str,
+    by: MemberId,
+) -> Result<(), LabError> {
+    let started = Instant::now();
+    trial.fleet.wait_replaced(gone, by, READY_TIME).await?;
+    println!("{by} votes, {} ms later", started.elapsed().as_millis());
     kill_leader(trial).await
 }
 
