Let two processes make a missing parent folder at once

Cause: opening a data folder makes its missing parents; of two processes that make the same one, the loser took 'already exists' for an error and ended. Seen in the test that starts three coordinators together.

Ruled out: the folder lock, which is taken later. Before: the new test fails. After: it passes, 50 rounds of four threads.

--- a/crates/storage/src/real.rs
+++ b/crates/storage/src/real.rs
@@ -79,7 +79,11 @@
         None => Path::new("/"),
     };
     create_folder(parent)?;
-    fs::create_dir(folder)?;
+    match fs::create_dir(folder) {
+        // Another process made it since the look above.
+        Err(error) if error.kind() == io::ErrorKind::AlreadyExists && folder.is_dir() => {}
+        made => made?,
+    }
     File::open(parent)?.sync_all()
 }
 
--- a/crates/storage/tests/real_disk.rs
+++ b/crates/storage/tests/real_disk.rs
@@ -40,6 +40,24 @@
     RealDisk::open(&folder).unwrap();
 }
 
+#[test]
+fn folders_below_one_missing_parent_are_made_at_once() {
+    for round in 0..50 {
+        let parent = fresh_folder("race").join(format!("round-{round}"));
+        let start = std::sync::Barrier::new(4);
+        std::thread::scope(|scope| {
+            for number in 0..4 {
+                let folder = parent.join(format!("data-{number}"));
+                let start = &start;
+                scope.spawn(move || {
+                    start.wait();
+                    RealDisk::open(folder).unwrap();
+                });
+            }
+        });
+    }
+}
+
 #[test]
 fn files_change_as_asked() {
     let mut disk = RealDisk::open(fresh_folder("files")).unwrap();
