Charge and propose a resent request once

Cause: a gateway sends a request again when no answer came; each sending was proposed, took a place among the waiting and was charged to the tenant's rate, so slow disks turned into refusals of taken requests. Ruled out: remembering answered requests as well; a submit that was taken is known by its key, and other operations are idempotent. Change: waiting requests are kept by sender and number; a second sending refreshes the address of the reply and the deadline. Before: with a burst of one, the second sending was refused. After: one entry, one answer, by the way the newest sending came.

--- a/crates/coordinator/src/leader.rs
+++ b/crates/coordinator/src/leader.rs
@@ -18,6 +18,7 @@
 use crate::runners::Runners;
 use crate::runs::Runs;
 use crate::sessions::Sessions;
+use crate::waiting::{RequestKey, WaitingRequests};
 use crate::{CoordinatorOptions, Effect};
 use configuration::Timings;
 use dispatch::Dispatcher;
@@ -34,23 +35,13 @@
 #[derive(Debug, Clone)]
 pub(crate) enum Waiting {
     /// A gateway's request.
-    Request(WaitingRequest),
+    Request(RequestKey),
     /// The dispatcher, for these choices.
     Reservations(Vec<Reservation>),
     /// Nobody; the changes say it all.
     Nobody,
 }
 
-/// A request that waits for the log.
-#[derive(Debug, Clone)]
-pub(crate) struct WaitingRequest {
-    pub(crate) sender: Sender,
-    pub(crate) id: RequestId,
-    pub(crate) deadline: Monotonic,
-    /// Runs an operator declared lost; answered with those that closed.
-    pub(crate) declares_lost: bool,
-}
-
 /// A command to propose, and who waits for it.
 #[derive(Debug)]
 pub(crate) struct Proposal {
@@ -92,6 +83,7 @@
     pub(crate) runners: Runners,
     pub(crate) runs: Runs,
     pub(crate) waiting: BTreeMap<LogIndex, Waiting>,
+    pub(crate) requests: WaitingRequests,
     pub(crate) reservations_in_flight: usize,
     pub(crate) admission: Admission,
     pub(crate) budgets: Budgets,
@@ -167,6 +159,7 @@
             runners: Runners::default(),
             runs,
             waiting: BTreeMap::new(),
+            requests: WaitingRequests::default(),
             reservations_in_flight: 0,
             admission: Admission::default(),
             budgets: Budgets::default(),
@@ -255,39 +248,6 @@
         self.placement_due = true;
     }
 
-    /// Takes out all waiting requests, to refuse them.
-    pub(crate) fn take_waiting_requests(&mut self) -> Vec<WaitingRequest> {
-        let mut requests = Vec::new();
-        for waiting in self.waiting.values_mut() {
-            if let Waiting::Request(request) = waiting {
-                requests.push(request.clone());
-                *waiting = Waiting::Nobody;
-            }
-        }
-        for proposal in self.proposals.drain(..) {
-            if let Waiting::Request(request) = proposal.waiting {
-                requests.push(request);
-            }
-        }
-        requests
-    }
-
-    /// Requests that wait for the log.
-    pub(crate) fn waiting_requests(&self) -> usize {
-        let is_request = |waiting: &&Waiting| matches!(waiting, Waiting::Request(_));
-        let collected = self.proposals.iter().map(|proposal| &proposal.waiting);
-        self.waiting.values().filter(is_request).count() + collected.filter(is_request).count()
-    }
-
-    /// Drops requests whose callers have given up.
-    pub(crate) fn drop_late_requests(&mut self, now: Monotonic) {
-        for waiting in self.waiting.values_mut() {
-            if matches!(waiting, Waiting::Request(request) if request.deadline <= now) {
-                *waiting = Waiting::Nobody;
-            }
-        }
-    }
-
     /// Lets out the lines of the decision log since the last call.
     pub(crate) fn emit_decisions(&mut self, effects: &mut Vec<Effect>) {
         for entry in self.decisions.take_new() {
--- a/crates/coordinator/src/leadership.rs
+++ b/crates/coordinator/src/leadership.rs
@@ -2,7 +2,7 @@
 
 use crate::audit;
 use crate::core::{Effect, Mutation};
-use crate::leader::{Leader, LeaderIdentity, Rebuild, Waiting, WaitingRequest};
+use crate::leader::{Leader, LeaderIdentity, Rebuild, Waiting};
 use crate::replica::AppliedEntry;
 use crate::requests::{refusal_unavailable, reply_of};
 use crate::{Coordinator, placement};
@@ -76,7 +76,7 @@
         let Some(leader) = &mut self.leader else {
             return;
         };
-        for request in leader.take_waiting_requests() {
+        for request in leader.requests.take_all() {
             let reply = PeerMessage::Reply(Reply {
                 id: request.id,
                 result: Err(refusal_unavailable()),
@@ -100,7 +100,7 @@
         if now.monotonic >= leader.timers.sweep {
             leader.timers.sweep = now.monotonic + SWEEP_INTERVAL;
             leader.placement_due = true;
-            leader.drop_late_requests(now.monotonic);
+            leader.requests.drop_late(now.monotonic);
             leader.expire_sessions(now.monotonic);
             leader.sweep_runs(record, now);
             leader.release_due(record, now);
@@ -201,9 +201,9 @@
     /// An entry of this leader is in the log.
     fn proposed(&mut self, index: LogIndex, waiting: Waiting, command: &Command) {
         if self.has_mutation(Mutation::AcknowledgeBeforeCommit)
-            && let (Waiting::Request(request), Command::Submit { .. }) = (&waiting, command)
+            && let (Waiting::Request(key), Command::Submit { .. }) = (&waiting, command)
+            && let Some(request) = self.requests.take(*key)
         {
-            let request = request.clone();
             let reply = OperationReply::Submitted {
                 number: JobNumber(0),
                 known: false,
@@ -225,8 +225,10 @@
         command: &Command,
         now: Now,
     ) {
-        if let Waiting::Request(WaitingRequest { sender, id, .. }) = waiting {
-            self.reply(&sender, id, Err(refusal_unavailable()));
+        if let Waiting::Request(key) = waiting
+            && let Some(request) = self.requests.take(key)
+        {
+            self.reply(&request.sender, request.id, Err(refusal_unavailable()));
         }
         match command {
             Command::CloseRuns { runs, .. } => {
@@ -256,9 +258,11 @@
                     self.release_refused(&chosen, refused, now);
                 }
             }
-            Waiting::Request(request) => {
-                let result = reply_of(reply, request.declares_lost);
-                self.reply(&request.sender, request.id, result);
+            Waiting::Request(key) => {
+                if let Some(request) = self.requests.take(key) {
+                    let result = reply_of(reply, request.declares_lost);
+                    self.reply(&request.sender, request.id, result);
+                }
             }
         }
     }
@@ -295,6 +299,6 @@
         metrics::gauge!("cypressdrum_open_runs").set(self.runs.len() as f64);
         metrics::gauge!("cypressdrum_sessions").set(self.sessions.len() as f64);
         metrics::gauge!("cypressdrum_runners").set(self.runners.len() as f64);
-        metrics::gauge!("cypressdrum_waiting_requests").set(self.waiting_requests() as f64);
+        metrics::gauge!("cypressdrum_waiting_requests").set(self.requests.len() as f64);
     }
 }
--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -28,6 +28,7 @@
 mod runners;
 mod runs;
 mod sessions;
+mod waiting;
 
 pub use crate::core::{Coordinator, CoordinatorOptions, Effect, Input, Mutation};
 pub use shell::{CoordinatorError, ShellOptions, run};
--- a/crates/coordinator/src/requests.rs
+++ b/crates/coordinator/src/requests.rs
@@ -2,7 +2,8 @@
 
 use crate::Coordinator;
 use crate::core::{Effect, Sender};
-use crate::leader::{Leader, Waiting, WaitingRequest};
+use crate::leader::{Leader, Waiting};
+use crate::waiting::WaitingRequest;
 use configuration::{ClusterConfiguration, validate};
 use peer::{MemberView, Operation, OperationReply, Refusal, RefusalCode, Request};
 use record::{ClosedRun, Command, CommandReply, Record, RecordRefusal};
@@ -56,6 +57,9 @@
             deadline: now.monotonic + request.time_left,
             declares_lost: false,
         };
+        if self.requests.refresh(&waiting) {
+            return;
+        }
         let answer = match request.operation {
             Operation::ListMembers => Some(Ok(OperationReply::Members(members))),
             Operation::Submit(spec) => self.submit(record, spec, waiting, now),
@@ -85,7 +89,7 @@
 
     /// Collects a request's command; the answer comes when it is applied.
     fn propose_request(&mut self, command: Command, waiting: WaitingRequest) -> Answer {
-        if self.waiting_requests() >= self.options.max_waiting_requests {
+        if self.requests.len() >= self.options.max_waiting_requests {
             metrics::counter!("cypressdrum_requests_refused_total").increment(1);
             return Some(Err(Refusal {
                 code: RefusalCode::Overloaded,
@@ -94,7 +98,8 @@
                 problems: Vec::new(),
             }));
         }
-        self.propose(command, Waiting::Request(waiting));
+        let key = self.requests.insert(waiting);
+        self.propose(command, Waiting::Request(key));
         None
     }
 
--- a/crates/coordinator/tests/common/mod.rs
+++ b/crates/coordinator/tests/common/mod.rs
@@ -395,17 +395,24 @@
     pub fn ask(&mut self, operation: Operation) -> u64 {
         let leader = self.leader().expect("no leader to ask");
         self.next_request += 1;
-        let request = PeerMessage::Request(Request {
-            id: RequestId(self.next_request),
-            time_left: Milliseconds(10_000),
-            operation,
-        });
-        let gateway = address(900, Role::Gateway, GATEWAY_PORT);
         let to = socket(self.servers[leader].port);
-        self.post(GATEWAY_PORT, gateway, to, request);
+        let request = numbered_request(self.next_request, operation);
+        self.post(GATEWAY_PORT, gateway(), to, request);
         self.next_request
     }
 
+    /// Sends the newest request once more, through a follower.
+    pub fn ask_again_through(&mut self, follower: usize, operation: Operation) {
+        let leader = self.leader().expect("no leader to ask");
+        let relay = PeerMessage::Relay(peer::Relay {
+            origin: gateway(),
+            destination: socket(self.servers[leader].port),
+            body: Box::new(numbered_request(self.next_request, operation)),
+        });
+        let by = socket(self.servers[follower].port);
+        self.post(GATEWAY_PORT, gateway(), by, relay);
+    }
+
     pub fn put_configuration(
         &mut self,
         version: u64,
@@ -472,6 +479,18 @@
     }
 }
 
+fn gateway() -> Address {
+    address(900, Role::Gateway, GATEWAY_PORT)
+}
+
+fn numbered_request(number: u64, operation: Operation) -> PeerMessage {
+    PeerMessage::Request(Request {
+        id: RequestId(number),
+        time_left: Milliseconds(10_000),
+        operation,
+    })
+}
+
 fn open(message: PeerMessage) -> PeerMessage {
     match message {
         PeerMessage::Relay(relay) => *relay.body,
--- a/crates/coordinator/tests/requests.rs
+++ b/crates/coordinator/tests/requests.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::{World, document};
-use peer::{Operation, OperationReply, RefusalCode};
+use peer::{Operation, OperationReply, PeerMessage, RefusalCode};
 use record::CancelSelector;
 use types::{ConfigurationVersion, JobState, Milliseconds};
 
@@ -66,6 +66,51 @@
     world.submit("second");
 }
 
+/// Whether a coordinator answered a request through another.
+fn is_relayed_reply(message: &PeerMessage) -> bool {
+    matches!(message, PeerMessage::Relay(relay) if matches!(*relay.body, PeerMessage::Reply(_)))
+}
+
+#[test]
+fn a_request_sent_again_while_it_waits_is_charged_once_and_answered_where_it_came_from_last() {
+    let mut world = World::served();
+    let mut slow = document::document();
+    let contract = slow.tenants.get_mut(&document::tenant()).unwrap();
+    contract.submits_per_second = 1;
+    contract.submit_burst = 1;
+    let put = world.put_configuration(2, slow);
+    world.run(100);
+    assert!(world.replies[&put].is_ok());
+    let leader = world.leader().unwrap();
+    let followers = [(leader + 1) % 3, (leader + 2) % 3];
+    for follower in followers {
+        world.servers[follower].disk_held = true;
+    }
+    let submit = Operation::Submit(document::job("job"));
+    let id = world.ask(submit.clone());
+    world.run(50);
+    let entries = world.status(leader).unwrap().last_index;
+    for _ in 0..3 {
+        world.ask_again_through(followers[0], submit.clone());
+        world.run(20);
+    }
+    assert!(!world.replies.contains_key(&id), "nothing was refused");
+    assert_eq!(world.status(leader).unwrap().last_index, entries);
+    assert!(!world.sent.iter().any(|(_, sent)| is_relayed_reply(sent)));
+    for follower in followers {
+        world.release_disk(follower);
+    }
+    world.run(50);
+    assert!(matches!(
+        world.replies.get(&id),
+        Some(Ok(OperationReply::Submitted { known: false, .. }))
+    ));
+    let from_leader = |(port, sent): &&(u16, PeerMessage)| {
+        *port == world.servers[leader].port && is_relayed_reply(sent)
+    };
+    assert_eq!(world.sent.iter().filter(from_leader).count(), 1);
+}
+
 #[test]
 fn more_requests_than_may_wait_are_refused_at_once() {
     let mut world = World::new(3);
