Start tasks when their time comes

Change: the leader asks to be woken at the dispatcher's next start time, and places then. Before: the second of ten timed jobs missed the 12 ms the log and the way to its agent take. After: all ten keep them, and none starts early.

--- a/crates/coordinator/src/core.rs
+++ b/crates/coordinator/src/core.rs
@@ -130,7 +130,7 @@
     pub(crate) handover: Option<Monotonic>,
     pub(crate) stopped: bool,
     pub(crate) readiness: Option<Result<(), String>>,
-    last_input: Monotonic,
+    last_input: Now,
 }
 
 impl Coordinator {
@@ -159,7 +159,7 @@
             handover: None,
             stopped: false,
             readiness: None,
-            last_input: now.monotonic,
+            last_input: now,
         };
         coordinator.start_replica(recovered, now.monotonic);
         coordinator
@@ -168,7 +168,7 @@
     /// Takes one input and appends what is to be done. The caller reads the
     /// clock just before; after a freeze the core sees the jump first.
     pub fn handle(&mut self, now: Now, input: Input, effects: &mut Vec<Effect>) {
-        self.last_input = now.monotonic;
+        self.last_input = now;
         if self.stopped {
             return;
         }
@@ -192,10 +192,11 @@
 
     /// When it wants [`Input::Tick`] next, on the monotonic clock.
     pub fn next_wakeup(&self) -> Monotonic {
-        let mut own = self.last_input + TICK_INTERVAL;
+        let last = self.last_input.monotonic;
+        let mut own = last + TICK_INTERVAL;
         let leader = self.leader.as_ref();
         if let Some(at) = leader.and_then(|leader| leader.next_wakeup(self.last_input)) {
-            own = own.min(at.max(self.last_input));
+            own = own.min(at.max(last));
         }
         match &self.replica {
             Some(replica) => own.min(replica.node.next_wakeup()),
--- a/crates/coordinator/src/leader.rs
+++ b/crates/coordinator/src/leader.rs
@@ -27,8 +27,8 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 use types::{
-    Address, ClusterId, JobNumber, LogIndex, Monotonic, Now, OrderSequence, Reservation, RunId,
-    RunnerOrder, Term,
+    Address, ClusterId, JobNumber, LogIndex, Milliseconds, Monotonic, Now, OrderSequence,
+    Reservation, RunId, RunnerOrder, Term,
 };
 
 /// Who waits for an entry to be applied.
@@ -181,15 +181,22 @@
     }
 
     /// When it has something to do that cannot wait for the next tick.
-    pub(crate) fn next_wakeup(&self, last_input: Monotonic) -> Option<Monotonic> {
+    pub(crate) fn next_wakeup(&self, last_input: Now) -> Option<Monotonic> {
         if !self.serving {
             return None;
         }
         if self.rebuild != Rebuild::Done {
-            return Some(last_input);
+            return Some(last_input.monotonic);
         }
-        let may_place = self.may_place(last_input) && self.reservations_in_flight == 0;
-        (self.placement_due && may_place).then_some(self.timers.placement)
+        if !self.may_place(last_input.monotonic) || self.reservations_in_flight > 0 {
+            return None;
+        }
+        if self.placement_due {
+            return Some(self.timers.placement);
+        }
+        let start = self.dispatcher.next_start_time()?;
+        let wait = Milliseconds(start.0.saturating_sub(last_input.wall.0));
+        Some((last_input.monotonic + wait).max(self.timers.placement))
     }
 
     pub(crate) fn has_mutation(&self, mutation: Mutation) -> bool {
--- a/crates/coordinator/src/placement.rs
+++ b/crates/coordinator/src/placement.rs
@@ -26,7 +26,10 @@
 /// Asks the dispatcher for placements and proposes them as one command.
 pub(crate) fn place(leader: &mut Leader, record: &Record, now: Now) {
     let room = MAX_RESERVATIONS_IN_FLIGHT.saturating_sub(leader.reservations_in_flight);
-    let due = leader.placement_due && now.monotonic >= leader.timers.placement;
+    let start = leader.dispatcher.next_start_time();
+    let start_reached = start.is_some_and(|start| start <= now.wall);
+    let wanted = leader.placement_due || start_reached;
+    let due = wanted && now.monotonic >= leader.timers.placement;
     if !due || room == 0 || !leader.may_place(now.monotonic) {
         return;
     }
--- a/crates/coordinator/tests/runs.rs
+++ b/crates/coordinator/tests/runs.rs
@@ -27,6 +27,26 @@
     assert_eq!(world.starts().len(), 1);
 }
 
+#[test]
+fn a_task_with_a_start_time_starts_on_time() {
+    // A pass through the log, and the way to the agent.
+    const WAY: u64 = 12;
+    let mut world = with_runner();
+    for number in 0..10_usize {
+        let mut job = document::job(&format!("job-{number}"));
+        let wait = types::Milliseconds(300 + 13 * number as u64);
+        let due = world.clock().wall + wait;
+        job.start_at = Some(due);
+        world.answer(peer::Operation::Submit(job)).unwrap();
+        world.run(due.0 - world.clock().wall.0);
+        assert_eq!(world.starts().len(), number, "not before its time");
+        world.run(WAY);
+        assert_eq!(world.starts().len(), number + 1, "job {number} is late");
+        world.agents[0].end_all(Outcome::Done);
+        world.run(300);
+    }
+}
+
 #[test]
 fn a_lost_answer_is_followed_by_a_void_and_no_second_start() {
     let mut world = with_runner();
