Show the configuration each coordinator has applied

Cause: followers were listed at version 0, which is a version, and left out of everywhere. Ruled out: an estimate from the match index, which tells what a follower has in its log and not what it applied. The status test now has a coordinator that is behind and one that is silent; that everywhere held beside a coordinator at 0 was the fault. Before: 0 for followers. After: their version, or null.

--- a/crates/api/src/operator.rs
+++ b/crates/api/src/operator.rs
@@ -185,8 +185,9 @@
     pub standing: String,
     /// Time since it was last heard by the leader.
     pub silence_ms: u64,
-    /// Configuration version it last reported.
-    pub configuration: u64,
+    /// Configuration version it last reported to the leader; `null` while it
+    /// has not.
+    pub configuration: Option<u64>,
 }
 
 impl From<MemberView> for MemberViewBody {
@@ -198,7 +199,7 @@
             socket: view.address.socket.to_string(),
             standing: view.standing,
             silence_ms: view.silence.0,
-            configuration: view.configuration.0,
+            configuration: view.configuration.map(|version| version.0),
         }
     }
 }
--- a/crates/api/src/version.rs
+++ b/crates/api/src/version.rs
@@ -2,7 +2,6 @@
 
 use crate::configuration::ConfigurationBody;
 use serde::{Deserialize, Serialize};
-use types::Role;
 
 /// Answer to `PUT /v1/configuration/{version}`.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -29,8 +28,8 @@
 pub struct ConfigurationStatusBody {
     /// Newest version any member reports.
     pub newest: u64,
-    /// True when every gateway and agent reports it. Coordinators hold it in
-    /// their log and serve from there, so theirs does not count.
+    /// True when every member reports it; one that has reported nothing to
+    /// this leader does not. A dead coordinator counts until it is replaced.
     pub everywhere: bool,
     /// Version by member.
     pub members: Vec<MemberVersionBody>,
@@ -45,27 +44,24 @@
     pub role: String,
     /// Zone.
     pub zone: String,
-    /// Version last reported.
-    pub version: u64,
+    /// Version last reported to the leader; `null` while it has not reported.
+    pub version: Option<u64>,
 }
 
 impl From<Vec<peer::MemberView>> for ConfigurationStatusBody {
     fn from(members: Vec<peer::MemberView>) -> Self {
-        let newest = members.iter().map(|member| member.configuration.0).max();
-        let newest = newest.unwrap_or(0);
+        let reported = members.iter().map(|member| member.configuration);
+        let newest = reported.clone().max().flatten().unwrap_or_default();
         Self {
-            newest,
-            everywhere: members
-                .iter()
-                .filter(|member| member.address.role != Role::Coordinator)
-                .all(|member| member.configuration.0 == newest),
+            newest: newest.0,
+            everywhere: reported.into_iter().all(|version| version == Some(newest)),
             members: members
                 .into_iter()
                 .map(|member| MemberVersionBody {
                     node: member.address.node.to_string(),
                     role: member.address.role.to_string(),
                     zone: member.address.zone.to_string(),
-                    version: member.configuration.0,
+                    version: member.configuration.map(|version| version.0),
                 })
                 .collect(),
         }
--- a/crates/coordinator/src/identification.rs
+++ b/crates/coordinator/src/identification.rs
@@ -146,7 +146,7 @@
             }
         }
         if !empty {
-            self.say_hello(effects);
+            self.ask_to_be_taken_in(effects);
         }
     }
 
@@ -159,7 +159,7 @@
         };
         let member = status.membership.socket(self.own.node).is_some();
         if member && status.leader.is_some() {
-            return;
+            return self.report_to_leader(now, effects);
         }
         for to in self.contacts() {
             effects.push(Effect::Send {
@@ -167,13 +167,25 @@
                 message: PeerMessage::Discover,
             });
         }
-        self.say_hello(effects);
+        self.ask_to_be_taken_in(effects);
     }
 
-    fn say_hello(&mut self, effects: &mut Vec<Effect>) {
-        let Some(leader) = self.identification.leader.clone() else {
-            return;
-        };
+    /// Tells the leader which configuration this member has applied.
+    fn report_to_leader(&mut self, now: Now, effects: &mut Vec<Effect>) {
+        let leader = self.known_leader(now);
+        if let Some(leader) = leader.filter(|leader| leader.node != self.own.node) {
+            self.say_hello(leader.socket, effects);
+        }
+    }
+
+    fn ask_to_be_taken_in(&mut self, effects: &mut Vec<Effect>) {
+        let leader = self.identification.leader.as_ref();
+        if let Some(to) = leader.map(|leader| leader.socket) {
+            self.say_hello(to, effects);
+        }
+    }
+
+    fn say_hello(&mut self, to: SocketAddr, effects: &mut Vec<Effect>) {
         self.identification.hello_sequence += 1;
         let hello = Hello {
             sequence: self.identification.hello_sequence,
@@ -186,7 +198,7 @@
             cluster: self.identification.cluster(),
         };
         effects.push(Effect::Send {
-            to: leader.socket,
+            to,
             message: PeerMessage::Hello(hello),
         });
     }
--- a/crates/coordinator/src/leader.rs
+++ b/crates/coordinator/src/leader.rs
@@ -27,8 +27,8 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 use types::{
-    Address, ClusterId, JobNumber, LogIndex, Milliseconds, Monotonic, Now, OrderSequence,
-    Reservation, RunId, RunnerOrder, Term,
+    Address, ClusterId, ConfigurationVersion, JobNumber, LogIndex, Milliseconds, Monotonic, NodeId,
+    Now, OrderSequence, Reservation, RunId, RunnerOrder, Term,
 };
 
 /// Who waits for an entry to be applied.
@@ -89,6 +89,8 @@
     pub(crate) budgets: Budgets,
     pub(crate) decisions: DecisionLog,
     pub(crate) joiners: Joiners,
+    /// What the other members of the group last said they have applied.
+    pub(crate) member_versions: BTreeMap<NodeId, ConfigurationVersion>,
     pub(crate) audit: AuditCursor,
     pub(crate) next_order: OrderSequence,
     /// Reserved runs whose start is to leave at the end of this input.
@@ -165,6 +167,7 @@
             budgets: Budgets::default(),
             decisions: DecisionLog::new(identity.term, options.decisions_kept),
             joiners: Joiners::default(),
+            member_versions: BTreeMap::new(),
             audit: AuditCursor::default(),
             next_order: OrderSequence(0),
             to_start: Vec::new(),
--- a/crates/coordinator/src/reads.rs
+++ b/crates/coordinator/src/reads.rs
@@ -179,7 +179,11 @@
             return Vec::new();
         };
         let status = replica.node.status(now.monotonic);
-        let version = replica.record.configuration().0;
+        let applied = replica.record.configuration().0;
+        let version = |node: NodeId| match node {
+            _ if node == self.own.node => Some(applied),
+            _ => leader.member_versions.get(&node).copied(),
+        };
         let standing = |node: NodeId| match node {
             _ if node == self.own.node => "leader",
             _ if status.membership.voters.contains_key(&node) => "voter",
@@ -190,12 +194,11 @@
         let mut views: Vec<MemberView> = voters
             .chain(status.membership.learners.iter())
             .filter_map(|(node, socket)| {
-                let own = *node == self.own.node;
                 Some(MemberView {
                     address: self.member_address(*node, *socket)?,
                     standing: standing(*node).to_owned(),
                     silence: silences.get(node).copied().unwrap_or_default(),
-                    configuration: if own { version } else { Default::default() },
+                    configuration: version(*node),
                 })
             })
             .collect();
@@ -203,7 +206,7 @@
             address: session.sender.address.clone(),
             standing: "session".to_owned(),
             silence: now.monotonic.since(session.heard),
-            configuration: session.configuration,
+            configuration: Some(session.configuration),
         }));
         views
     }
--- a/crates/coordinator/src/sessions.rs
+++ b/crates/coordinator/src/sessions.rs
@@ -120,7 +120,8 @@
         effects.push(Effect::Send { to, message });
     }
 
-    /// Notes a coordinator that asks to be taken in. False when a lease would
+    /// Notes a coordinator that asks to be taken in, and what a member says it
+    /// has applied. False when a lease would
     /// mislead it: an empty process that is a voter by the first proposal must
     /// take that proposal, to know its voters.
     fn admit(&mut self, now: Now, sender: &Sender, hello: &Hello) -> bool {
@@ -135,6 +136,11 @@
             }
             return true;
         }
+        if hello.cluster.is_some() {
+            let versions = &mut leader.member_versions;
+            versions.insert(node, hello.configuration);
+            versions.retain(|node, _| membership.socket(*node).is_some());
+        }
         if hello.cluster.is_some() || !membership.voters.contains_key(&node) {
             return true;
         }
--- a/crates/coordinator/tests/requests.rs
+++ b/crates/coordinator/tests/requests.rs
@@ -157,6 +157,46 @@
     assert_eq!(again, Ok(OperationReply::Configured { version, known }));
 }
 
+/// Configuration versions of the coordinators, as the leader lists them.
+fn member_versions(world: &mut World) -> Vec<Option<u64>> {
+    let Ok(OperationReply::Members(members)) = world.answer(Operation::ListMembers) else {
+        panic!("no members");
+    };
+    let versions = members.iter().map(|member| member.configuration);
+    versions.map(|version| version.map(|v| v.0)).collect()
+}
+
+#[test]
+fn members_show_the_configuration_each_coordinator_has_applied() {
+    let mut world = World::served();
+    world.run(500);
+    assert_eq!(member_versions(&mut world), [Some(1); 3]);
+    let leader = world.leader().unwrap();
+    let away = (leader + 1) % 3;
+    world.cut.insert(world.servers[away].port);
+    let put = world.put_configuration(2, document::document());
+    world.run(500);
+    assert!(world.replies[&put].is_ok());
+    let mut expected = [Some(2); 3];
+    expected[away] = Some(1);
+    assert_eq!(member_versions(&mut world), expected);
+    world.cut.clear();
+    world.run(2_000);
+    assert_eq!(member_versions(&mut world), [Some(2); 3]);
+}
+
+#[test]
+fn a_member_that_has_not_reported_to_this_leader_shows_no_configuration() {
+    let mut world = World::served();
+    let old = world.leader().unwrap();
+    world.kill(old);
+    world.run_until(8_000, "a new leader", |world| world.leader().is_some());
+    world.run(500);
+    let mut expected = [Some(1); 3];
+    expected[old] = None;
+    assert_eq!(member_versions(&mut world), expected);
+}
+
 #[test]
 fn a_leader_that_lost_its_lease_answers_waiting_requests_at_once() {
     let mut world = World::served();
--- a/crates/cypressdrum/src/client/show.rs
+++ b/crates/cypressdrum/src/client/show.rs
@@ -236,7 +236,7 @@
                 member.socket.clone(),
                 member.standing.clone(),
                 member.silence_ms.to_string(),
-                member.configuration.to_string(),
+                version_of(member.configuration),
             ]);
         }
         table.render()
@@ -267,6 +267,11 @@
     }
 }
 
+/// A version, if the member has reported one.
+fn version_of(reported: Option<u64>) -> String {
+    reported.map_or(NONE.to_owned(), |version| version.to_string())
+}
+
 impl Show for ConfigurationStatusBody {
     fn table(&self) -> String {
         let mut table = Table::new(&["NODE", "ROLE", "ZONE", "VERSION"]);
@@ -275,7 +280,7 @@
                 member.node.clone(),
                 member.role.clone(),
                 member.zone.clone(),
-                member.version.to_string(),
+                version_of(member.version),
             ]);
         }
         let where_to = match self.everywhere {
--- a/crates/gateway/tests/http/operator.rs
+++ b/crates/gateway/tests/http/operator.rs
@@ -53,7 +53,7 @@
 
 #[tokio::test]
 async fn the_status_tells_who_is_behind() {
-    let member = |node, role, configuration| MemberView {
+    let member = |node, role, configuration: Option<u64>| MemberView {
         address: Address {
             node: NodeId(node),
             role,
@@ -62,23 +62,31 @@
         },
         standing: "session".to_owned(),
         silence: Milliseconds(10),
-        configuration: ConfigurationVersion(configuration),
+        configuration: configuration.map(ConfigurationVersion),
     };
-    let mut behind = [true, false].into_iter();
+    // What a coordinator and an agent report, and whether that is everywhere.
+    let reports = [
+        (Some(4), Some(3), false),
+        (Some(3), Some(4), false),
+        (None, Some(4), false),
+        (Some(4), Some(4), true),
+    ];
+    let mut asked = reports.into_iter().cycle();
     let script = move |_: &Operation| {
-        let agent = if behind.next().unwrap_or(false) { 3 } else { 4 };
+        let (coordinator, agent, _) = asked.next().unwrap();
         Some(Ok(OperationReply::Members(vec![
-            member(1, Role::Coordinator, 4),
-            member(2, Role::Coordinator, 0),
+            member(1, Role::Coordinator, Some(4)),
+            member(2, Role::Coordinator, coordinator),
             member(3, Role::Agent, agent),
         ])))
     };
     let fixture = Fixture::start(script).await;
-    for (everywhere, version) in [(false, 3), (true, 4)] {
+    for (coordinator, agent, everywhere) in reports {
         let (_, body) = read(fixture.get("/v1/configuration/status").await).await;
         assert_eq!(body["newest"], 4);
         assert_eq!(body["everywhere"], everywhere);
-        assert_eq!(body["members"][2]["version"], version);
+        assert_eq!(body["members"][1]["version"].as_u64(), coordinator);
+        assert_eq!(body["members"][2]["version"].as_u64(), agent);
     }
     let (_, body) = read(fixture.get("/v1/members").await).await;
     assert_eq!(body["members"][2]["role"], "agent");
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -116,12 +116,13 @@
 }
 
 /// Opens and renews a session with the leader. Gateways, agents and
-/// coordinators that are no members yet send it every session interval.
+/// coordinators that are no members yet send it every session interval. Members
+/// send it too, to report the configuration they have applied.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Hello {
     /// Rises with every hello of one process; echoed in the lease.
     pub sequence: u64,
-    /// Version of the sender's configuration replica.
+    /// Version of the sender's configuration replica, or of its record.
     pub configuration: ConfigurationVersion,
     /// Runners an agent serves.
     pub runners: Vec<RunnerId>,
--- a/crates/peer/src/request.rs
+++ b/crates/peer/src/request.rs
@@ -215,8 +215,9 @@
     pub standing: String,
     /// Time since it was last heard by the leader.
     pub silence: Milliseconds,
-    /// Configuration version it last reported.
-    pub configuration: ConfigurationVersion,
+    /// Configuration version it last reported to this leader: of a coordinator
+    /// the one it has applied. None while it has not reported.
+    pub configuration: Option<ConfigurationVersion>,
 }
 
 /// One line of the decision log.
