--- a/crates/coordinator/src/leader.rs
+++ b/crates/coordinator/src/leader.rs
@@ -18,6 +18,7 @@
 use crate::runners::Runners;
 use crate::runs::Runs;
 use crate::sessions::Sessions;
+use crate::waiting::{RequestKey, WaitingRequests};
 use crate::{CoordinatorOptions, Effect};
 use configuration::Timings;
 use dispatch::Dispatcher;
@@ -26,31 +27,21 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 use types::{
-    Address, ClusterId, JobNumber, LogIndex, Monotonic, Now, OrderSequence, Reservation, RunId,
-    RunnerOrder, Term,
+    Address, ClusterId, ConfigurationVersion, JobNumber, LogIndex, Milliseconds, Monotonic, NodeId,
+    Now, OrderSequence, Reservation, RunId, RunnerOrder, Term,
 };
 
 /// Who waits for an entry to be applied.
 #[derive(Debug, Clone)]
 pub(crate) enum Waiting {
     /// A gateway's request.
-    Request(WaitingRequest),
+    Request(RequestKey),
     /// The dispatcher, for these choices.
     Reservations(Vec<Reservation>),
     /// Nobody; the changes say it all.
     Nobody,
 }
 
-/// A request that waits for the log.
-#[derive(Debug, Clone)]
-pub(crate) struct WaitingRequest {
-    pub(crate) sender: Sender,
-    pub(crate) id: RequestId,
-    pub(crate) deadline: Monotonic,
-    /// Runs an operator declared lost; answered with those that closed.
-    pub(crate) declares_lost: bool,
-}
-
 /// A command to propose, and who waits for it.
 #[derive(Debug)]
 pub(crate) struct Proposal {
@@ -92,11 +83,14 @@
     pub(crate) runners: Runners,
     pub(crate) runs: Runs,
     pub(crate) waiting: BTreeMap<LogIndex, Waiting>,
+    pub(crate) requests: WaitingRequests,
     pub(crate) reservations_in_flight: usize,
     pub(crate) admission: Admission,
     pub(crate) budgets: Budgets,
     pub(crate) decisions: DecisionLog,
     pub(crate) joiners: Joiners,
+    /// What the other members of the group last said they have applied.
+    pub(crate) member_versions: BTreeMap<NodeId, ConfigurationVersion>,
     pub(crate) audit: AuditCursor,
     pub(crate) next_order: OrderSequence,
     /// Reserved runs whose start is to leave at the end of this input.
@@ -167,11 +161,13 @@
             runners: Runners::default(),
             runs,
             waiting: BTreeMap::new(),
+            requests: WaitingRequests::default(),
             reservations_in_flight: 0,
             admission: Admission::default(),
             budgets: Budgets::default(),
             decisions: DecisionLog::new(identity.term, options.decisions_kept),
             joiners: Joiners::default(),
+            member_versions: BTreeMap::new(),
             audit: AuditCursor::default(),
             next_order: OrderSequence(0),
             to_start: Vec::new(),
@@ -188,15 +184,22 @@
     }
 
     /// When it has something to do that cannot wait for the next tick.
-    pub(crate) fn next_wakeup(&self, last_input: Monotonic) -> Option<Monotonic> {
+    pub(crate) fn next_wakeup(&self, last_input: Now) -> Option<Monotonic> {
         if !self.serving {
             return None;
         }
         if self.rebuild != Rebuild::Done {
-            return Some(last_input);
+            return Some(last_input.monotonic);
+        }
+        if !self.may_place(last_input.monotonic) || self.reservations_in_flight > 0 {
+            return None;
+        }
+        if self.placement_due {
+            return Some(self.timers.placement);
         }
-        let may_place = self.may_place(last_input) && self.reservations_in_flight == 0;
-        (self.placement_due && may_place).then_some(self.timers.placement)
+        let start = self.dispatcher.next_start_time()?;
+        let wait = Milliseconds(start.0.saturating_sub(last_input.wall.0));
+        Some((last_input.monotonic + wait).max(self.timers.placement))
     }
 
     pub(crate) fn has_mutation(&self, mutation: Mutation) -> bool {
@@ -255,39 +258,6 @@
         self.placement_due = true;
     }
 
-    /// Takes out all waiting requests, to refuse them.
-    pub(crate) fn take_waiting_requests(&mut self) -> Vec<WaitingRequest> {
-        let mut requests = Vec::new();
-        for waiting in self.waiting.values_mut() {
-            if let Waiting::Request(request) = waiting {
-                requests.push(request.clone());
-                *waiting = Waiting::Nobody;
-            }
-        }
-        for proposal in self.proposals.drain(..) {
-            if let Waiting::Request(request) = proposal.waiting {
-                requests.push(request);
-            }
-        }
-        requests
-    }
-
-    /// Requests that wait for the log.
-    pub(crate) fn waiting_requests(&self) -> usize {
-        let is_request = |waiting: &&Waiting| matches!(waiting, Waiting::Request(_));
-        let collected = self.proposals.iter().map(|proposal| &proposal.waiting);
-        self.waiting.values().filter(is_request).count() + collected.filter(is_request).count()
-    }
-
-    /// Drops requests whose callers have given up.
-    pub(crate) fn drop_late_requests(&mut self, now: Monotonic) {
-        for waiting in self.waiting.values_mut() {
-            if matches!(waiting, Waiting::Request(request) if request.deadline <= now) {
-                *waiting = Waiting::Nobody;
-            }
-        }
-    }
-
     /// Lets out the lines of the decision log since the last call.
     pub(crate) fn emit_decisions(&mut self, effects: &mut Vec<Effect>) {
         for entry in self.decisions.take_new() {
