--- a/crates/standin/src/runner.rs
+++ b/crates/standin/src/runner.rs
@@ -75,8 +75,7 @@
 
 impl Runner {
     /// A fresh runner that holds nothing.
-    pub fn new(options: RunnerOptions, now: Monotonic) -> Self {
-        let _ = now;
+    pub fn new(options: RunnerOptions, _now: Monotonic) -> Self {
         Self {
             draining: false,
             highest_term: Term::default(),
