--- a/crates/storage/src/error.rs
+++ b/crates/storage/src/error.rs
@@ -25,6 +25,13 @@
         /// What was found.
         problem: String,
     },
+    /// A log or snapshot without an identity: it cannot be told whose votes
+    /// and entries they are. The identity is saved before either is written.
+    #[error(
+        "the data folder holds a log or a snapshot but no identity file; refusing to start \
+         from it: bring the file back, or start with an empty folder as a new coordinator"
+    )]
+    IdentityMissing,
     /// A file of another format version.
     #[error("{file} has format version {found}, this program reads {supported}")]
     Version {
--- a/crates/storage/src/recovery.rs
+++ b/crates/storage/src/recovery.rs
@@ -63,6 +63,7 @@
     segments.push(last);
     check_lengths(&segments)?;
     replay(segments, &mut recovery)?;
+    require_identity(&recovery)?;
     note_leftovers(names, checkpoint, &mut recovery);
     Ok(recovery)
 }
@@ -158,6 +159,18 @@
     Err(StorageError::damaged(&segment_file(segment), 0, problem))
 }
 
+/// Without an identity the folder may hold no more than the first segment of a
+/// new one, whose only record says nothing.
+fn require_identity(recovery: &Recovery) -> Result<(), StorageError> {
+    let first = recovery.last.as_ref();
+    let is_first = first.is_none_or(|last| last.number == FIRST_SEGMENT);
+    let is_new = is_first && recovery.recovered == Recovered::default();
+    match recovery.identity.is_some() || is_new {
+        true => Ok(()),
+        false => Err(StorageError::IdentityMissing),
+    }
+}
+
 fn read_earlier(
     disk: &impl Disk,
     names: &Names,
--- a/crates/storage/tests/common/mod.rs
+++ b/crates/storage/tests/common/mod.rs
@@ -6,8 +6,8 @@
 use std::collections::BTreeMap;
 use std::io;
 use std::sync::{Arc, Mutex, MutexGuard};
-use storage::{Batch, Disk, MemoryDisk, Opened, Store, StoreOptions};
-use types::{LogIndex, NodeId, Term};
+use storage::{Batch, Disk, Identity, MemoryDisk, Opened, Store, StoreOptions};
+use types::{ClusterId, LogIndex, NodeId, Term};
 
 /// Small enough that a few batches fill a segment.
 pub const SMALL_SEGMENTS: StoreOptions = StoreOptions { segment_bytes: 160 };
@@ -129,6 +129,22 @@
     }
 }
 
+pub fn identity(node: u64) -> Identity {
+    Identity {
+        node: NodeId(node),
+        cluster: Some(ClusterId(3)),
+        initial: Default::default(),
+    }
+}
+
+/// A disk with an identity, synced, and nothing else: a coordinator writes no
+/// batch before.
+pub fn founded() -> MemoryDisk {
+    let mut store = open(MemoryDisk::new()).store;
+    store.save_identity(&identity(1)).unwrap();
+    store.into_disk()
+}
+
 pub fn open<D: Disk>(disk: D) -> Opened<D> {
     Store::open_with(disk, SMALL_SEGMENTS).unwrap_or_else(|error| panic!("refused: {error}"))
 }
--- a/crates/storage/tests/damage.rs
+++ b/crates/storage/tests/damage.rs
@@ -5,7 +5,7 @@
 
 mod common;
 
-use common::{SMALL_SEGMENTS, entries, history, open, states, vote};
+use common::{SMALL_SEGMENTS, SharedDisk, entries, history, open, states, vote};
 use consensus::Recovered;
 use storage::{Batch, Disk, Identity, MemoryDisk, StorageError, Store, StoreOptions};
 use types::{LogIndex, NodeId};
@@ -168,6 +168,26 @@
     }
 }
 
+#[test]
+fn a_log_or_snapshot_without_its_identity_is_refused() {
+    for count in 0..=history().len() {
+        let mut missing = written(&history()[..count], SMALL_SEGMENTS);
+        missing.remove("identity").unwrap();
+        missing.sync_folder().unwrap();
+        let shared = SharedDisk::of(missing);
+        let changes = shared.memory().changes();
+        match Store::open_with(shared.clone(), SMALL_SEGMENTS) {
+            Ok(opened) => assert_eq!((count, opened.identity), (0, None)),
+            Err(error) => {
+                assert!(matches!(error, StorageError::IdentityMissing), "{error}");
+                assert!(error.to_string().contains("no identity file"));
+                assert!(count > 0, "an empty log");
+                assert_eq!(shared.memory().changes(), changes, "it stays as it was");
+            }
+        }
+    }
+}
+
 #[test]
 fn a_refused_folder_stays_as_it_was() {
     let mut disk = written(&small_log(), ONE_SEGMENT);
--- a/crates/storage/tests/real_disk.rs
+++ b/crates/storage/tests/real_disk.rs
@@ -3,7 +3,7 @@
 
 mod common;
 
-use common::{history, open, states};
+use common::{history, identity, open, states};
 use std::path::PathBuf;
 use storage::{Disk, RealDisk, StorageError};
 
@@ -21,6 +21,9 @@
     for (position, batch) in batches.iter().enumerate() {
         let mut opened = open(RealDisk::open(&folder).unwrap());
         assert_eq!(opened.recovered, states[position]);
+        if position == 0 {
+            opened.store.save_identity(&identity(1)).unwrap();
+        }
         opened.store.write(batch).unwrap();
     }
     let opened = open(RealDisk::open(&folder).unwrap());
