Set the run lease to 18 s and its margin to 2 s

Cause: the needs draw their line at twenty seconds of silence; at 10 s a runner cut off for shorter than that had its tasks repeated. Ruled out: 20 s and a margin beyond, which passes the line. Before: given up after 12 s. After: after 20 s.

--- a/crates/configuration/src/document.rs
+++ b/crates/configuration/src/document.rs
@@ -101,7 +101,7 @@
 impl Default for Timings {
     fn default() -> Self {
         Self {
-            run_lease: Milliseconds(10_000),
+            run_lease: Milliseconds(18_000),
             run_lease_margin: Milliseconds(2_000),
             retry_backoff: Milliseconds(200),
             max_retry_backoff: Milliseconds(10_000),
--- a/crates/standin/tests/runner/lease.rs
+++ b/crates/standin/tests/runner/lease.rs
@@ -2,7 +2,7 @@
 
 use crate::bench::{confirm, order, run_id, runner, start};
 use standin::runner::{RunnerEvent, RunnerInstruction};
-use types::{HeartbeatSequence, Milliseconds, Monotonic, OrderKind, Outcome, Term};
+use types::{HeartbeatSequence, Milliseconds, Monotonic, OrderAnswer, OrderKind, Outcome, Term};
 
 fn stopped(sequence: u64) -> RunnerEvent {
     RunnerEvent::Ended {
@@ -107,6 +107,24 @@
     assert_eq!(events, vec![stopped(1)]);
 }
 
+#[test]
+fn heartbeats_are_remembered_for_the_default_lease_even_at_fifty_a_second() {
+    let lease = configuration::Timings::default().run_lease;
+    let mut runner = runner();
+    let mut now = 0;
+    while now + 20 < lease.0 {
+        now += 20;
+        runner.heartbeat(Monotonic(now));
+    }
+    let mut order = start(1);
+    if let OrderKind::Start { lease: granted, .. } = &mut order.kind {
+        *granted = lease;
+    }
+    // Its basis is the first heartbeat, sent at time 0.
+    let (answer, _) = runner.order(Monotonic(lease.0 - 1), &order);
+    assert_eq!(answer, OrderAnswer::Started);
+}
+
 #[test]
 fn heartbeats_are_numbered_from_one() {
     let mut runner = runner();
