Split the coordinator's long functions and test world

Ruled out: splitting replica and orders, which are one thing each. Change: adopting open runs, draining a runner, opening the store and the check that all is done are functions; the test world's requests and its servers are modules. No behaviour changes.

--- a/crates/coordinator/src/leader.rs
+++ b/crates/coordinator/src/leader.rs
@@ -82,7 +82,9 @@
     pub(crate) sessions: Sessions,
     pub(crate) runners: Runners,
     pub(crate) runs: Runs,
+    /// Who waits for each entry of this leader in the log.
     pub(crate) waiting: BTreeMap<LogIndex, Waiting>,
+    /// Requests among those, and among the proposals not made yet.
     pub(crate) requests: WaitingRequests,
     pub(crate) reservations_in_flight: usize,
     pub(crate) admission: Admission,
@@ -139,22 +141,13 @@
         seed: u64,
         now: Now,
     ) -> Self {
-        let document = record.configuration().1;
         let mut dispatcher = Dispatcher::new(options.dispatcher.clone(), identity.term, seed);
-        dispatcher.configure(document);
-        let mut runs = Runs::default();
-        for run in record.open_runs() {
-            dispatcher.adopt_run(run.clone());
-            runs.adopt(run, now.monotonic);
-        }
-        for runner in record.draining_runners() {
-            dispatcher.set_draining(&runner, true);
-        }
+        let runs = adopt(record, &mut dispatcher, now.monotonic);
         Self {
             serving: true,
             serving_since: now.monotonic,
             elected_at: now.monotonic,
-            timings: document.timings.clone(),
+            timings: record.configuration().1.timings.clone(),
             dispatcher,
             rebuild: Rebuild::After(None),
             sessions: Sessions::default(),
@@ -265,3 +258,17 @@
         }
     }
 }
+
+/// Enters configuration, open runs and operators' words into a new view.
+fn adopt(record: &Record, dispatcher: &mut Dispatcher, now: Monotonic) -> Runs {
+    dispatcher.configure(record.configuration().1);
+    let mut runs = Runs::default();
+    for run in record.open_runs() {
+        dispatcher.adopt_run(run.clone());
+        runs.adopt(run, now);
+    }
+    for runner in record.draining_runners() {
+        dispatcher.set_draining(&runner, true);
+    }
+    runs
+}
--- a/crates/coordinator/src/orders.rs
+++ b/crates/coordinator/src/orders.rs
@@ -22,7 +22,7 @@
 use crate::runs::Phase;
 use peer::{DecisionEvent, OrderResult, PeerMessage};
 use record::{ClosedRun, Record};
-use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use types::{
     Milliseconds, Monotonic, Now, OpenRun, OrderAnswer, OrderKind, Outcome, RefusalReason,
     RunClose, RunId, RunnerId, RunnerOrder, TaskMeta,
@@ -187,7 +187,7 @@
         for tracked in self.runs.iter().filter(|tracked| !tracked.closing) {
             let waited = now.monotonic.since(tracked.ordered_at);
             let duty = match tracked.phase {
-                _ if silent.contains_key(&tracked.run.runner) => Duty::GiveUp,
+                _ if silent.contains(&tracked.run.runner) => Duty::GiveUp,
                 // Its lease lapsed before the start left; nobody sends it now.
                 Phase::Reserved if !self.to_start.contains(&tracked.run.run) => Duty::Drop,
                 Phase::Ordered if waited >= ORDER_TIMEOUT => Duty::Void,
@@ -222,7 +222,7 @@
     }
 
     /// Runners with open runs whose lease and margin are over.
-    fn silent_runners(&self, now: Monotonic) -> BTreeMap<RunnerId, Milliseconds> {
+    fn silent_runners(&self, now: Monotonic) -> BTreeSet<RunnerId> {
         let full = self.timings.run_lease + self.timings.run_lease_margin;
         let limit = match self.has_mutation(Mutation::ExpireRunsEarly) {
             true => Milliseconds(self.timings.run_lease.0 / 10),
@@ -235,8 +235,8 @@
         };
         self.runs
             .runners()
-            .filter_map(|id| Some((id.clone(), silence(id)?)))
-            .filter(|(_, silence)| *silence > limit)
+            .filter(|id| silence(id).is_some_and(|silence| silence > limit))
+            .cloned()
             .collect()
     }
 
--- a/crates/coordinator/src/requests.rs
+++ b/crates/coordinator/src/requests.rs
@@ -60,24 +60,18 @@
         if self.requests.refresh(&waiting) {
             return;
         }
+        let at = now.wall;
         let answer = match request.operation {
             Operation::ListMembers => Some(Ok(OperationReply::Members(members))),
             Operation::Submit(spec) => self.submit(record, spec, waiting, now),
             Operation::Cancel(selector) => {
-                let at = now.wall;
                 self.propose_request(Command::Cancel { selector, at }, waiting)
             }
             Operation::PutConfiguration { version, document } => {
                 self.put_configuration(version, document, waiting, now)
             }
             Operation::DrainRunner { runner, draining } => {
-                let at = now.wall;
-                let command = Command::SetRunnerDraining {
-                    runner,
-                    draining,
-                    at,
-                };
-                self.propose_request(command, waiting)
+                self.drain_runner(runner, draining, waiting, now)
             }
             Operation::DeclareRunnerLost { runner } => self.declare_lost(&runner, waiting, now),
             read => Some(self.read(record, read, now)),
@@ -172,6 +166,22 @@
         self.propose_request(command, waiting)
     }
 
+    fn drain_runner(
+        &mut self,
+        runner: RunnerId,
+        draining: bool,
+        waiting: WaitingRequest,
+        now: Now,
+    ) -> Answer {
+        let at = now.wall;
+        let command = Command::SetRunnerDraining {
+            runner,
+            draining,
+            at,
+        };
+        self.propose_request(command, waiting)
+    }
+
     /// Closes every open run of a runner that an operator says is gone.
     fn declare_lost(&mut self, runner: &RunnerId, mut waiting: WaitingRequest, now: Now) -> Answer {
         let runs: Vec<ClosedRun> = self
--- a/crates/coordinator/src/shell.rs
+++ b/crates/coordinator/src/shell.rs
@@ -10,9 +10,9 @@
 use admin::Readiness;
 use peer::{Envelope, PeerMessage, Transport, clock};
 use std::net::SocketAddr;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::time::Duration;
-use storage::{RealDisk, Store};
+use storage::{Opened, RealDisk, StorageError, Store};
 use thiserror::Error;
 use tokio::sync::{mpsc, watch};
 use tokio::task::JoinHandle;
@@ -44,7 +44,7 @@
 pub enum CoordinatorError {
     /// The data folder cannot be used.
     #[error(transparent)]
-    Storage(#[from] storage::StorageError),
+    Storage(#[from] StorageError),
     /// The peer listener cannot be used.
     #[error(transparent)]
     Transport(#[from] peer::TransportError),
@@ -69,10 +69,7 @@
     options: ShellOptions,
     stop: watch::Receiver<bool>,
 ) -> Result<(), CoordinatorError> {
-    let opened = Store::open(RealDisk::open(&options.data)?)?;
-    if opened.cut_bytes > 0 {
-        tracing::warn!(bytes = opened.cut_bytes, "cut a torn tail of the log");
-    }
+    let opened = open_store(&options.data)?;
     let mut core_options = options.core;
     core_options.address.node = match &opened.identity {
         Some(identity) => identity.node,
@@ -108,6 +105,14 @@
     Ok(finished?)
 }
 
+fn open_store(data: &Path) -> Result<Opened<RealDisk>, StorageError> {
+    let opened = Store::open(RealDisk::open(data)?)?;
+    if opened.cut_bytes > 0 {
+        tracing::warn!(bytes = opened.cut_bytes, "cut a torn tail of the log");
+    }
+    Ok(opened)
+}
+
 struct AdminRoutes {
     readiness: Readiness,
     server: JoinHandle<()>,
--- /dev/null
+++ b/crates/coordinator/tests/common/asking.rs
@@ -0,0 +1,120 @@
+//! What gateways ask of the world, and what can be read from it.
+
+use super::agent::ScriptedAgent;
+use super::{GATEWAY_PORT, World, address, document, socket};
+use coordinator::Input;
+use peer::{Envelope, Operation, OperationReply, PeerMessage, Refusal, Request, RequestId};
+use std::collections::BTreeSet;
+use types::{Address, Milliseconds, Role};
+
+impl World {
+    /// Hands the leader a message at once.
+    pub fn tell_leader(&mut self, from: Address, body: PeerMessage) {
+        let leader = self.leader().expect("no leader to tell");
+        let envelope = Envelope {
+            from,
+            via: None,
+            body,
+        };
+        self.input(leader, Input::Peer(envelope));
+    }
+
+    /// Sends a request to the leader; gives its number.
+    pub fn ask(&mut self, operation: Operation) -> u64 {
+        let leader = self.leader().expect("no leader to ask");
+        self.next_request += 1;
+        let to = socket(self.servers[leader].port);
+        let request = numbered_request(self.next_request, operation);
+        self.post(GATEWAY_PORT, gateway(), to, request);
+        self.next_request
+    }
+
+    /// Sends the newest request once more, through a follower.
+    pub fn ask_again_through(&mut self, follower: usize, operation: Operation) {
+        let leader = self.leader().expect("no leader to ask");
+        let relay = PeerMessage::Relay(peer::Relay {
+            origin: gateway(),
+            destination: socket(self.servers[leader].port),
+            body: Box::new(numbered_request(self.next_request, operation)),
+        });
+        let by = socket(self.servers[follower].port);
+        self.post(GATEWAY_PORT, gateway(), by, relay);
+    }
+
+    pub fn put_configuration(
+        &mut self,
+        version: u64,
+        document: configuration::ClusterConfiguration,
+    ) -> u64 {
+        let version = types::ConfigurationVersion(version);
+        self.ask(Operation::PutConfiguration { version, document })
+    }
+
+    /// Asks and gives the answer.
+    pub fn answer(&mut self, operation: Operation) -> Result<OperationReply, Refusal> {
+        let id = self.ask(operation);
+        self.run_until(2_000, "an answer", |world| world.replies.contains_key(&id));
+        self.replies[&id].clone()
+    }
+
+    /// Submits a job of one task and waits for the acknowledgement.
+    pub fn submit(&mut self, job: &str) {
+        let answer = self.answer(Operation::Submit(document::job(job)));
+        assert!(
+            matches!(answer, Ok(OperationReply::Submitted { .. })),
+            "{answer:?}"
+        );
+    }
+
+    pub fn job(&self, job: &str) -> types::JobView {
+        self.record().job(&document::key(job)).expect("unknown job")
+    }
+
+    /// Adds an agent with one runner and lets it be heard.
+    pub fn add_agent(&mut self, number: u16) {
+        self.agents.push(ScriptedAgent::new(number, self.now));
+        self.run(1_000);
+    }
+
+    /// All orders that coordinators sent, in order.
+    pub fn orders(&self) -> Vec<types::RunnerOrder> {
+        let sent = self.sent.iter();
+        sent.filter_map(|(_, message)| match message {
+            PeerMessage::Orders { orders, .. } => Some(orders.clone()),
+            _ => None,
+        })
+        .flatten()
+        .collect()
+    }
+
+    /// Start orders sent so far.
+    pub fn starts(&self) -> Vec<types::RunId> {
+        let starts = self
+            .orders()
+            .into_iter()
+            .filter_map(|order| match order.kind {
+                types::OrderKind::Start { run, .. } => Some(run.run),
+                _ => None,
+            });
+        starts.collect()
+    }
+
+    /// True when no run identifier was sent in two starts.
+    pub fn each_start_is_sent_once(&self) -> bool {
+        let starts = self.starts();
+        let distinct: BTreeSet<_> = starts.iter().collect();
+        distinct.len() == starts.len()
+    }
+}
+
+fn gateway() -> Address {
+    address(900, Role::Gateway, GATEWAY_PORT)
+}
+
+fn numbered_request(number: u64, operation: Operation) -> PeerMessage {
+    PeerMessage::Request(Request {
+        id: RequestId(number),
+        time_left: Milliseconds(10_000),
+        operation,
+    })
+}
--- a/crates/coordinator/tests/common/mod.rs
+++ b/crates/coordinator/tests/common/mod.rs
@@ -3,13 +3,16 @@
 #![allow(dead_code)] // Each test file uses its own part of the world.
 
 pub mod agent;
+mod asking;
 pub mod document;
+mod server;
 
 use agent::ScriptedAgent;
 use coordinator::{Coordinator, CoordinatorOptions, Effect, Input};
-use peer::{Envelope, Operation, OperationReply, PeerMessage, Refusal, Reply, Request, RequestId};
+use peer::{Envelope, OperationReply, PeerMessage, Refusal, Reply};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
+pub use server::Server;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use storage::{MemoryDisk, Store};
@@ -33,45 +36,6 @@
     }
 }
 
-/// A coordinator with its disk.
-pub struct Server {
-    pub core: Option<Coordinator>,
-    pub port: u16,
-    pub store: Option<Store<MemoryDisk>>,
-    /// While true its syncs do not end.
-    pub disk_held: bool,
-    held_syncs: Vec<u64>,
-    /// While true nothing reaches it and its clock does not tick.
-    pub frozen: bool,
-    waiting: Vec<Input>,
-    pub next_identity: u64,
-    pub stopped: bool,
-}
-
-impl Server {
-    fn new(port: u16, next_identity: u64) -> Self {
-        Self {
-            core: None,
-            port,
-            store: None,
-            disk_held: false,
-            held_syncs: Vec::new(),
-            frozen: false,
-            waiting: Vec::new(),
-            next_identity,
-            stopped: false,
-        }
-    }
-
-    /// One more coordinator with a disk that was taken from another.
-    pub fn from_disk(port: u16, store: Option<Store<MemoryDisk>>) -> Self {
-        Self {
-            store,
-            ..Self::new(port, u64::from(port - 7_999))
-        }
-    }
-}
-
 pub struct World {
     pub now: u64,
     pub servers: Vec<Server>,
@@ -379,116 +343,6 @@
             self.input(server, Input::Persisted { number });
         }
     }
-
-    /// Hands the leader a message at once.
-    pub fn tell_leader(&mut self, from: Address, body: PeerMessage) {
-        let leader = self.leader().expect("no leader to tell");
-        let envelope = Envelope {
-            from,
-            via: None,
-            body,
-        };
-        self.input(leader, Input::Peer(envelope));
-    }
-
-    /// Sends a request to the leader; gives its number.
-    pub fn ask(&mut self, operation: Operation) -> u64 {
-        let leader = self.leader().expect("no leader to ask");
-        self.next_request += 1;
-        let to = socket(self.servers[leader].port);
-        let request = numbered_request(self.next_request, operation);
-        self.post(GATEWAY_PORT, gateway(), to, request);
-        self.next_request
-    }
-
-    /// Sends the newest request once more, through a follower.
-    pub fn ask_again_through(&mut self, follower: usize, operation: Operation) {
-        let leader = self.leader().expect("no leader to ask");
-        let relay = PeerMessage::Relay(peer::Relay {
-            origin: gateway(),
-            destination: socket(self.servers[leader].port),
-            body: Box::new(numbered_request(self.next_request, operation)),
-        });
-        let by = socket(self.servers[follower].port);
-        self.post(GATEWAY_PORT, gateway(), by, relay);
-    }
-
-    pub fn put_configuration(
-        &mut self,
-        version: u64,
-        document: configuration::ClusterConfiguration,
-    ) -> u64 {
-        let version = types::ConfigurationVersion(version);
-        self.ask(Operation::PutConfiguration { version, document })
-    }
-
-    /// Asks and gives the answer.
-    pub fn answer(&mut self, operation: Operation) -> Result<OperationReply, Refusal> {
-        let id = self.ask(operation);
-        self.run_until(2_000, "an answer", |world| world.replies.contains_key(&id));
-        self.replies[&id].clone()
-    }
-
-    /// Submits a job of one task and waits for the acknowledgement.
-    pub fn submit(&mut self, job: &str) {
-        let answer = self.answer(Operation::Submit(document::job(job)));
-        assert!(
-            matches!(answer, Ok(OperationReply::Submitted { .. })),
-            "{answer:?}"
-        );
-    }
-
-    pub fn job(&self, job: &str) -> types::JobView {
-        self.record().job(&document::key(job)).expect("unknown job")
-    }
-
-    /// Adds an agent with one runner and lets it be heard.
-    pub fn add_agent(&mut self, number: u16) {
-        self.agents.push(ScriptedAgent::new(number, self.now));
-        self.run(1_000);
-    }
-
-    /// All orders that coordinators sent, in order.
-    pub fn orders(&self) -> Vec<types::RunnerOrder> {
-        let sent = self.sent.iter();
-        sent.filter_map(|(_, message)| match message {
-            PeerMessage::Orders { orders, .. } => Some(orders.clone()),
-            _ => None,
-        })
-        .flatten()
-        .collect()
-    }
-
-    /// Start orders sent so far.
-    pub fn starts(&self) -> Vec<types::RunId> {
-        let starts = self
-            .orders()
-            .into_iter()
-            .filter_map(|order| match order.kind {
-                types::OrderKind::Start { run, .. } => Some(run.run),
-                _ => None,
-            });
-        starts.collect()
-    }
-
-    /// True when no run identifier was sent in two starts.
-    pub fn each_start_is_sent_once(&self) -> bool {
-        let starts = self.starts();
-        let distinct: BTreeSet<_> = starts.iter().collect();
-        distinct.len() == starts.len()
-    }
-}
-
-fn gateway() -> Address {
-    address(900, Role::Gateway, GATEWAY_PORT)
-}
-
-fn numbered_request(number: u64, operation: Operation) -> PeerMessage {
-    PeerMessage::Request(Request {
-        id: RequestId(number),
-        time_left: Milliseconds(10_000),
-        operation,
-    })
 }
 
 fn open(message: PeerMessage) -> PeerMessage {
--- a/crates/coordinator/tests/faults.rs
+++ b/crates/coordinator/tests/faults.rs
@@ -140,6 +140,11 @@
         assert_no_overlap(&world, seed);
     }
     assert!(world.each_start_is_sent_once(), "seed {seed}");
+    assert_all_done(&world, &asked, seed);
+}
+
+/// Every acknowledged job is done, and nothing runs any more.
+fn assert_all_done(world: &World, asked: &[(u64, String)], seed: u64) {
     let acknowledged = asked.iter().filter(|(id, _)| {
         matches!(
             world.replies.get(id),
--- a/crates/coordinator/tests/requests.rs
+++ b/crates/coordinator/tests/requests.rs
@@ -42,16 +42,22 @@
     assert_eq!(conflict.code, RefusalCode::Conflict);
 }
 
-#[test]
-fn a_tenant_over_its_rate_is_refused_at_once_with_the_time_to_come_back() {
+/// A world whose tenant may send so many submits a second, and no burst.
+fn served_with_rate(submits_per_second: u32) -> World {
     let mut world = World::served();
     let mut slow = document::document();
     let contract = slow.tenants.get_mut(&document::tenant()).unwrap();
-    contract.submits_per_second = 2;
+    contract.submits_per_second = submits_per_second;
     contract.submit_burst = 1;
     let put = world.put_configuration(2, slow);
     world.run(100);
     assert!(world.replies[&put].is_ok());
+    world
+}
+
+#[test]
+fn a_tenant_over_its_rate_is_refused_at_once_with_the_time_to_come_back() {
+    let mut world = served_with_rate(2);
     world.submit("first");
     let id = world.ask(Operation::Submit(document::job("second")));
     world.run(3);
@@ -73,14 +79,7 @@
 
 #[test]
 fn a_request_sent_again_while_it_waits_is_charged_once_and_answered_where_it_came_from_last() {
-    let mut world = World::served();
-    let mut slow = document::document();
-    let contract = slow.tenants.get_mut(&document::tenant()).unwrap();
-    contract.submits_per_second = 1;
-    contract.submit_burst = 1;
-    let put = world.put_configuration(2, slow);
-    world.run(100);
-    assert!(world.replies[&put].is_ok());
+    let mut world = served_with_rate(1);
     let leader = world.leader().unwrap();
     let followers = [(leader + 1) % 3, (leader + 2) % 3];
     for follower in followers {
