Prove the mechanisms in whole fleets; draw harder plans

Cause: no test ran the simulation, few of its mutations were known to be noticed, and the planner drew faults apart from one another. Ruled out: a bar on random campaigns a mutation each; a fixed plan is faster and gives the same verdict each time. The planner draws pairs, second losses once repaired, zones cut off, bursts, ceilings up and down, invalid configurations, storms followed by a restart of all, clock steps, jobs that cannot succeed and tasks with two copies. Before: no test in the crate.

--- a/crates/checker/src/check.rs
+++ b/crates/checker/src/check.rs
@@ -151,7 +151,7 @@
         Box::new(reopened::Reopened::default()),
         Box::new(repeat::OverlappingRuns::default()),
         Box::new(repeat::RepeatedTask),
-        Box::new(repeat::DoubleStart),
+        Box::new(repeat::DoubleStart::default()),
         Box::new(dependency::StartBeforeDependency),
         Box::new(start_time::StartBeforeTime),
         Box::new(ceiling::CeilingExceeded::default()),
--- a/crates/checker/src/check/repeat.rs
+++ b/crates/checker/src/check/repeat.rs
@@ -4,12 +4,15 @@
 use super::world::World;
 use super::{Limits, ViolationKind};
 use crate::{Event, Observation};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use types::{Milliseconds, RunId};
 
-/// One run identifier starts once, on one runner.
-#[derive(Debug)]
-pub(super) struct DoubleStart;
+/// One run identifier starts once, on one runner, and is not even asked to
+/// start again: a runner need not refuse a repeated start.
+#[derive(Debug, Default)]
+pub(super) struct DoubleStart {
+    delivered: BTreeSet<RunId>,
+}
 
 impl Rule for DoubleStart {
     fn observe(
@@ -19,6 +22,12 @@
         _limits: &Limits,
         findings: &mut Findings,
     ) {
+        if let Event::StartDelivered { runner, run } = &observation.event
+            && !self.delivered.insert(*run)
+        {
+            let detail = format!("the start of run {run} reached {runner} a second time");
+            findings.add(ViolationKind::DoubleStart, observation.at, detail);
+        }
         let Event::RunStarted { runner, run, .. } = &observation.event else {
             return;
         };
--- a/crates/checker/src/event.rs
+++ b/crates/checker/src/event.rs
@@ -68,6 +68,13 @@
         /// The job.
         job: JobKey,
     },
+    /// An order to start a run reached a runner, whatever it answered.
+    StartDelivered {
+        /// The runner.
+        runner: RunnerId,
+        /// The run.
+        run: RunId,
+    },
     /// A runner began a run.
     RunStarted {
         /// The runner.
--- a/crates/checker/tests/starts.rs
+++ b/crates/checker/tests/starts.rs
@@ -256,3 +256,16 @@
     let lifted = Event::RunnerDrainLifted { runner: runner(1) };
     assert_clean(between(ordered(), lifted));
 }
+
+#[test]
+fn a_start_reaches_a_runner_once() {
+    let delivered = |at, of: u64| {
+        let event = Event::StartDelivered {
+            runner: runner(1),
+            run: run(of),
+        };
+        (at, event)
+    };
+    assert_clean(vec![delivered(10, 1), delivered(11, 2)]);
+    assert_found(vec![delivered(10, 1), delivered(900, 1)], &[DoubleStart]);
+}
--- a/crates/coordinator/src/core.rs
+++ b/crates/coordinator/src/core.rs
@@ -67,6 +67,8 @@
     AcknowledgeBeforeCommit,
     /// Runs of a silent runner are closed at a tenth of their lease.
     ExpireRunsEarly,
+    /// A guard of the record left out.
+    Record(record::mutation::Mutation),
 }
 
 /// What happens to the core.
--- a/crates/coordinator/src/replica.rs
+++ b/crates/coordinator/src/replica.rs
@@ -6,7 +6,7 @@
 //! for the newest one still under way.
 
 use crate::core::Effect;
-use crate::{Coordinator, core::Sender};
+use crate::{Coordinator, Mutation, core::Sender};
 use consensus::message::Outgoing;
 use consensus::{Membership, Message, Node, Payload, Ready, Recovered, Snapshot, SnapshotMeta};
 use peer::PeerMessage;
@@ -154,7 +154,9 @@
     /// Applies what a batch of the node committed.
     fn apply(&mut self, ready: Ready) -> Result<Vec<AppliedEntry>, String> {
         if let Some(snapshot) = &ready.snapshot {
+            let mutation = self.record.mutation();
             self.record = restore(snapshot)?;
+            self.record.set_mutation(mutation);
             self.applied = snapshot.meta.clone();
             self.since_snapshot = 0;
         }
@@ -226,7 +228,12 @@
             Node::new(own, options, initial, recovered, seed, now)
         });
         match replica {
-            Ok(replica) => self.replica = Some(replica),
+            Ok(mut replica) => {
+                if let Some(Mutation::Record(mutation)) = self.options.mutation {
+                    replica.record.set_mutation(Some(mutation));
+                }
+                self.replica = Some(replica);
+            }
             Err(reason) => self.fail(reason),
         }
     }
--- a/crates/record/src/lib.rs
+++ b/crates/record/src/lib.rs
@@ -8,6 +8,8 @@
 
 pub mod command;
 pub mod error;
+#[doc(hidden)]
+pub mod mutation;
 pub mod state;
 
 pub use command::{
--- a/crates/record/src/state.rs
+++ b/crates/record/src/state.rs
@@ -19,6 +19,7 @@
 
 pub use queries::TaskStanding;
 
+use crate::mutation::Mutation;
 use crate::{Applied, Change, Command, CommandReply, RecordRefusal};
 use ::configuration::ClusterConfiguration;
 use indexes::Indexes;
@@ -42,6 +43,8 @@
     /// keeps every run of every forgotten job from starting again.
     highest_forgotten_run: Option<RunId>,
     indexes: Indexes,
+    /// Of proofs only; no part of a snapshot.
+    mutation: Option<Mutation>,
 }
 
 impl Record {
@@ -50,6 +53,18 @@
         Self::default()
     }
 
+    /// Leaves a guard out, for proofs.
+    #[doc(hidden)]
+    pub fn set_mutation(&mut self, mutation: Option<Mutation>) {
+        self.mutation = mutation;
+    }
+
+    /// The guard left out.
+    #[doc(hidden)]
+    pub fn mutation(&self) -> Option<Mutation> {
+        self.mutation
+    }
+
     /// Applies one command.
     pub fn apply(&mut self, command: &Command) -> Applied {
         let mut changes = Vec::new();
--- a/crates/record/src/state/configuration.rs
+++ b/crates/record/src/state/configuration.rs
@@ -1,6 +1,7 @@
 //! Taking configurations and operators' words on runners.
 
 use super::Record;
+use crate::mutation::Mutation;
 use crate::{Change, CommandReply, RecordRefusal};
 use configuration::{ClusterConfiguration, ConfigurationProblem, validate};
 use types::{ConfigurationVersion, RunnerId};
@@ -19,7 +20,9 @@
                 known: true,
             });
         }
-        if self.version.0.checked_add(1) != Some(version.0) {
+        let fits = self.version.0.checked_add(1) == Some(version.0)
+            || self.mutation == Some(Mutation::AnyConfigurationVersion);
+        if !fits {
             return Err(RecordRefusal::VersionConflict {
                 wanted: version,
                 current: self.version,
--- a/crates/record/src/state/jobs.rs
+++ b/crates/record/src/state/jobs.rs
@@ -3,6 +3,7 @@
 use super::Record;
 use super::job::{Job, Progress};
 use super::submission;
+use crate::mutation::Mutation;
 use crate::{Change, CommandReply, RecordRefusal};
 use configuration::{ClusterConfiguration, QueueMode, QueueSettings, TenantSettings};
 use types::{
@@ -30,7 +31,10 @@
             tenant: spec.tenant.clone(),
             job: spec.job.clone(),
         };
-        if let Some(number) = self.indexes.numbers.get(&key) {
+        let known = self.indexes.numbers.get(&key);
+        if let Some(number) = known
+            && self.mutation != Some(Mutation::ResentSubmitIsNew)
+        {
             return self.answer_resent(*number, key, spec);
         }
         let spec = self.check_submission(spec)?;
--- a/crates/record/src/state/runs.rs
+++ b/crates/record/src/state/runs.rs
@@ -3,6 +3,7 @@
 use super::Record;
 use super::job::{Job, Progress};
 use super::jobs::is_unfinished;
+use crate::mutation::Mutation;
 use crate::{Change, ClosedRun, CommandReply, ReserveRefusal};
 use configuration::{QueueMode, Timings};
 use types::{
@@ -43,11 +44,12 @@
         }
         let task = reservation.task;
         let job = self.jobs.get(&task.job).ok_or(ReserveRefusal::NotReady)?;
-        if !job.is_startable(task) {
+        let skips = self.mutation == Some(Mutation::SkipReservationCheck);
+        if !skips && !job.is_startable(task) {
             return Err(ReserveRefusal::NotReady);
         }
         let (step, _, _) = job.task(task).ok_or(ReserveRefusal::NotReady)?;
-        if self.draining_runners.contains(&reservation.runner) {
+        if !skips && self.draining_runners.contains(&reservation.runner) {
             return Err(ReserveRefusal::RunnerDraining);
         }
         let run = OpenRun {
@@ -61,8 +63,10 @@
             time_limit: step.time_limit,
             reserved_at: at,
         };
-        self.check_queue_starts(&run)?;
-        self.check_ceiling(&run)?;
+        if !skips {
+            self.check_queue_starts(&run)?;
+            self.check_ceiling(&run)?;
+        }
         Ok(run)
     }
 
--- a/crates/simulation/src/event.rs
+++ b/crates/simulation/src/event.rs
@@ -57,6 +57,15 @@
     Wake(MachineIndex),
     /// A planned fault.
     Fault(Fault),
+    /// A fault that waits for a whole cluster, until the moment given.
+    AwaitRepair {
+        /// What to do then.
+        fault: Fault,
+        /// How long after the repair.
+        after: Micros,
+        /// When to give up.
+        until: Micros,
+    },
     /// The burst of a caller is over.
     BurstOver(usize),
     /// All faults are healed.
--- a/crates/simulation/src/fault.rs
+++ b/crates/simulation/src/fault.rs
@@ -4,7 +4,8 @@
 use crate::machine::MachineIndex;
 use crate::network::{Micros, Weather};
 use crate::plan::{Behaviour, Fault};
-use crate::process::{Input, ProcessIndex};
+use crate::process::{Core, Input, Process, ProcessIndex};
+use crate::run::LONGEST_REPAIR_MS;
 use crate::runner::OrderTrouble;
 use crate::world::World;
 use checker::Event as Seen;
@@ -15,6 +16,8 @@
 const GRACE_MICROS: Micros = 5_000_000;
 /// Time a draining runner keeps saying so before it is stopped.
 const DRAIN_MICROS: Micros = 8_000_000;
+/// Time between two looks whether the cluster is whole.
+const REPAIR_LOOK_MICROS: Micros = 100_000;
 /// Port of all peer listeners.
 pub const PEER_PORT: u16 = 7_000;
 
@@ -32,6 +35,19 @@
             Fault::KillCoordinators { down_ms } => self.kill_coordinators(down_ms, false),
             Fault::PowerLoss { down_ms } => self.kill_coordinators(down_ms, true),
             Fault::Replace { machine, down_ms } => self.replace(&machine, down_ms),
+            Fault::KillOnceRepaired {
+                machine,
+                after_ms,
+                down_ms,
+                loses_disk,
+            } => {
+                let fault = match loses_disk {
+                    true => Fault::LoseDisk { machine, down_ms },
+                    false => Fault::Kill { machine, down_ms },
+                };
+                let until = self.now + LONGEST_REPAIR_MS * 1_000;
+                self.await_repair(fault, after_ms * 1_000, until);
+            }
             Fault::KillRunner { machine, down_ms } => {
                 if let Some(runner) = self.runner_on(&machine) {
                     self.kill_runner(runner);
@@ -107,6 +123,11 @@
                     operator.wanted += count;
                 }
             }
+            Fault::InvalidConfiguration => {
+                if let Some(operator) = self.operators.last_mut() {
+                    operator.wanted_invalid += 1;
+                }
+            }
             Fault::CancelBatch { count } => self.cancel_some(count),
             Fault::Burst {
                 caller,
@@ -181,6 +202,48 @@
         }
     }
 
+    /// Carries a fault out some time after the cluster is whole, if that is
+    /// before `until`.
+    pub(crate) fn await_repair(&mut self, fault: Fault, after: Micros, until: Micros) {
+        if self.is_whole() {
+            self.schedule_in(after, Event::Fault(fault));
+        } else if self.now < until {
+            let event = Event::AwaitRepair {
+                fault,
+                after,
+                until,
+            };
+            self.schedule_in(REPAIR_LOOK_MICROS, event);
+        }
+    }
+
+    /// True when a leader serves, every voter is up, and there are as many as
+    /// there are coordinators.
+    fn is_whole(&self) -> bool {
+        let wanted = self.coordinators().count();
+        let is_up = |node| {
+            self.coordinators()
+                .any(|process| process.is_up() && process.address.node == node)
+        };
+        self.coordinators().any(|process| {
+            let Some(Core::Coordinator(core)) = &process.core else {
+                return false;
+            };
+            let now = self.machines[process.machine.0].clock(self.now);
+            let voters = core.status(now).map(|status| status.membership.voters);
+            let voters = voters.unwrap_or_default();
+            core.is_serving(now)
+                && voters.len() == wanted
+                && voters.keys().all(|voter| is_up(*voter))
+        })
+    }
+
+    /// Coordinators that are not gone for good.
+    fn coordinators(&self) -> impl Iterator<Item = &Process> {
+        let all = self.processes.iter();
+        all.filter(|process| process.role() == Role::Coordinator && !process.retired)
+    }
+
     /// Retires a coordinator and sets up an empty one at a new address, on a
     /// new machine of the same zone that takes the name.
     fn replace(&mut self, name: &str, down_ms: u64) {
--- a/crates/simulation/src/fleet.rs
+++ b/crates/simulation/src/fleet.rs
@@ -26,7 +26,7 @@
 };
 
 /// Zones of the brief.
-const ZONES: usize = 3;
+pub const ZONES: usize = 3;
 /// Time between hellos of gateways and agents.
 const SESSION_INTERVAL: Milliseconds = Milliseconds(300);
 /// A session ends after this much silence.
@@ -157,6 +157,8 @@
         writes: VecDeque::new(),
         timer: None,
         retired: false,
+        last_identity: None,
+        mutation: world.mutation,
     });
     let at = world.random.random_range(0..1_000_000);
     world.schedule(at, Event::Start(index, DiskState::Empty));
@@ -225,6 +227,8 @@
             open_order: None,
             waiting: false,
             wanted: u32::from(number == 0),
+            wanted_invalid: 0,
+            sends_invalid: false,
             marker: number,
             gateway: number as usize,
         });
--- a/crates/simulation/src/mutation.rs
+++ b/crates/simulation/src/mutation.rs
@@ -4,6 +4,7 @@
 //! them in one list and adds those of the world itself: its disks and its
 //! starts of processes.
 
+use agent::AgentMutation;
 use serde::de::IntoDeserializer;
 use serde::de::value::Error as NameError;
 use serde::{Deserialize, Serialize};
@@ -41,11 +42,21 @@
     AcknowledgeBeforeSync,
     /// A coordinator with an empty disk takes its old identity again.
     KeepIdentityOnEmptyDisk,
+    /// A configuration is taken under any version.
+    AnyConfigurationVersion,
+    /// A resent submit becomes a further job.
+    ResentSubmitIsNew,
+    /// A reservation is not checked again when it is applied.
+    SkipReservationCheck,
+    /// Agents deliver orders of any term.
+    NoAgentTermFence,
+    /// Agents keep orders over a lost session or a freeze.
+    AgentKeepsOrders,
 }
 
 impl Mutation {
     /// Every mutation, in order.
-    pub const ALL: [Self; 13] = [
+    pub const ALL: [Self; 18] = [
         Self::VoteDespiteLeader,
         Self::LeaseFromReply,
         Self::ResendStartInsteadOfVoid,
@@ -59,6 +70,11 @@
         Self::NoSelfStop,
         Self::AcknowledgeBeforeSync,
         Self::KeepIdentityOnEmptyDisk,
+        Self::AnyConfigurationVersion,
+        Self::ResentSubmitIsNew,
+        Self::SkipReservationCheck,
+        Self::NoAgentTermFence,
+        Self::AgentKeepsOrders,
     ];
 
     /// The part of it that is built into consensus.
@@ -78,6 +94,26 @@
             Self::SkipLeaseCheck => Some(coordinator::Mutation::SkipLeaseCheck),
             Self::AcknowledgeBeforeCommit => Some(coordinator::Mutation::AcknowledgeBeforeCommit),
             Self::ExpireRunsEarly => Some(coordinator::Mutation::ExpireRunsEarly),
+            other => other.of_record().map(coordinator::Mutation::Record),
+        }
+    }
+
+    /// The part of it that is built into the record.
+    fn of_record(self) -> Option<record::mutation::Mutation> {
+        use record::mutation::Mutation as OfRecord;
+        match self {
+            Self::AnyConfigurationVersion => Some(OfRecord::AnyConfigurationVersion),
+            Self::ResentSubmitIsNew => Some(OfRecord::ResentSubmitIsNew),
+            Self::SkipReservationCheck => Some(OfRecord::SkipReservationCheck),
+            _ => None,
+        }
+    }
+
+    /// The part of it that is built into the agent.
+    pub fn of_agent(self) -> Option<AgentMutation> {
+        match self {
+            Self::NoAgentTermFence => Some(AgentMutation::NoTermFence),
+            Self::AgentKeepsOrders => Some(AgentMutation::KeepOrdersOverLostSession),
             _ => None,
         }
     }
--- a/crates/simulation/src/operator.rs
+++ b/crates/simulation/src/operator.rs
@@ -9,6 +9,17 @@
 /// How long an operator waits for an answer.
 pub const OPERATOR_TIMEOUT_MS: u64 = 2_000;
 
+/// One in this many documents changes a ceiling.
+const CEILING_EVERY: u32 = 3;
+/// Least slots and accelerators of a changed ceiling: every task still fits.
+const LEAST_SLOTS: u32 = 6;
+const LEAST_GPUS: u32 = 2;
+/// Ceilings go up and down in strides within a range.
+const SLOTS_STEP: u32 = 11;
+const SLOTS_RANGE: u32 = 30;
+const GPUS_STEP: u32 = 5;
+const GPUS_RANGE: u32 = 11;
+
 /// An operator with the changes it still wants to make.
 pub struct OperatorHost {
     /// Its name in the history.
@@ -23,6 +34,10 @@
     pub waiting: bool,
     /// Changes it still wants to make.
     pub wanted: u32,
+    /// Documents it still wants to send that must be refused.
+    pub wanted_invalid: u32,
+    /// The order it has sent, if that must be refused.
+    pub sends_invalid: bool,
     /// Makes each of its documents differ from all others.
     pub marker: u32,
     /// The gateway it uses now.
@@ -30,13 +45,45 @@
 }
 
 impl OperatorHost {
-    /// The next document: the known one with one harmless number changed.
+    /// Settles what to send next, unless an order is open.
+    pub fn choose_order(&mut self) {
+        if self.open_order.is_some() {
+            return;
+        }
+        let version = self.known.next();
+        if self.wanted > 0 {
+            self.wanted -= 1;
+            self.sends_invalid = false;
+            self.open_order = Some((version, self.next_document()));
+        } else if self.wanted_invalid > 0 {
+            self.wanted_invalid -= 1;
+            self.sends_invalid = true;
+            self.open_order = Some((version, self.invalid_document()));
+        }
+    }
+
+    /// The next document: the known one with other bursts, and every third
+    /// time another ceiling for one tenant, up or down.
     pub fn next_document(&mut self) -> ClusterConfiguration {
         let mut document = self.document.clone();
         self.marker += 2;
         for tenant in document.tenants.values_mut() {
             tenant.submit_burst = 10_000 + self.marker;
         }
+        if self.marker.is_multiple_of(CEILING_EVERY) {
+            let chosen = self.marker as usize % document.tenants.len().max(1);
+            if let Some(tenant) = document.tenants.values_mut().nth(chosen) {
+                tenant.ceiling.slots = LEAST_SLOTS + self.marker * SLOTS_STEP % SLOTS_RANGE;
+                tenant.ceiling.gpus = LEAST_GPUS + self.marker * GPUS_STEP % GPUS_RANGE;
+            }
+        }
+        document
+    }
+
+    /// A document that must be refused: its queues are bound to no pool.
+    pub fn invalid_document(&mut self) -> ClusterConfiguration {
+        let mut document = self.next_document();
+        document.pools.clear();
         document
     }
 }
--- a/crates/simulation/src/plan.rs
+++ b/crates/simulation/src/plan.rs
@@ -121,6 +121,18 @@
         /// Time until the new one is started.
         down_ms: u64,
     },
+    /// Waits until the cluster is whole again, all its voters up, and then
+    /// takes a coordinator: the second loss right after a repair.
+    KillOnceRepaired {
+        /// The machine.
+        machine: String,
+        /// Time between the repair and the loss.
+        after_ms: u64,
+        /// Time until it is started again.
+        down_ms: u64,
+        /// True when its disk is empty then.
+        loses_disk: bool,
+    },
     /// A machine stands still and wakes; its clocks have gone on.
     Freeze {
         /// The machine.
@@ -173,7 +185,8 @@
         /// For how long.
         for_ms: u64,
     },
-    /// The wall clock of a gateway's or side machine steps.
+    /// The wall clock of a machine steps. Start times are judged by the
+    /// leader's clock: coordinators may step by little only.
     ClockStep {
         /// The machine.
         machine: String,
@@ -210,6 +223,8 @@
         /// How many.
         count: u32,
     },
+    /// An operator sends a configuration that must be refused.
+    InvalidConfiguration,
     /// Callers cancel some of their unfinished jobs at once.
     CancelBatch {
         /// How many.
@@ -319,6 +334,7 @@
             | Self::Stop { machine, .. }
             | Self::LoseDisk { machine, .. }
             | Self::Replace { machine, .. }
+            | Self::KillOnceRepaired { machine, .. }
             | Self::Freeze { machine, .. }
             | Self::Cut { machine, .. }
             | Self::LateOrders { machine, .. }
@@ -333,6 +349,7 @@
             | Self::Weather { .. }
             | Self::RaceOperators
             | Self::ConfigurationStorm { .. }
+            | Self::InvalidConfiguration
             | Self::CancelBatch { .. }
             | Self::Burst { .. } => Vec::new(),
         }
--- a/crates/simulation/src/planner.rs
+++ b/crates/simulation/src/planner.rs
@@ -44,13 +44,14 @@
 pub fn plan_from_seed(seed: u64, options: &PlannerOptions) -> Plan {
     let mut random = ChaCha8Rng::seed_from_u64(seed ^ PLANNER_STREAM);
     let count = random.random_range(1..=options.most_faults.max(1));
-    let mut faults: Vec<PlannedFault> = (0..count)
-        .map(|_| {
-            let at_ms = random.random_range(0..options.load_ms);
-            let fault = draw_fault(&mut random, &options.fleet);
-            PlannedFault { at_ms, fault }
-        })
-        .collect();
+    let mut faults = Vec::new();
+    for _ in 0..count {
+        let at_ms = random.random_range(0..options.load_ms);
+        let fault = draw_fault(&mut random, &options.fleet);
+        let companion = draw_companion(&mut random, &options.fleet, at_ms, &fault);
+        faults.push(PlannedFault { at_ms, fault });
+        faults.extend(companion);
+    }
     faults.sort_by_key(|planned| planned.at_ms);
     keep_one_disk_loss_at_a_time(&mut faults);
     Plan {
@@ -74,6 +75,10 @@
     let mut majority_busy: Vec<(u64, u64)> = Vec::new();
     let mut disk_lost: Vec<u64> = Vec::new();
     for planned in faults.drain(..) {
+        if is_second_loss(&planned.fault) {
+            keep_second_loss(planned, &mut kept, &mut majority_busy, &mut disk_lost);
+            continue;
+        }
         let from = planned.at_ms;
         let until = from + crate::run::lasts_ms(&planned.fault) + REPAIR_MS;
         let takes_disk = matches!(
@@ -100,6 +105,31 @@
     *faults = kept;
 }
 
+fn is_second_loss(fault: &Fault) -> bool {
+    matches!(fault, Fault::KillOnceRepaired { .. })
+}
+
+/// A second loss waits for the repair of the first one, which stands right
+/// before it; it is kept with it, and takes the core for as long.
+fn keep_second_loss(
+    planned: PlannedFault,
+    kept: &mut Vec<PlannedFault>,
+    majority_busy: &mut Vec<(u64, u64)>,
+    disk_lost: &mut Vec<u64>,
+) {
+    let follows = kept.last().is_some_and(|first| {
+        let takes_disk = matches!(first.fault, Fault::LoseDisk { .. } | Fault::Replace { .. });
+        takes_disk && first.at_ms == planned.at_ms
+    });
+    if !follows {
+        return;
+    }
+    let until = planned.at_ms + crate::run::lasts_ms(&planned.fault) + REPAIR_MS;
+    majority_busy.push((planned.at_ms, until));
+    disk_lost.push(until);
+    kept.push(planned);
+}
+
 fn touches_coordinator(fault: &Fault) -> bool {
     let whole_core = matches!(
         fault,
@@ -112,8 +142,45 @@
             .any(|name| name.starts_with("coordinator"))
 }
 
+/// Faults come together: after a lost disk a second loss, after a storm of
+/// configurations a restart of all, and after one in three of the rest any
+/// other, within two seconds.
+fn draw_companion(
+    random: &mut ChaCha8Rng,
+    fleet: &FleetSize,
+    at_ms: u64,
+    fault: &Fault,
+) -> Option<PlannedFault> {
+    match fault {
+        Fault::LoseDisk { .. } | Fault::Replace { .. } if random.random_range(0..2) == 0 => {
+            let fault = Fault::KillOnceRepaired {
+                machine: coordinator(random, fleet),
+                after_ms: random.random_range(0..8_000),
+                down_ms: down(random),
+                loses_disk: random.random_range(0..2) == 0,
+            };
+            Some(PlannedFault { at_ms, fault })
+        }
+        Fault::ConfigurationStorm { .. } if random.random_range(0..2) == 0 => {
+            let down_ms = down(random);
+            let fault = match random.random_range(0..2) {
+                0 => Fault::KillCoordinators { down_ms },
+                _ => Fault::PowerLoss { down_ms },
+            };
+            let at_ms = at_ms + random.random_range(0..10_000);
+            Some(PlannedFault { at_ms, fault })
+        }
+        _ if random.random_range(0..3) == 0 => {
+            let fault = draw_fault(random, fleet);
+            let at_ms = at_ms + random.random_range(0..2_000);
+            Some(PlannedFault { at_ms, fault })
+        }
+        _ => None,
+    }
+}
+
 fn draw_fault(random: &mut ChaCha8Rng, fleet: &FleetSize) -> Fault {
-    match random.random_range(0..20) {
+    match random.random_range(0..26) {
         0..=1 => Fault::Kill {
             machine: any_machine(random, fleet),
             down_ms: down(random),
@@ -182,7 +249,31 @@
         },
         17 => Fault::RaceOperators,
         18 => Fault::ConfigurationStorm {
-            count: random.random_range(1..40),
+            count: random.random_range(1..300),
+        },
+        19 => Fault::InvalidConfiguration,
+        20 => Fault::Burst {
+            caller: random.random_range(0..2),
+            times: random.random_range(2..=20),
+            for_ms: random.random_range(200..4_000),
+        },
+        21 => Fault::Split {
+            machines: zone(random, fleet),
+            for_ms: long(random),
+        },
+        22 => Fault::ClockStep {
+            machine: side(random, fleet),
+            by_ms: random.random_range(-30_000..30_000),
+        },
+        23 => Fault::ClockStep {
+            machine: coordinator(random, fleet),
+            by_ms: random.random_range(-30..30),
+        },
+        24 => Fault::LateOrders {
+            machine: side(random, fleet),
+            delay_ms: random.random_range(0..100),
+            loss_per_thousand: random.random_range(0..900),
+            for_ms: long(random),
         },
         _ => Fault::CancelBatch {
             count: random.random_range(1..40),
@@ -220,6 +311,16 @@
     format!("coordinator-{}", random.random_range(0..fleet.coordinators))
 }
 
+/// All machines of one zone.
+fn zone(random: &mut ChaCha8Rng, fleet: &FleetSize) -> Vec<String> {
+    let zone = random.random_range(0..crate::fleet::ZONES);
+    let names = fleet.machine_names().into_iter().enumerate();
+    names
+        .filter(|(position, _)| position % crate::fleet::ZONES == zone)
+        .map(|(_, name)| name)
+        .collect()
+}
+
 fn side(random: &mut ChaCha8Rng, fleet: &FleetSize) -> String {
     let sides = fleet.stills_runners + fleet.documents_runners;
     format!("side-{}", random.random_range(0..sides))
--- a/crates/simulation/src/process.rs
+++ b/crates/simulation/src/process.rs
@@ -1,6 +1,7 @@
 //! Daemon processes: the roles' cores behind one shape, and the disk of a
 //! coordinator.
 
+use crate::Mutation;
 use crate::event::{DiskState, Life};
 use crate::machine::MachineIndex;
 use crate::network::Micros;
@@ -126,6 +127,10 @@
     pub timer: Option<Micros>,
     /// True when it is gone for good.
     pub retired: bool,
+    /// The identity that its disk had last.
+    pub last_identity: Option<Identity>,
+    /// The mechanism turned off in it.
+    pub mutation: Option<Mutation>,
 }
 
 impl Process {
@@ -160,7 +165,12 @@
             Settings::Agent(mut options) => {
                 options.address = self.address.clone();
                 options.seed = seed;
-                Core::Agent(Box::new(Agent::new(options, now)))
+                let agent = Agent::new(options, now);
+                let mutation = self.mutation.and_then(Mutation::of_agent);
+                Core::Agent(Box::new(match mutation {
+                    Some(mutation) => agent.with_mutation(mutation),
+                    None => agent,
+                }))
             }
             Settings::Coordinator(options) => self.open_coordinator(options, now, seed, disk)?,
         };
@@ -179,7 +189,13 @@
             (DiskSlot::Closed(disk), DiskState::Kept) => disk,
             _ => MemoryDisk::default(),
         };
-        let opened = Store::open(disk)?;
+        let mut opened = Store::open(disk)?;
+        if self.mutation == Some(Mutation::KeepIdentityOnEmptyDisk) && opened.identity.is_none() {
+            opened.identity = self.last_identity.clone();
+            if let Some(identity) = &opened.identity {
+                opened.store.save_identity(identity)?;
+            }
+        }
         self.disk = DiskSlot::Open(Box::new(opened.store));
         if let Some(identity) = &opened.identity {
             self.address.node = identity.node;
@@ -220,6 +236,8 @@
             writes: VecDeque::new(),
             timer: None,
             retired: false,
+            last_identity: None,
+            mutation: self.mutation,
         }
     }
 
@@ -260,9 +278,11 @@
             Write::Batch { number, batch } => {
                 store.write(&batch).map(|()| Input::Persisted(number))
             }
-            Write::Identity(identity) => store
-                .save_identity(&identity)
-                .map(|()| Input::IdentitySaved),
+            Write::Identity(identity) => {
+                let saved = store.save_identity(&identity);
+                self.last_identity = Some(identity);
+                saved.map(|()| Input::IdentitySaved)
+            }
         })
     }
 }
--- a/crates/simulation/src/run.rs
+++ b/crates/simulation/src/run.rs
@@ -14,6 +14,8 @@
 const FIRST_SERVICE_MICROS: Micros = 60_000_000;
 /// Time the run goes on after the last job ended.
 const AFTERGLOW_MICROS: Micros = 3_000_000;
+/// A second loss waits this long for a repair.
+pub const LONGEST_REPAIR_MS: u64 = 15_000;
 /// Time between two looks whether the run is over.
 const LOOK_MICROS: Micros = 250_000;
 
@@ -104,6 +106,9 @@
         | Fault::Replace { down_ms, .. }
         | Fault::KillRunner { down_ms, .. } => *down_ms,
         Fault::Stop { down_ms, .. } => down_ms + 5_000,
+        Fault::KillOnceRepaired {
+            after_ms, down_ms, ..
+        } => LONGEST_REPAIR_MS + after_ms + down_ms,
         Fault::DrainRunner { down_ms, .. } => down_ms + 8_000,
         Fault::Freeze { for_ms, .. }
         | Fault::Cut { for_ms, .. }
@@ -116,6 +121,7 @@
         Fault::ClockStep { .. }
         | Fault::RaceOperators
         | Fault::ConfigurationStorm { .. }
+        | Fault::InvalidConfiguration
         | Fault::CancelBatch { .. } => 0,
     }
 }
--- a/crates/simulation/src/world.rs
+++ b/crates/simulation/src/world.rs
@@ -56,6 +56,8 @@
     pub mutation: Option<Mutation>,
     /// When callers stop sending new jobs.
     pub load_until: Micros,
+    /// Newest configuration acknowledged to any operator.
+    pub newest_acknowledged: types::ConfigurationVersion,
     /// A daemon that could not go on, and why.
     pub broken: Vec<String>,
     /// Events handled.
@@ -84,6 +86,7 @@
             decisions: Vec::new(),
             mutation: None,
             load_until: 0,
+            newest_acknowledged: types::ConfigurationVersion(0),
             broken: Vec::new(),
             handled: 0,
             queue: BinaryHeap::new(),
@@ -147,6 +150,11 @@
             Event::GraceOver(process, life) => self.grace_over(process, life),
             Event::Wake(machine) => self.wake(machine),
             Event::Fault(fault) => self.apply_fault(fault),
+            Event::AwaitRepair {
+                fault,
+                after,
+                until,
+            } => self.await_repair(fault, after, until),
             Event::Heal => self.heal(),
             Event::BurstOver(caller) => self.callers[caller].times = 1,
             other => self.handle_outside(other),
--- a/crates/simulation/src/world_http.rs
+++ b/crates/simulation/src/world_http.rs
@@ -17,6 +17,8 @@
 
 /// Time between two reads of the configuration at all gateways.
 const READ_MICROS: Micros = 400_000;
+/// Payload of a task that fails each time.
+const FAILING_PAYLOAD: &str = r#"{"duration_ms":80,"fail":true}"#;
 /// Delay between a caller and a gateway.
 const OUTSIDE_MICROS: (Micros, Micros) = (400, 1_500);
 
@@ -94,6 +96,7 @@
         let now = self.outside_clock();
         let mut spec = self.callers[caller].workload.next_job();
         self.sometimes_later(&mut spec);
+        self.sometimes_unusual(&mut spec);
         let key = JobKey {
             tenant: spec.tenant.clone(),
             job: spec.job.clone(),
@@ -116,6 +119,25 @@
         }
     }
 
+    /// One job in a hundred and twenty can never succeed, and two allow two
+    /// copies of each task.
+    fn sometimes_unusual(&mut self, spec: &mut JobSpec) {
+        match self.random.random_range(0..120) {
+            0 => {
+                for step in &mut spec.steps {
+                    step.payload = FAILING_PAYLOAD.to_owned();
+                    step.allowed_failures = 1;
+                }
+            }
+            1..=2 => {
+                for step in &mut spec.steps {
+                    step.max_copies = 2;
+                }
+            }
+            _ => {}
+        }
+    }
+
     /// The clock of callers and operators.
     fn outside_clock(&self) -> types::Monotonic {
         types::Monotonic(self.now / 1_000)
@@ -304,16 +326,15 @@
 
     fn operator_acts(&mut self, operator: usize) {
         self.schedule_in(OPERATOR_INTERVAL_MS * 1_000, Event::OperatorTimer(operator));
+        self.operator_sends(operator);
+    }
+
+    /// Sends the operator's open order, or its next one.
+    fn operator_sends(&mut self, operator: usize) {
         if self.operators[operator].waiting {
             return;
         }
-        if self.operators[operator].open_order.is_none() && self.operators[operator].wanted > 0 {
-            let host = &mut self.operators[operator];
-            host.wanted -= 1;
-            let version = host.known.next();
-            let document = host.next_document();
-            host.open_order = Some((version, document));
-        }
+        self.operators[operator].choose_order();
         let gateway = self.operators[operator].gateway;
         let Some((version, document)) = self.operators[operator].open_order.clone() else {
             return;
@@ -324,6 +345,9 @@
             digest: digest(&document),
         };
         self.observe(name, seen);
+        if !self.operators[operator].sends_invalid {
+            self.note_sent_ceilings(&document);
+        }
         self.operators[operator].waiting = true;
         let waiting = Waiting::Configure { operator };
         let operation = Operation::PutConfiguration { version, document };
@@ -342,8 +366,17 @@
                 self.operators[operator].known = version;
                 let digest = digest(&document);
                 self.observe(name, Seen::ConfigurationAcknowledged { version, digest });
-                self.note_ceilings(&document);
+                // An acknowledgement may come after that of a newer version.
+                if version > self.newest_acknowledged {
+                    self.newest_acknowledged = version;
+                    self.note_ceilings(&document);
+                }
+                if self.operators[operator].sends_invalid {
+                    let problem = format!("invalid configuration {version} was acknowledged");
+                    self.broken.push(problem);
+                }
                 self.operators[operator].document = document;
+                self.operator_sends(operator);
             }
             Err(refusal) => {
                 let seen = Seen::ConfigurationRefused {
@@ -357,6 +390,16 @@
         }
     }
 
+    fn note_sent_ceilings(&mut self, document: &configuration::ClusterConfiguration) {
+        for (tenant, settings) in &document.tenants {
+            let seen = Seen::CeilingSent {
+                tenant: tenant.clone(),
+                ceiling: settings.ceiling,
+            };
+            self.observe("operator", seen);
+        }
+    }
+
     fn note_ceilings(&mut self, document: &configuration::ClusterConfiguration) {
         for (tenant, settings) in &document.tenants {
             let seen = Seen::CeilingInForce {
--- a/crates/simulation/src/world_runner.rs
+++ b/crates/simulation/src/world_runner.rs
@@ -8,7 +8,7 @@
 use checker::Event as Seen;
 use rand::Rng;
 use standin::runner::{Behaviour, RunnerEvent, RunnerInstruction};
-use types::{Milliseconds, Outcome, RunnerOrder};
+use types::{Milliseconds, OrderKind, Outcome, RunnerOrder};
 
 /// Time between a runner's heartbeats.
 pub const HEARTBEAT_MICROS: Micros = 200_000;
@@ -229,6 +229,16 @@
         let machine = self.runners[runner].machine;
         let now = self.machines[machine.0].clock(self.now).monotonic;
         let id = self.runners[runner].id().clone();
+        if self.runners[runner].runner.is_none() {
+            return;
+        }
+        if let OrderKind::Start { run, .. } = &order.kind {
+            let seen = Seen::StartDelivered {
+                runner: id.clone(),
+                run: run.run,
+            };
+            self.observe(id.as_str(), seen);
+        }
         let Some(inner) = &mut self.runners[runner].runner else {
             return;
         };
--- /dev/null
+++ b/crates/simulation/tests/plans.rs
@@ -0,0 +1,76 @@
+//! Plans as text, and cutting them down.
+
+use checker::ViolationKind;
+use simulation::{
+    Fault, Mutation, Plan, PlanError, PlannedFault, PlannerOptions, plan_from_seed, run_plan,
+    shrink,
+};
+
+#[test]
+fn a_plan_is_the_same_after_its_text() {
+    for seed in 0..200 {
+        let mut plan = plan_from_seed(seed, &PlannerOptions::default());
+        plan.mutation = Mutation::ALL.get(seed as usize).copied();
+        let text = plan.to_text().unwrap();
+        assert_eq!(Plan::parse(&text).unwrap(), plan, "{text}");
+    }
+}
+
+#[test]
+fn a_mutation_is_read_by_the_name_it_shows() {
+    for mutation in Mutation::ALL {
+        assert_eq!(mutation.to_string().parse(), Ok(mutation));
+    }
+    assert!("no_such_mechanism".parse::<Mutation>().is_err());
+}
+
+#[test]
+fn a_machine_that_the_fleet_lacks_is_named() {
+    let text =
+        "seed = 1\n[[faults]]\nat_ms = 5\nfault = \"freeze\"\nmachine = \"side-99\"\nfor_ms = 1\n";
+    let error = Plan::parse(text).unwrap_err();
+    assert!(matches!(
+        error,
+        PlanError::UnknownMachine { position: 1, .. }
+    ));
+    assert_eq!(
+        error.to_string(),
+        "fault 1: the fleet has no machine side-99"
+    );
+}
+
+#[test]
+fn a_text_that_is_no_plan_is_refused_with_its_place() {
+    for (text, named) in [
+        ("seed = 1\nload = 3\n", "load"),
+        (
+            "seed = 1\n[[faults]]\nat_ms = 5\nfault = \"melt\"\n",
+            "melt",
+        ),
+        ("seed = 1\nmutation = \"none_such\"\n", "none_such"),
+        ("load_ms = 3\n", "seed"),
+    ] {
+        let error = Plan::parse(text).unwrap_err().to_string();
+        assert!(error.contains(named), "{error}");
+    }
+}
+
+fn harmless(at_ms: u64) -> PlannedFault {
+    let fault = Fault::CancelBatch { count: 1 };
+    PlannedFault { at_ms, fault }
+}
+
+#[test]
+fn shrinking_leaves_the_fault_that_matters() {
+    let text = include_str!("plans/any_configuration_version.toml");
+    let mut plan = Plan::parse(text).unwrap();
+    plan.mutation = Some(Mutation::AnyConfigurationVersion);
+    for at_ms in [500, 700, 2_500, 3_500] {
+        plan.faults.push(harmless(at_ms));
+    }
+    plan.faults.sort_by_key(|planned| planned.at_ms);
+    let fails = |plan: &Plan| run_plan(plan).breaks(ViolationKind::TwoWinners);
+    let smallest = shrink(&plan, 60, fails);
+    assert_eq!(smallest.faults.len(), 1, "{smallest:?}");
+    assert_eq!(smallest.faults[0].fault, Fault::RaceOperators);
+}
