--- a/crates/agent/src/core/interface.rs
+++ b/crates/agent/src/core/interface.rs
@@ -42,7 +42,7 @@
     Tick,
     /// A message arrived.
     Peer(Envelope),
-    /// A runner's heartbeat arrived. The answer is [`Agent::heartbeat_answer`],
+    /// A runner's heartbeat arrived. The answer is [`crate::Agent::heartbeat_answer`],
     /// asked for right after.
     Heartbeat(RunnerReport),
     /// A runner answered an order, or its connection failed
--- a/crates/api/src/configuration.rs
+++ b/crates/api/src/configuration.rs
@@ -346,7 +346,7 @@
 
 impl ConfigurationBody {
     /// The document, once its keys are found whole. Whether it makes sense is
-    /// [`configuration::validate`]'s to say.
+    /// [`configuration::validate()`]'s to say.
     pub fn into_document(self) -> Result<ClusterConfiguration, BodyError> {
         let numbered = self.keys.into_iter().enumerate();
         let keys = numbered
--- a/crates/api/src/decision.rs
+++ b/crates/api/src/decision.rs
@@ -207,45 +207,7 @@
 
 impl From<DecisionEntry> for DecisionLine {
     fn from(entry: DecisionEntry) -> Self {
-        let (at, event) = match entry.event {
-            DecisionEvent::Dispatch(decision) => (decision.at, dispatched(decision)),
-            DecisionEvent::Ordered {
-                run,
-                task,
-                runner,
-                at,
-            } => (
-                at,
-                EventBody::Ordered {
-                    run: run.to_string(),
-                    task: task.to_string(),
-                    runner,
-                },
-            ),
-            DecisionEvent::Closed {
-                run,
-                task,
-                runner,
-                close,
-                at,
-            } => (
-                at,
-                EventBody::Closed {
-                    run: run.to_string(),
-                    task: task.to_string(),
-                    runner,
-                    outcome: Close::from(&close),
-                    message: failure_message(close),
-                },
-            ),
-            DecisionEvent::JobEnded { state, at } => (
-                at,
-                EventBody::JobEnded {
-                    state: state.into(),
-                },
-            ),
-        };
-        let WallTime(at_ms) = at;
+        let (WallTime(at_ms), event) = timed(entry.event);
         Self {
             number: entry.number,
             term: entry.term.0,
@@ -256,6 +218,46 @@
     }
 }
 
+/// When it happened, and what.
+fn timed(event: DecisionEvent) -> (WallTime, EventBody) {
+    match event {
+        DecisionEvent::Dispatch(decision) => (decision.at, dispatched(decision)),
+        DecisionEvent::Ordered {
+            run,
+            task,
+            runner,
+            at,
+        } => {
+            let event = EventBody::Ordered {
+                run: run.to_string(),
+                task: task.to_string(),
+                runner,
+            };
+            (at, event)
+        }
+        DecisionEvent::Closed {
+            run,
+            task,
+            runner,
+            close,
+            at,
+        } => {
+            let event = EventBody::Closed {
+                run: run.to_string(),
+                task: task.to_string(),
+                runner,
+                outcome: Close::from(&close),
+                message: failure_message(close),
+            };
+            (at, event)
+        }
+        DecisionEvent::JobEnded { state, at } => {
+            let state = state.into();
+            (at, EventBody::JobEnded { state })
+        }
+    }
+}
+
 fn dispatched(decision: Decision) -> EventBody {
     let Decision {
         queue,
--- a/crates/record/src/state.rs
+++ b/crates/record/src/state.rs
@@ -1,7 +1,7 @@
 //! The record's state.
 //!
 //! The jobs, open runs, configuration and operators' words are the state
-//! proper; everything in [`Indexes`] follows from them and is built anew from
+//! proper; everything in `Indexes` follows from them and is built anew from
 //! a snapshot. With the indexes every command costs its own size times the
 //! logarithm of the state, never a walk over all jobs.
 
