--- a/crates/coordinator/src/requests.rs
+++ b/crates/coordinator/src/requests.rs
@@ -2,7 +2,8 @@
 
 use crate::Coordinator;
 use crate::core::{Effect, Sender};
-use crate::leader::{Leader, Waiting, WaitingRequest};
+use crate::leader::{Leader, Waiting};
+use crate::waiting::WaitingRequest;
 use configuration::{ClusterConfiguration, validate};
 use peer::{MemberView, Operation, OperationReply, Refusal, RefusalCode, Request};
 use record::{ClosedRun, Command, CommandReply, Record, RecordRefusal};
@@ -56,24 +57,21 @@
             deadline: now.monotonic + request.time_left,
             declares_lost: false,
         };
+        if self.requests.refresh(&waiting) {
+            return;
+        }
+        let at = now.wall;
         let answer = match request.operation {
             Operation::ListMembers => Some(Ok(OperationReply::Members(members))),
             Operation::Submit(spec) => self.submit(record, spec, waiting, now),
             Operation::Cancel(selector) => {
-                let at = now.wall;
                 self.propose_request(Command::Cancel { selector, at }, waiting)
             }
             Operation::PutConfiguration { version, document } => {
                 self.put_configuration(version, document, waiting, now)
             }
             Operation::DrainRunner { runner, draining } => {
-                let at = now.wall;
-                let command = Command::SetRunnerDraining {
-                    runner,
-                    draining,
-                    at,
-                };
-                self.propose_request(command, waiting)
+                self.drain_runner(runner, draining, waiting, now)
             }
             Operation::DeclareRunnerLost { runner } => self.declare_lost(&runner, waiting, now),
             read => Some(self.read(record, read, now)),
@@ -85,7 +83,7 @@
 
     /// Collects a request's command; the answer comes when it is applied.
     fn propose_request(&mut self, command: Command, waiting: WaitingRequest) -> Answer {
-        if self.waiting_requests() >= self.options.max_waiting_requests {
+        if self.requests.len() >= self.options.max_waiting_requests {
             metrics::counter!("cypressdrum_requests_refused_total").increment(1);
             return Some(Err(Refusal {
                 code: RefusalCode::Overloaded,
@@ -94,7 +92,8 @@
                 problems: Vec::new(),
             }));
         }
-        self.propose(command, Waiting::Request(waiting));
+        let key = self.requests.insert(waiting);
+        self.propose(command, Waiting::Request(key));
         None
     }
 
@@ -167,6 +166,22 @@
         self.propose_request(command, waiting)
     }
 
+    fn drain_runner(
+        &mut self,
+        runner: RunnerId,
+        draining: bool,
+        waiting: WaitingRequest,
+        now: Now,
+    ) -> Answer {
+        let at = now.wall;
+        let command = Command::SetRunnerDraining {
+            runner,
+            draining,
+            at,
+        };
+        self.propose_request(command, waiting)
+    }
+
     /// Closes every open run of a runner that an operator says is gone.
     fn declare_lost(&mut self, runner: &RunnerId, mut waiting: WaitingRequest, now: Now) -> Answer {
         let runs: Vec<ClosedRun> = self
--- a/crates/storage/tests/real_disk.rs
+++ b/crates/storage/tests/real_disk.rs
@@ -3,7 +3,7 @@
 
 mod common;
 
-use common::{history, open, states};
+use common::{history, identity, open, states};
 use std::path::PathBuf;
 use storage::{Disk, RealDisk, StorageError};
 
@@ -21,6 +21,9 @@
     for (position, batch) in batches.iter().enumerate() {
         let mut opened = open(RealDisk::open(&folder).unwrap());
         assert_eq!(opened.recovered, states[position]);
+        if position == 0 {
+            opened.store.save_identity(&identity(1)).unwrap();
+        }
         opened.store.write(batch).unwrap();
     }
     let opened = open(RealDisk::open(&folder).unwrap());
@@ -40,6 +43,24 @@
     RealDisk::open(&folder).unwrap();
 }
 
+#[test]
+fn folders_below_one_missing_parent_are_made_at_once() {
+    for round in 0..50 {
+        let parent = fresh_folder("race").join(format!("round-{round}"));
+        let start = std::sync::Barrier::new(4);
+        std::thread::scope(|scope| {
+            for number in 0..4 {
+                let folder = parent.join(format!("data-{number}"));
+                let start = &start;
+                scope.spawn(move || {
+                    start.wait();
+                    RealDisk::open(folder).unwrap();
+                });
+            }
+        });
+    }
+}
+
 #[test]
 fn files_change_as_asked() {
     let mut disk = RealDisk::open(fresh_folder("files")).unwrap();
