--- a/crates/session/src/client.rs
+++ b/crates/session/src/client.rs
@@ -77,6 +77,8 @@
     /// A client that knows its seeds only.
     pub fn new(options: SessionOptions, now: Now) -> Self {
         let mut random = ChaCha8Rng::seed_from_u64(options.seed ^ options.address.node.0);
+        // Drawn, so that leases for an earlier process at the same socket answer
+        // no hello of this one.
         let first_sequence = u64::from(random.random::<u32>()) << 16;
         Self {
             directory: Directory::new(options.address.clone()),
