Replay lines of input through one coordinator core

Cause: there was no way to try a configuration on recorded input, or to drive the scheduler from a program as a stream.

Ruled out: playing the gateway and agent cores as well, whose retries add time that no input line gave; looking ahead in the input for the answers of orders, which a stream cannot do, so an answer is given before its order; repeating heartbeats, which would hide silence.

Change: crate replay drives the daemon's core as a cluster of one voter on a virtual clock with one seed; the command replay reads JSON lines and prints decisions, answers, orders and a summary, flushed a line at a time. A bad line ends it with its number and code 2.

Before: no such command.

--- a/crates/cypressdrum/src/cli.rs
+++ b/crates/cypressdrum/src/cli.rs
@@ -2,7 +2,8 @@
 
 use crate::client::{self, ClientArguments};
 use crate::daemon::{self, AgentFlags, CoordinatorFlags, GatewayFlags};
-use crate::{Exit, check, exit, key};
+use crate::replay::ReplayArguments;
+use crate::{Exit, check, exit, key, replay};
 use clap::{CommandFactory, Parser, Subcommand};
 use std::path::PathBuf;
 
@@ -32,6 +33,8 @@
         /// The history.
         file: PathBuf,
     },
+    /// Drive a coordinator through a stream of inputs in virtual time.
+    Replay(ReplayArguments),
     /// Make bearer keys.
     Key {
         /// What to do.
@@ -53,6 +56,7 @@
         Command::Agent(flags) => daemon::run(&flags),
         Command::Client(arguments) => client::run(arguments),
         Command::Check { file } => check::run(&file),
+        Command::Replay(arguments) => replay::run(&arguments),
         Command::Key { command } => key::run(command),
         Command::Completions { shell } => print_completions(shell),
     }
--- a/crates/cypressdrum/src/lib.rs
+++ b/crates/cypressdrum/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod exit;
 pub mod key;
 pub mod output;
+pub mod replay;
 
 pub use cli::{Arguments, Command, run};
 pub use exit::Exit;
--- a/crates/cypressdrum/tests/arguments.rs
+++ b/crates/cypressdrum/tests/arguments.rs
@@ -37,6 +37,8 @@
         "cypressdrum explain poster sheet-1",
         "cypressdrum members --timeout-ms 500",
         "cypressdrum check history.jsonl",
+        "cypressdrum replay day.jsonl --seed 7 --output decisions.jsonl",
+        "cypressdrum replay -",
         "cypressdrum key new editors --role caller --tenant editors",
         "cypressdrum completions bash",
     ] {
