Count messages between daemons by kind

Cause: what a daemon costs its network could be worked out from totals only, without saying which message carries it. Change: messages and framed bytes are counted by kind, as sent and received. Ruled out: counting at the cores, which do not know the encoded length. Before: two totals a daemon.

--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -80,6 +80,29 @@
     Relay(Relay),
 }
 
+impl PeerMessage {
+    /// Its kind, as metrics name it.
+    pub fn kind(&self) -> &'static str {
+        match self {
+            Self::Discover => "discover",
+            Self::Members(_) => "members",
+            Self::Bootstrap(_) => "bootstrap",
+            Self::Raft { .. } => "raft",
+            Self::Hello(_) => "hello",
+            Self::Lease(_) => "lease",
+            Self::NotLeader { .. } => "not_leader",
+            Self::Configuration { .. } => "configuration",
+            Self::Request(_) => "request",
+            Self::Reply(_) => "reply",
+            Self::AgentReport(_) => "agent_report",
+            Self::RunnerUpdate(_) => "runner_update",
+            Self::Orders { .. } => "orders",
+            Self::OrderResults { .. } => "order_results",
+            Self::Relay(_) => "relay",
+        }
+    }
+}
+
 /// A member view.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Members {
--- a/crates/peer/src/transport/incoming.rs
+++ b/crates/peer/src/transport/incoming.rs
@@ -4,6 +4,7 @@
 use super::connection::{ABANDONED_TIMEOUT, ACKNOWLEDGE_INTERVAL, WRITE_TIMEOUT, accept, within};
 use super::frame::{Channel, FrameError};
 use super::handshake::{HandshakeError, Proven};
+use super::traffic::count_received;
 use super::{Context, stopped};
 use crate::Envelope;
 use std::net::SocketAddr;
@@ -129,6 +130,7 @@
 
     async fn hand_on(&self, body: &[u8]) {
         metrics::counter!("cypressdrum_peer_messages_received_total").increment(1);
+        let length = body.len();
         let body = match postcard::from_bytes(body) {
             Ok(body) => body,
             Err(error) => {
@@ -136,6 +138,7 @@
                 return;
             }
         };
+        count_received(&body, length);
         let envelope = Envelope {
             from: self.peer.clone(),
             via: None,
--- a/crates/peer/src/transport/mod.rs
+++ b/crates/peer/src/transport/mod.rs
@@ -11,6 +11,7 @@
 mod key;
 mod outgoing;
 mod queue;
+mod traffic;
 
 pub use handshake::PROTOCOL_VERSION;
 pub use key::ClusterKey;
--- a/crates/peer/src/transport/outgoing.rs
+++ b/crates/peer/src/transport/outgoing.rs
@@ -6,6 +6,7 @@
 use super::frame::{Channel, FrameError, OVERHEAD_BYTES};
 use super::handshake::Proven;
 use super::queue::{Queue, count_dropped};
+use super::traffic::count_sent;
 use super::{Context, stopped};
 use crate::{PeerMessage, clock};
 use std::collections::BTreeMap;
@@ -243,6 +244,7 @@
             }
         };
         bytes.reserve(body.len() + OVERHEAD_BYTES);
+        count_sent(message, body.len());
         self.frames.seal(&body, bytes)
     }
 }
