Measure what a fleet costs with hollow workers

Cause: nothing told what a role costs as a fleet grows. Change: `lab capacity` runs real coordinators and gateways with syncing disks, thousands of agent and runner cores in the lab process, an open load, and measures processor, memory, traffic by kind and waits over a window. Ruled out: in-process coordinators (no real processor time of their own).

--- /dev/null
+++ b/crates/lab/src/capacity/hollow.rs
@@ -0,0 +1,284 @@
+//! Hollow workers: real agent and runner cores, thousands to a process.
+//!
+//! Each has its own identity, loopback address, listener and connections, as a
+//! daemon has. Only the HTTP between runner and agent is left out: they call
+//! each other.
+
+use super::observed::Observed;
+use super::plan::{LoadPayload, POOL};
+use crate::LabError;
+use crate::ports::Addresses;
+use agent::{Agent, AgentOptions, Effect, Input};
+use peer::{ClusterKey, Envelope, PeerMessage, Transport, TransportOptions};
+use standin::runner::{Behaviour, Runner, RunnerEvent, RunnerInstruction, RunnerOptions};
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::sync::mpsc;
+use tokio::task::JoinSet;
+use types::{
+    Address, Labels, Milliseconds, Monotonic, NodeId, Now, OrderAnswer, OrderKind, PoolName,
+    RackName, Resources, Role, RunnerId, RunnerIncarnation, RunnerOrder, ZoneName,
+};
+
+/// Time between heartbeats, as the stand-in runners have it.
+const HEARTBEAT_INTERVAL: Milliseconds = Milliseconds(200);
+/// Least time between two heartbeats when runs end one after another.
+const HEARTBEAT_SPACING: Milliseconds = Milliseconds(20);
+/// First group of loopback addresses; those below belong to real daemons.
+const FIRST_GROUP: usize = 100;
+/// Machines in a group of addresses.
+const GROUP_MACHINES: usize = 250;
+/// Agents started at once; the coordinators' unproven connections are bounded.
+const START_BATCH: usize = 20;
+/// Pause between two batches.
+const START_PAUSE: Duration = Duration::from_millis(100);
+/// Messages held for one destination.
+const QUEUE_LENGTH: usize = 1_024;
+/// Longest message, as the daemons have it.
+const MAX_FRAME_BYTES: usize = 8 * 1024 * 1024;
+/// Machines of one rack.
+const RACK_MACHINES: usize = 40;
+/// Zones in turn.
+const ZONES: [&str; 4] = ["zone-a", "zone-b", "zone-c", "zone-d"];
+
+/// What all hollow workers of a trial share.
+#[derive(Debug, Clone)]
+pub struct HollowPlan {
+    /// Peer sockets they are given.
+    pub seeds: Vec<SocketAddr>,
+    /// Key of the cluster.
+    pub key: ClusterKey,
+    /// Room of each runner.
+    pub capacity: Resources,
+    /// Where they note what they see.
+    pub observed: Observed,
+}
+
+/// Running hollow workers; they end when this is dropped.
+#[derive(Debug, Default)]
+pub struct HollowWorkers {
+    tasks: JoinSet<()>,
+}
+
+impl HollowWorkers {
+    /// Starts this many, a few at a time.
+    pub async fn start(plan: &HollowPlan, count: usize) -> Result<Self, LabError> {
+        let addresses = Addresses::default();
+        let mut workers = Self::default();
+        for place in 0..count {
+            let (worker, arriving) = HollowWorker::build(plan, &addresses, place).await?;
+            workers.tasks.spawn(worker.run(arriving));
+            if place % START_BATCH == START_BATCH - 1 {
+                tokio::time::sleep(START_PAUSE).await;
+            }
+        }
+        Ok(workers)
+    }
+}
+
+/// One agent with its runner.
+struct HollowWorker {
+    agent: Agent,
+    runner: Runner,
+    name: RunnerId,
+    transport: Transport,
+    observed: Observed,
+    next_heartbeat: Monotonic,
+    last_heartbeat: Monotonic,
+    is_ready: bool,
+}
+
+impl HollowWorker {
+    async fn build(
+        plan: &HollowPlan,
+        addresses: &Addresses,
+        place: usize,
+    ) -> Result<(Self, mpsc::Receiver<Envelope>), LabError> {
+        let name = format!("hollow-{place}");
+        let wrong = |problem: String| LabError::Runner {
+            runner: name.clone(),
+            problem,
+        };
+        let zone = ZONES[place % ZONES.len()];
+        let own = Address {
+            node: NodeId(rand::random()),
+            role: Role::Agent,
+            zone: ZoneName::new(zone).map_err(|problem| wrong(problem.to_string()))?,
+            socket: SocketAddr::new(address(addresses, place)?, 0),
+        };
+        let options = TransportOptions {
+            listen: own.socket,
+            queue_length: QUEUE_LENGTH,
+            max_frame_bytes: MAX_FRAME_BYTES,
+        };
+        let started = Transport::start(options, plan.key.clone(), own).await;
+        let (transport, arriving) = started.map_err(|problem| wrong(problem.to_string()))?;
+        let runner =
+            runner_options(plan, &name, place).map_err(|problem| wrong(problem.to_string()))?;
+        let now = peer::clock::now();
+        // Heartbeats of a real fleet are spread over the interval.
+        let offset = Milliseconds(place as u64 % HEARTBEAT_INTERVAL.0);
+        let worker = Self {
+            agent: Agent::new(agent_options(plan, &transport, place), now),
+            name: runner.runner.clone(),
+            runner: Runner::new(runner, now.monotonic),
+            transport,
+            observed: plan.observed.clone(),
+            next_heartbeat: now.monotonic + offset,
+            last_heartbeat: now.monotonic,
+            is_ready: false,
+        };
+        Ok((worker, arriving))
+    }
+
+    async fn run(mut self, mut arriving: mpsc::Receiver<Envelope>) {
+        loop {
+            self.advance(peer::clock::now());
+            let pause = self.pause();
+            tokio::select! {
+                Some(envelope) = arriving.recv() => self.take(envelope),
+                () = tokio::time::sleep(pause) => {}
+            }
+        }
+    }
+
+    fn take(&mut self, envelope: Envelope) {
+        let configured = match &envelope.body {
+            PeerMessage::Configuration { version, .. } => Some(*version),
+            _ => None,
+        };
+        let now = peer::clock::now();
+        self.input(now, Input::Peer(envelope));
+        if let Some(version) = configured {
+            self.observed.configured(version, now.monotonic);
+        }
+    }
+
+    fn advance(&mut self, now: Now) {
+        let events = self.runner.tick(now.monotonic);
+        self.note(now, events);
+        if now.monotonic >= self.next_heartbeat {
+            self.heartbeat(now);
+        }
+        if now.monotonic >= self.agent.next_wakeup() {
+            self.input(now, Input::Tick);
+        }
+    }
+
+    fn heartbeat(&mut self, now: Now) {
+        self.last_heartbeat = now.monotonic;
+        self.next_heartbeat = now.monotonic + HEARTBEAT_INTERVAL;
+        let report = self.runner.heartbeat(now.monotonic);
+        self.input(now, Input::Heartbeat(report));
+        let answer = self.agent.heartbeat_answer(&self.name);
+        let instruction = RunnerInstruction {
+            term: answer.term,
+            confirmed: answer.confirmed,
+            incarnation: answer.incarnation,
+            lease: answer.lease,
+            recorded: answer.recorded,
+            stop: answer.stop,
+        };
+        let events = self.runner.heartbeat_answered(now.monotonic, &instruction);
+        self.note(now, events);
+    }
+
+    fn input(&mut self, now: Now, input: Input) {
+        let mut inputs = vec![input];
+        while let Some(input) = inputs.pop() {
+            let mut effects = Vec::new();
+            self.agent.handle(now, input, &mut effects);
+            for effect in effects {
+                inputs.extend(self.perform(now, effect));
+            }
+        }
+    }
+
+    fn perform(&mut self, now: Now, effect: Effect) -> Option<Input> {
+        match effect {
+            Effect::Send { to, message } => self.transport.send(to, message),
+            Effect::Deliver { order } => return Some(self.deliver(now, order)),
+            Effect::Ready(readiness) => {
+                if self.is_ready && readiness.is_err() {
+                    self.observed.session_lost();
+                }
+                self.is_ready = readiness.is_ok();
+            }
+            Effect::Stopped => {}
+        }
+        None
+    }
+
+    fn deliver(&mut self, now: Now, order: RunnerOrder) -> Input {
+        let (answer, events) = self.runner.order(now.monotonic, &order);
+        self.note(now, events);
+        let is_start = matches!(order.kind, OrderKind::Start { .. });
+        if is_start && answer != OrderAnswer::Started {
+            self.observed.not_started();
+        }
+        Input::Answered { order, answer }
+    }
+
+    fn note(&mut self, now: Now, events: Vec<RunnerEvent>) {
+        for event in events {
+            match event {
+                RunnerEvent::Started(spec) => {
+                    let payload: Option<LoadPayload> = serde_json::from_str(&spec.payload).ok();
+                    let wait = payload.map(|payload| {
+                        let sent = Monotonic(payload.sent_at);
+                        (now.monotonic.since(sent).0, payload.urgent)
+                    });
+                    self.observed.started(spec.run.term, now.monotonic, wait);
+                }
+                RunnerEvent::Ended { .. } => {
+                    let soon = self.last_heartbeat + HEARTBEAT_SPACING;
+                    self.next_heartbeat = self.next_heartbeat.min(soon);
+                }
+                RunnerEvent::EndRecorded { .. } | RunnerEvent::AcceptedStale(_) => {}
+            }
+        }
+    }
+
+    fn pause(&self) -> Duration {
+        let next = self.next_heartbeat.min(self.agent.next_wakeup());
+        let next = self.runner.next_wakeup().map_or(next, |due| due.min(next));
+        Duration::from_millis(next.since(peer::clock::now().monotonic).0)
+    }
+}
+
+fn address(addresses: &Addresses, place: usize) -> Result<std::net::IpAddr, LabError> {
+    let too_many = |_| LabError::Address(std::io::Error::other("too many hollow workers"));
+    let group = u8::try_from(FIRST_GROUP + place / GROUP_MACHINES).map_err(too_many)?;
+    let machine = u8::try_from(1 + place % GROUP_MACHINES).map_err(too_many)?;
+    Ok(addresses.machine(group, machine))
+}
+
+fn agent_options(plan: &HollowPlan, transport: &Transport, place: usize) -> AgentOptions {
+    AgentOptions {
+        address: transport.own().clone(),
+        seeds: plan.seeds.clone(),
+        session_interval: Milliseconds(400),
+        order_timeout: Milliseconds(1_000),
+        freeze_after: Milliseconds(1_000),
+        replica_valid: Milliseconds(1_800),
+        seed: place as u64,
+    }
+}
+
+fn runner_options(
+    plan: &HollowPlan,
+    name: &str,
+    place: usize,
+) -> Result<RunnerOptions, types::InvalidName> {
+    Ok(RunnerOptions {
+        runner: RunnerId::new(name)?,
+        incarnation: RunnerIncarnation(1),
+        pool: PoolName::new(POOL)?,
+        rack: RackName::new(format!("rack-{}", place / RACK_MACHINES))?,
+        labels: Labels::new(),
+        capacity: plan.capacity,
+        behaviour: Behaviour::Healthy,
+        mutation: None,
+        seed: place as u64,
+    })
+}
--- /dev/null
+++ b/crates/lab/src/capacity/load.rs
@@ -0,0 +1,259 @@
+//! Open-loop callers: jobs and configurations at given rates, whatever the
+//! answers.
+
+use super::plan::{LoadPayload, QUEUE, Size};
+use crate::LabError;
+use api::configuration::ConfigurationBody;
+use api::job::JobBody;
+use api::route;
+use reqwest::Client;
+use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+use tokio::sync::Semaphore;
+use tokio::task::JoinSet;
+use tokio::time::{Instant, MissedTickBehavior, interval};
+use types::{
+    InvalidName, JobId, JobSpec, Labels, Milliseconds, Monotonic, QueueName, Resources, StepName,
+    StepSpec, Urgency,
+};
+
+/// Time between two looks at what is due.
+const LOOK_INTERVAL: Duration = Duration::from_millis(10);
+/// How long a caller waits for its answer.
+const TIMEOUT: Duration = Duration::from_secs(3);
+/// Requests on their way at once; what is due beyond is counted and dropped.
+const MAX_REQUESTS: usize = 512;
+/// Time limit of every run.
+const TIME_LIMIT: Milliseconds = Milliseconds(3_600_000);
+
+/// Counts of all callers of a trial.
+#[derive(Debug, Default)]
+pub struct Counts {
+    /// Jobs acknowledged.
+    pub acknowledged: AtomicU64,
+    /// Jobs refused, or without an answer in time.
+    pub unacknowledged: AtomicU64,
+    /// Jobs not sent: too many requests were on their way.
+    pub unsent: AtomicU64,
+}
+
+/// The callers' side of a trial. Clones share all.
+#[derive(Debug, Clone)]
+pub struct Load {
+    shared: Arc<Shared>,
+}
+
+#[derive(Debug)]
+struct Shared {
+    size: Size,
+    http: Client,
+    gateways: Vec<String>,
+    turn: AtomicUsize,
+    requests: Arc<Semaphore>,
+    counts: Counts,
+    put_at: Mutex<BTreeMap<u64, Monotonic>>,
+}
+
+/// What a stream of jobs is like.
+#[derive(Debug, Clone, Copy)]
+struct Stream {
+    name: &'static str,
+    jobs_per_second: f64,
+    tasks: u32,
+    urgency: Urgency,
+    length: Milliseconds,
+}
+
+impl Load {
+    /// Callers of these gateways; they send nothing yet.
+    pub fn new(size: Size, gateways: Vec<String>) -> Result<Self, LabError> {
+        let shared = Shared {
+            size,
+            http: Client::builder().no_proxy().timeout(TIMEOUT).build()?,
+            gateways,
+            turn: AtomicUsize::new(0),
+            requests: Arc::new(Semaphore::new(MAX_REQUESTS)),
+            counts: Counts::default(),
+            put_at: Mutex::default(),
+        };
+        Ok(Self {
+            shared: Arc::new(shared),
+        })
+    }
+
+    /// Counts so far.
+    pub fn counts(&self) -> &Counts {
+        &self.shared.counts
+    }
+
+    /// When each configuration that was taken had been sent.
+    pub fn configurations_put(&self) -> BTreeMap<u64, Monotonic> {
+        let put_at = self.shared.put_at.lock();
+        put_at.unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    /// Sends for as long as the returned tasks live.
+    pub fn start(&self) -> JoinSet<()> {
+        let mut tasks = JoinSet::new();
+        let size = &self.shared.size;
+        let ordinary = Stream {
+            name: "ordinary",
+            jobs_per_second: size.starts_per_second as f64 / f64::from(size.tasks_per_job),
+            tasks: size.tasks_per_job,
+            urgency: Urgency::Normal,
+            length: size.task_length(),
+        };
+        let urgent = Stream {
+            name: "urgent",
+            jobs_per_second: size.urgent_per_second as f64,
+            tasks: 1,
+            urgency: Urgency::Urgent,
+            length: Milliseconds(100),
+        };
+        for stream in [ordinary, urgent] {
+            tasks.spawn(self.clone().send_jobs(stream));
+        }
+        if size.starts_per_second == 0 && size.running > 0 {
+            tasks.spawn(self.clone().fill(ordinary));
+        }
+        tasks.spawn(self.clone().send_configurations());
+        tasks
+    }
+
+    /// Jobs whose tasks run through the whole trial.
+    async fn fill(self, stream: Stream) {
+        let jobs = self.shared.size.running.div_ceil(u64::from(stream.tasks));
+        for place in 0..jobs {
+            // The window opens only when they run, so none may be lost.
+            while !self.submit(stream, place).await {
+                tokio::time::sleep(LOOK_INTERVAL).await;
+            }
+        }
+    }
+
+    async fn send_jobs(self, stream: Stream) {
+        let started = Instant::now();
+        let mut looks = interval(LOOK_INTERVAL);
+        looks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut sent = 0;
+        loop {
+            looks.tick().await;
+            let due = (started.elapsed().as_secs_f64() * stream.jobs_per_second) as u64;
+            while sent < due {
+                self.send_job(stream, sent);
+                sent += 1;
+            }
+        }
+    }
+
+    fn send_job(&self, stream: Stream, place: u64) {
+        let Ok(permit) = self.shared.requests.clone().try_acquire_owned() else {
+            self.counts().unsent.fetch_add(1, Ordering::Relaxed);
+            return;
+        };
+        let load = self.clone();
+        tokio::spawn(async move {
+            load.submit(stream, place).await;
+            drop(permit);
+        });
+    }
+
+    async fn submit(&self, stream: Stream, place: u64) -> bool {
+        let acknowledged = match self.job(stream, place) {
+            Ok(job) => {
+                let url = format!("{}{}", self.gateway(), route::JOBS);
+                let request = self.shared.http.post(url).json(&JobBody::from(job));
+                let answer = request.send().await;
+                answer.is_ok_and(|answer| answer.status().is_success())
+            }
+            Err(_) => false,
+        };
+        let counts = self.counts();
+        let count = match acknowledged {
+            true => &counts.acknowledged,
+            false => &counts.unacknowledged,
+        };
+        count.fetch_add(1, Ordering::Relaxed);
+        acknowledged
+    }
+
+    fn job(&self, stream: Stream, place: u64) -> Result<JobSpec, InvalidName> {
+        let tenant = usize::try_from(place).unwrap_or_default();
+        let payload = LoadPayload {
+            duration_ms: stream.length.0,
+            sent_at: peer::clock::now().monotonic.0,
+            urgent: stream.urgency == Urgency::Urgent,
+        };
+        let step = StepSpec {
+            name: StepName::new("step")?,
+            after: Vec::new(),
+            tasks: stream.tasks,
+            resources: Resources {
+                slots: 1,
+                cpu_milli: 1_000,
+                memory_mib: 1_024,
+                gpus: 0,
+            },
+            labels: Labels::new(),
+            max_copies: 1,
+            allowed_failures: 1,
+            time_limit: TIME_LIMIT,
+            payload: serde_json::to_string(&payload).unwrap_or_default(),
+        };
+        Ok(JobSpec {
+            tenant: self.shared.size.tenant(tenant)?,
+            job: JobId::new(format!("{}-{place}", stream.name))?,
+            queue: QueueName::new(QUEUE)?,
+            urgency: stream.urgency,
+            start_at: None,
+            steps: vec![step],
+        })
+    }
+
+    /// Version 1 is in force when the trial begins.
+    async fn send_configurations(self) {
+        let a_minute = self.shared.size.configurations_per_minute;
+        if a_minute == 0 {
+            return;
+        }
+        let mut due = interval(Duration::from_secs_f64(60.0 / a_minute as f64));
+        due.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        due.tick().await;
+        let mut version = 2;
+        loop {
+            due.tick().await;
+            if self.put_configuration(version).await {
+                version += 1;
+            }
+        }
+    }
+
+    async fn put_configuration(&self, version: u64) -> bool {
+        let Ok(document) = self.shared.size.document(version) else {
+            return false;
+        };
+        let path = route::CONFIGURATION_VERSION.replace("{version}", &version.to_string());
+        let url = format!("{}{path}", self.gateway());
+        let sent_at = peer::clock::now().monotonic;
+        let body = ConfigurationBody::from(document);
+        let answer = self.shared.http.put(url).json(&body).send().await;
+        let taken = answer.is_ok_and(|answer| answer.status().is_success());
+        let mut put_at = self.shared.put_at.lock();
+        let put_at = put_at.as_deref_mut().ok();
+        if let Some(put_at) = put_at {
+            // Sent again after a lost answer, it counts from the first time.
+            put_at.entry(version).or_insert(sent_at);
+        }
+        taken
+    }
+
+    /// The gateway whose turn it is.
+    fn gateway(&self) -> &str {
+        let turn = self.shared.turn.fetch_add(1, Ordering::Relaxed);
+        let gateways = &self.shared.gateways;
+        let place = turn.checked_rem(gateways.len()).unwrap_or(0);
+        gateways.get(place).map_or("", String::as_str)
+    }
+}
--- /dev/null
+++ b/crates/lab/src/capacity/mod.rs
@@ -0,0 +1,177 @@
+//! `capacity`: what a fleet costs, measured size by size.
+//!
+//! Coordinators and gateways are real daemons with syncing disks. Workers are
+//! hollow: agent and runner cores with connections of their own, all in the
+//! lab process. The slopes go into docs/CAPACITY.md.
+
+pub mod figures;
+pub mod hollow;
+pub mod load;
+pub mod observed;
+pub mod plan;
+pub mod report;
+pub mod traffic;
+pub mod trial;
+pub mod usage;
+
+use crate::LabError;
+use clap::Args;
+use cypressdrum::Exit;
+use plan::Size;
+use report::{Measured, render_slopes};
+use std::path::PathBuf;
+use std::time::Duration;
+use tokio::signal::unix::{SignalKind, signal};
+
+/// Threads for hollow workers and callers; the daemons need the other cores.
+const THREADS: usize = 4;
+/// Pause between two trials, for sockets to close.
+const BETWEEN_TRIALS: Duration = Duration::from_secs(1);
+
+/// Sizes and loads to measure; lists are tried in all combinations.
+#[derive(Debug, Clone, Args)]
+pub struct CapacityArguments {
+    /// Hollow workers.
+    #[arg(long, value_delimiter = ',', default_value = "100")]
+    pub workers: Vec<usize>,
+    /// Tenants.
+    #[arg(long, value_delimiter = ',', default_value = "6")]
+    pub tenants: Vec<usize>,
+    /// Task starts a second that are offered.
+    #[arg(long, value_delimiter = ',', default_value = "0")]
+    pub starts_per_second: Vec<u64>,
+    /// Tasks that run at once; 0 lets tasks be short. Without starts, as many
+    /// long tasks are sent once.
+    #[arg(long, value_delimiter = ',', default_value = "0")]
+    pub running: Vec<u64>,
+    /// Tasks in an ordinary job.
+    #[arg(long, default_value_t = 50)]
+    pub tasks_per_job: u32,
+    /// Urgent jobs a second, of one task each.
+    #[arg(long, default_value_t = 1)]
+    pub urgent_per_second: u64,
+    /// Configurations a minute; 4 are 5,760 a day.
+    #[arg(long, default_value_t = 4)]
+    pub configurations_per_minute: u64,
+    /// Real agents, each with a stand-in runner over HTTP.
+    #[arg(long, default_value_t = 1)]
+    pub real_agents: u8,
+    /// Length of the window.
+    #[arg(long, default_value_t = 20)]
+    pub seconds: u64,
+    /// Load before the window.
+    #[arg(long, default_value_t = 8)]
+    pub warm_up: u64,
+    /// Kill the leader after the window and time the next first start.
+    #[arg(long)]
+    pub kill_leader: bool,
+    /// Keep the folders with data, settings and logs.
+    #[arg(long)]
+    pub keep: bool,
+    /// Write all that was measured here, as JSON.
+    #[arg(long, value_name = "FILE")]
+    pub output: Option<PathBuf>,
+}
+
+impl CapacityArguments {
+    /// All combinations of the lists.
+    pub fn sizes(&self) -> Vec<Size> {
+        let mut sizes = Vec::new();
+        for &workers in &self.workers {
+            for &tenants in &self.tenants {
+                for &starts_per_second in &self.starts_per_second {
+                    for &running in &self.running {
+                        sizes.push(Size {
+                            workers,
+                            tenants,
+                            starts_per_second,
+                            running,
+                            tasks_per_job: self.tasks_per_job.max(1),
+                            urgent_per_second: self.urgent_per_second,
+                            configurations_per_minute: self.configurations_per_minute,
+                        });
+                    }
+                }
+            }
+        }
+        sizes
+    }
+}
+
+/// Runs the trials.
+pub fn run(arguments: CapacityArguments) -> Exit {
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(THREADS)
+        .enable_all()
+        .build();
+    let ended = match runtime {
+        Ok(runtime) => runtime.block_on(until_interrupted(&arguments)),
+        Err(error) => Err(LabError::file("runtime")(error)),
+    };
+    ended.unwrap_or_else(|error| {
+        eprintln!("{error}");
+        Exit::Unavailable
+    })
+}
+
+/// Dropping the trial ends every child.
+async fn until_interrupted(arguments: &CapacityArguments) -> Result<Exit, LabError> {
+    let listen = |kind| signal(kind).map_err(LabError::file("signals"));
+    let mut interrupt = listen(SignalKind::interrupt())?;
+    let mut terminate = listen(SignalKind::terminate())?;
+    tokio::select! {
+        ended = measure(arguments) => ended,
+        _ = interrupt.recv() => Ok(interrupted()),
+        _ = terminate.recv() => Ok(interrupted()),
+    }
+}
+
+fn interrupted() -> Exit {
+    eprintln!("interrupted; the fleet is ended");
+    Exit::Unavailable
+}
+
+async fn measure(arguments: &CapacityArguments) -> Result<Exit, LabError> {
+    let mut trials = Vec::new();
+    let mut exit = Exit::Done;
+    for size in arguments.sizes() {
+        // A size that does not work is a result; the next one is tried.
+        match trial::run(size.clone(), arguments).await {
+            Ok(measured) => {
+                println!("{}", measured.render());
+                trials.push(measured);
+            }
+            Err(error) => {
+                println!("failed at {size:?}: {error}");
+                exit = Exit::Unavailable;
+            }
+        }
+        write_output(arguments, &trials)?;
+        tokio::time::sleep(BETWEEN_TRIALS).await;
+    }
+    print_slopes(&trials);
+    Ok(exit)
+}
+
+fn print_slopes(trials: &[Measured]) {
+    for (name, place) in [
+        ("workers", (|size| size.workers as f64) as fn(&Size) -> f64),
+        ("tenants", |size| size.tenants as f64),
+        ("offered starts/s", |size| size.starts_per_second as f64),
+        ("running tasks", |size| size.running as f64),
+    ] {
+        let slopes = render_slopes(trials, place, name);
+        if !slopes.is_empty() {
+            println!("{slopes}");
+        }
+    }
+}
+
+fn write_output(arguments: &CapacityArguments, trials: &[Measured]) -> Result<(), LabError> {
+    let Some(path) = &arguments.output else {
+        return Ok(());
+    };
+    let text = serde_json::to_string_pretty(trials).map_err(std::io::Error::other);
+    let written = text.and_then(|text| std::fs::write(path, text));
+    written.map_err(LabError::file(path))
+}
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -5,6 +5,7 @@
 //! callers and runners see goes into one history, which the checker judges.
 
 pub mod callers;
+pub mod capacity;
 pub mod daemon;
 pub mod demo;
 pub mod error;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -1,6 +1,7 @@
 //! The `lab` program.
 
 use clap::{Parser, Subcommand};
+use lab::capacity::{self, CapacityArguments};
 use lab::daemon::{self, DaemonArguments};
 use lab::demo::{self, DemoArguments};
 use std::process::ExitCode;
@@ -17,6 +18,8 @@
 enum Command {
     /// Run a fleet of today's size under load, and kill its leader once.
     Demo(DemoArguments),
+    /// Measure what a fleet costs, with hollow workers.
+    Capacity(CapacityArguments),
     /// Run one daemon; the lab starts its own children with it.
     #[command(hide = true)]
     Daemon(DaemonArguments),
@@ -25,6 +28,7 @@
 fn main() -> ExitCode {
     match Arguments::parse().command {
         Command::Demo(arguments) => demo::run(arguments).into(),
+        Command::Capacity(arguments) => capacity::run(arguments).into(),
         Command::Daemon(arguments) => daemon::run(arguments).into(),
     }
 }
