--- a/crates/coordinator/src/core.rs
+++ b/crates/coordinator/src/core.rs
@@ -10,9 +10,10 @@
 use crate::leader::Leader;
 use crate::replica::Replica;
 use consensus::Recovered;
-use peer::{Envelope, PeerMessage, Relay};
+use peer::{Envelope, PeerMessage};
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
+use session::route::{self, Opened};
 use std::net::SocketAddr;
 use storage::{Batch, Identity};
 use types::{Address, Milliseconds, Monotonic, Now};
@@ -67,6 +68,8 @@
     AcknowledgeBeforeCommit,
     /// Runs of a silent runner are closed at a tenth of their lease.
     ExpireRunsEarly,
+    /// A guard of the record left out.
+    Record(record::mutation::Mutation),
 }
 
 /// What happens to the core.
@@ -129,7 +132,7 @@
     pub(crate) handover: Option<Monotonic>,
     pub(crate) stopped: bool,
     pub(crate) readiness: Option<Result<(), String>>,
-    last_input: Monotonic,
+    last_input: Now,
 }
 
 impl Coordinator {
@@ -158,7 +161,7 @@
             handover: None,
             stopped: false,
             readiness: None,
-            last_input: now.monotonic,
+            last_input: now,
         };
         coordinator.start_replica(recovered, now.monotonic);
         coordinator
@@ -167,7 +170,7 @@
     /// Takes one input and appends what is to be done. The caller reads the
     /// clock just before; after a freeze the core sees the jump first.
     pub fn handle(&mut self, now: Now, input: Input, effects: &mut Vec<Effect>) {
-        self.last_input = now.monotonic;
+        self.last_input = now;
         if self.stopped {
             return;
         }
@@ -191,10 +194,11 @@
 
     /// When it wants [`Input::Tick`] next, on the monotonic clock.
     pub fn next_wakeup(&self) -> Monotonic {
-        let mut own = self.last_input + TICK_INTERVAL;
+        let last = self.last_input.monotonic;
+        let mut own = last + TICK_INTERVAL;
         let leader = self.leader.as_ref();
         if let Some(at) = leader.and_then(|leader| leader.next_wakeup(self.last_input)) {
-            own = own.min(at.max(self.last_input));
+            own = own.min(at.max(last));
         }
         match &self.replica {
             Some(replica) => own.min(replica.node.next_wakeup()),
@@ -290,23 +294,17 @@
         }
     }
 
-    /// Opens a relay meant for this process; passes any other on unchanged.
+    /// Opens a relay meant for this process; passes one on that comes from its
+    /// origin.
     fn open_relay(&self, envelope: Envelope, effects: &mut Vec<Effect>) -> Option<Envelope> {
-        let PeerMessage::Relay(relay) = envelope.body else {
-            return Some(envelope);
-        };
-        if relay.destination == self.own.socket {
-            return Some(Envelope {
-                from: relay.origin,
-                via: Some(envelope.from.socket),
-                body: *relay.body,
-            });
+        match route::open(&self.own, envelope) {
+            Opened::Own(envelope) => Some(envelope),
+            Opened::Forward(to, message) => {
+                effects.push(Effect::Send { to, message });
+                None
+            }
+            Opened::Dropped => None,
         }
-        effects.push(Effect::Send {
-            to: relay.destination,
-            message: PeerMessage::Relay(relay),
-        });
-        None
     }
 }
 
@@ -324,14 +322,7 @@
     pub(crate) fn answer(&self, own: &Address, message: PeerMessage) -> (SocketAddr, PeerMessage) {
         match self.via {
             None => (self.address.socket, message),
-            Some(via) => {
-                let relay = Relay {
-                    origin: own.clone(),
-                    destination: self.address.socket,
-                    body: Box::new(message),
-                };
-                (via, PeerMessage::Relay(relay))
-            }
+            Some(via) => route::through(own, via, self.address.socket, message),
         }
     }
 }
--- a/crates/coordinator/tests/requests.rs
+++ b/crates/coordinator/tests/requests.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::{World, document};
-use peer::{Operation, OperationReply, RefusalCode};
+use peer::{Operation, OperationReply, PeerMessage, RefusalCode};
 use record::CancelSelector;
 use types::{ConfigurationVersion, JobState, Milliseconds};
 
@@ -42,16 +42,22 @@
     assert_eq!(conflict.code, RefusalCode::Conflict);
 }
 
-#[test]
-fn a_tenant_over_its_rate_is_refused_at_once_with_the_time_to_come_back() {
+/// A world whose tenant may send so many submits a second, and no burst.
+fn served_with_rate(submits_per_second: u32) -> World {
     let mut world = World::served();
     let mut slow = document::document();
     let contract = slow.tenants.get_mut(&document::tenant()).unwrap();
-    contract.submits_per_second = 2;
+    contract.submits_per_second = submits_per_second;
     contract.submit_burst = 1;
     let put = world.put_configuration(2, slow);
     world.run(100);
     assert!(world.replies[&put].is_ok());
+    world
+}
+
+#[test]
+fn a_tenant_over_its_rate_is_refused_at_once_with_the_time_to_come_back() {
+    let mut world = served_with_rate(2);
     world.submit("first");
     let id = world.ask(Operation::Submit(document::job("second")));
     world.run(3);
@@ -66,6 +72,44 @@
     world.submit("second");
 }
 
+/// Whether a coordinator answered a request through another.
+fn is_relayed_reply(message: &PeerMessage) -> bool {
+    matches!(message, PeerMessage::Relay(relay) if matches!(*relay.body, PeerMessage::Reply(_)))
+}
+
+#[test]
+fn a_request_sent_again_while_it_waits_is_charged_once_and_answered_where_it_came_from_last() {
+    let mut world = served_with_rate(1);
+    let leader = world.leader().unwrap();
+    let followers = [(leader + 1) % 3, (leader + 2) % 3];
+    for follower in followers {
+        world.servers[follower].disk_held = true;
+    }
+    let submit = Operation::Submit(document::job("job"));
+    let id = world.ask(submit.clone());
+    world.run(50);
+    let entries = world.status(leader).unwrap().last_index;
+    for _ in 0..3 {
+        world.ask_again_through(followers[0], submit.clone());
+        world.run(20);
+    }
+    assert!(!world.replies.contains_key(&id), "nothing was refused");
+    assert_eq!(world.status(leader).unwrap().last_index, entries);
+    assert!(!world.sent.iter().any(|(_, sent)| is_relayed_reply(sent)));
+    for follower in followers {
+        world.release_disk(follower);
+    }
+    world.run(50);
+    assert!(matches!(
+        world.replies.get(&id),
+        Some(Ok(OperationReply::Submitted { known: false, .. }))
+    ));
+    let from_leader = |(port, sent): &&(u16, PeerMessage)| {
+        *port == world.servers[leader].port && is_relayed_reply(sent)
+    };
+    assert_eq!(world.sent.iter().filter(from_leader).count(), 1);
+}
+
 #[test]
 fn more_requests_than_may_wait_are_refused_at_once() {
     let mut world = World::new(3);
@@ -112,6 +156,46 @@
     assert_eq!(again, Ok(OperationReply::Configured { version, known }));
 }
 
+/// Configuration versions of the coordinators, as the leader lists them.
+fn member_versions(world: &mut World) -> Vec<Option<u64>> {
+    let Ok(OperationReply::Members(members)) = world.answer(Operation::ListMembers) else {
+        panic!("no members");
+    };
+    let versions = members.iter().map(|member| member.configuration);
+    versions.map(|version| version.map(|v| v.0)).collect()
+}
+
+#[test]
+fn members_show_the_configuration_each_coordinator_has_applied() {
+    let mut world = World::served();
+    world.run(500);
+    assert_eq!(member_versions(&mut world), [Some(1); 3]);
+    let leader = world.leader().unwrap();
+    let away = (leader + 1) % 3;
+    world.cut.insert(world.servers[away].port);
+    let put = world.put_configuration(2, document::document());
+    world.run(500);
+    assert!(world.replies[&put].is_ok());
+    let mut expected = [Some(2); 3];
+    expected[away] = Some(1);
+    assert_eq!(member_versions(&mut world), expected);
+    world.cut.clear();
+    world.run(2_000);
+    assert_eq!(member_versions(&mut world), [Some(2); 3]);
+}
+
+#[test]
+fn a_member_that_has_not_reported_to_this_leader_shows_no_configuration() {
+    let mut world = World::served();
+    let old = world.leader().unwrap();
+    world.kill(old);
+    world.run_until(8_000, "a new leader", |world| world.leader().is_some());
+    world.run(500);
+    let mut expected = [Some(1); 3];
+    expected[old] = None;
+    assert_eq!(member_versions(&mut world), expected);
+}
+
 #[test]
 fn a_leader_that_lost_its_lease_answers_waiting_requests_at_once() {
     let mut world = World::served();
--- a/crates/coordinator/tests/runs.rs
+++ b/crates/coordinator/tests/runs.rs
@@ -3,9 +3,16 @@
 mod common;
 
 use common::{World, document};
+use configuration::Timings;
 use coordinator::Effect;
-use peer::PeerMessage;
-use types::{JobState, OrderAnswer, Outcome, RefusalReason};
+use peer::{OrderResult, PeerMessage};
+use types::{JobState, OrderAnswer, Outcome, RefusalReason, RunnerOrder, Term};
+
+/// Milliseconds of silence after which a leader gives a runner's runs up.
+fn given_up_after() -> u64 {
+    let timings = Timings::default();
+    (timings.run_lease + timings.run_lease_margin).0
+}
 
 fn with_runner() -> World {
     let mut world = World::served();
@@ -27,6 +34,26 @@
     assert_eq!(world.starts().len(), 1);
 }
 
+#[test]
+fn a_task_with_a_start_time_starts_on_time() {
+    // A pass through the log, and the way to the agent.
+    const WAY: u64 = 12;
+    let mut world = with_runner();
+    for number in 0..10_usize {
+        let mut job = document::job(&format!("job-{number}"));
+        let wait = types::Milliseconds(300 + 13 * number as u64);
+        let due = world.clock().wall + wait;
+        job.start_at = Some(due);
+        world.answer(peer::Operation::Submit(job)).unwrap();
+        world.run(due.0 - world.clock().wall.0);
+        assert_eq!(world.starts().len(), number, "not before its time");
+        world.run(WAY);
+        assert_eq!(world.starts().len(), number + 1, "job {number} is late");
+        world.agents[0].end_all(Outcome::Done);
+        world.run(300);
+    }
+}
+
 #[test]
 fn a_lost_answer_is_followed_by_a_void_and_no_second_start() {
     let mut world = with_runner();
@@ -77,7 +104,8 @@
     let old = world.agents[0].started[0];
     world.agents[0].silent = true;
     world.add_agent(2);
-    world.run(10_500);
+    // The runner was silent for a second while the other one was added.
+    world.run(given_up_after() - 1_500);
     assert!(
         world.agents[1].started.is_empty(),
         "lease and margin not over"
@@ -147,6 +175,35 @@
     assert!(world.each_start_is_sent_once());
 }
 
+#[test]
+fn answers_to_orders_of_another_term_are_ignored() {
+    let mut world = with_runner();
+    world.submit("job");
+    world.run(500);
+    let order = world.orders()[0].clone();
+    let own_term = order.term;
+    for (term, stays_open) in [
+        (Term(own_term.0 - 1), true),
+        (own_term.next(), true),
+        (own_term, false),
+    ] {
+        let results = vec![OrderResult {
+            order: RunnerOrder {
+                term,
+                ..order.clone()
+            },
+            answer: OrderAnswer::Voided,
+        }];
+        // The runner is silent, so nothing else speaks of the run.
+        world.agents[0].silent = true;
+        let from = world.agents[0].address.clone();
+        world.tell_leader(from, PeerMessage::OrderResults { results });
+        world.run(100);
+        let open = world.record().open_run(order.kind.run()).is_some();
+        assert_eq!(open, stays_open, "{term}");
+    }
+}
+
 #[test]
 fn a_new_leader_keeps_runs_that_go_on() {
     let mut world = with_runner();
@@ -170,7 +227,7 @@
     let leader = world.leader().unwrap();
     world.kill(leader);
     world.run_until(5_000, "a new leader", |world| world.leader().is_some());
-    world.run(11_500);
+    world.run(given_up_after() - 500);
     assert_eq!(world.record().open_runs().len(), 1);
     world.run(1_000);
     assert!(world.record().open_runs().is_empty());
--- a/crates/lab/src/capacity/trial.rs
+++ b/crates/lab/src/capacity/trial.rs
@@ -13,7 +13,7 @@
 use crate::fleet::{Member, timed_out};
 use crate::process::Program;
 use crate::runners::{RunnerPlan, Runners};
-use crate::trial::{TrialFolder, put_configuration};
+use crate::setup::{TrialFolder, put_configuration};
 use crate::{Fleet, FleetPlan, History, LabError, MemberId};
 use peer::ClusterKey;
 use standin::workload::RunnerTemplate;
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -15,6 +15,9 @@
 pub mod process;
 pub mod report;
 pub mod runners;
+pub mod scenario;
+pub mod setup;
+pub mod simulate;
 pub mod trial;
 
 pub use error::LabError;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -4,6 +4,8 @@
 use lab::capacity::{self, CapacityArguments};
 use lab::daemon::{self, DaemonArguments};
 use lab::demo::{self, DemoArguments};
+use lab::scenario::{self, ScenarioArguments};
+use lab::simulate::{self, SimulateArguments};
 use std::process::ExitCode;
 
 /// Trials of cypressdrum on one machine.
@@ -20,6 +22,10 @@
     Demo(DemoArguments),
     /// Measure what a fleet costs, with hollow workers.
     Capacity(CapacityArguments),
+    /// Run a fleet of today's size under load while parts of it fail.
+    Trial(ScenarioArguments),
+    /// Run whole fleets in one process under random or given faults.
+    Simulate(SimulateArguments),
     /// Run one daemon; the lab starts its own children with it.
     #[command(hide = true)]
     Daemon(DaemonArguments),
@@ -29,6 +35,8 @@
     match Arguments::parse().command {
         Command::Demo(arguments) => demo::run(arguments).into(),
         Command::Capacity(arguments) => capacity::run(arguments).into(),
+        Command::Trial(arguments) => scenario::run(arguments).into(),
+        Command::Simulate(arguments) => simulate::run(arguments).into(),
         Command::Daemon(arguments) => daemon::run(arguments).into(),
     }
 }
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -1,6 +1,6 @@
 //! Every message between daemons.
 
-use crate::{Reply, Request};
+use crate::{Relay, Reply, Request};
 use configuration::ClusterConfiguration;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
@@ -139,12 +139,13 @@
 }
 
 /// Opens and renews a session with the leader. Gateways, agents and
-/// coordinators that are no members yet send it every session interval.
+/// coordinators that are no members yet send it every session interval. Members
+/// send it too, to report the configuration they have applied.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Hello {
     /// Rises with every hello of one process; echoed in the lease.
     pub sequence: u64,
-    /// Version of the sender's configuration replica.
+    /// Version of the sender's configuration replica, or of its record.
     pub configuration: ConfigurationVersion,
     /// Runners an agent serves.
     pub runners: Vec<RunnerId>,
@@ -209,14 +210,3 @@
     /// What the runner said, or that it said nothing.
     pub answer: OrderAnswer,
 }
-
-/// A message carried by a member that reaches both ends.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Relay {
-    /// The sender.
-    pub origin: Address,
-    /// Socket of the receiver.
-    pub destination: SocketAddr,
-    /// The message; never itself a relay.
-    pub body: Box<PeerMessage>,
-}
--- a/crates/record/src/state.rs
+++ b/crates/record/src/state.rs
@@ -1,7 +1,7 @@
 //! The record's state.
 //!
 //! The jobs, open runs, configuration and operators' words are the state
-//! proper; everything in [`Indexes`] follows from them and is built anew from
+//! proper; everything in `Indexes` follows from them and is built anew from
 //! a snapshot. With the indexes every command costs its own size times the
 //! logarithm of the state, never a walk over all jobs.
 
@@ -16,14 +16,17 @@
 mod runs;
 mod snapshot;
 pub mod submission;
+mod taken;
 
 pub use queries::TaskStanding;
 
+use crate::mutation::Mutation;
 use crate::{Applied, Change, Command, CommandReply, RecordRefusal};
 use ::configuration::ClusterConfiguration;
 use indexes::Indexes;
 use job::Job;
 use std::collections::{BTreeMap, BTreeSet};
+use taken::TakenConfigurations;
 use types::{ConfigurationVersion, JobNumber, OpenRun, RunId, RunnerId};
 
 /// Jobs, runs, configuration and operators' words on runners.
@@ -31,6 +34,7 @@
 pub struct Record {
     version: ConfigurationVersion,
     document: ClusterConfiguration,
+    taken: TakenConfigurations,
     last_number: JobNumber,
     jobs: BTreeMap<JobNumber, Job>,
     open_runs: BTreeMap<RunId, OpenRun>,
@@ -42,6 +46,8 @@
     /// keeps every run of every forgotten job from starting again.
     highest_forgotten_run: Option<RunId>,
     indexes: Indexes,
+    /// Of proofs only; no part of a snapshot.
+    mutation: Option<Mutation>,
 }
 
 impl Record {
@@ -50,6 +56,18 @@
         Self::default()
     }
 
+    /// Leaves a guard out, for proofs.
+    #[doc(hidden)]
+    pub fn set_mutation(&mut self, mutation: Option<Mutation>) {
+        self.mutation = mutation;
+    }
+
+    /// The guard left out.
+    #[doc(hidden)]
+    pub fn mutation(&self) -> Option<Mutation> {
+        self.mutation
+    }
+
     /// Applies one command.
     pub fn apply(&mut self, command: &Command) -> Applied {
         let mut changes = Vec::new();
--- a/crates/record/src/state/configuration.rs
+++ b/crates/record/src/state/configuration.rs
@@ -1,25 +1,31 @@
 //! Taking configurations and operators' words on runners.
 
 use super::Record;
+use crate::mutation::Mutation;
 use crate::{Change, CommandReply, RecordRefusal};
 use configuration::{ClusterConfiguration, ConfigurationProblem, validate};
 use types::{ConfigurationVersion, RunnerId};
 
 impl Record {
-    /// Takes a document by compare-and-set on its version.
+    /// Takes a document by compare-and-set on its version. The same document
+    /// under a version that was taken is acknowledged again, also after newer
+    /// ones: the first acknowledgement may have been lost.
     pub(super) fn put_configuration(
         &mut self,
         version: ConfigurationVersion,
         document: &ClusterConfiguration,
         changes: &mut Vec<Change>,
     ) -> Result<CommandReply, RecordRefusal> {
-        if version == self.version && *document == self.document {
+        let in_force = version == self.version && *document == self.document;
+        if in_force || self.taken.holds(version, document) {
             return Ok(CommandReply::Configured {
                 version,
                 known: true,
             });
         }
-        if self.version.0.checked_add(1) != Some(version.0) {
+        let fits = self.version.0.checked_add(1) == Some(version.0)
+            || self.mutation == Some(Mutation::AnyConfigurationVersion);
+        if !fits {
             return Err(RecordRefusal::VersionConflict {
                 wanted: version,
                 current: self.version,
@@ -32,6 +38,7 @@
         }
         self.version = version;
         self.document = document.clone();
+        self.taken.note(version, document);
         changes.push(Change::ConfigurationChanged(version));
         Ok(CommandReply::Configured {
             version,
