--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -1,6 +1,7 @@
 //! The `lab` program.
 
 use clap::{Parser, Subcommand};
+use lab::capacity::{self, CapacityArguments};
 use lab::daemon::{self, DaemonArguments};
 use lab::demo::{self, DemoArguments};
 use lab::scenario::{self, ScenarioArguments};
@@ -19,6 +20,8 @@
 enum Command {
     /// Run a fleet of today's size under load, and kill its leader once.
     Demo(DemoArguments),
+    /// Measure what a fleet costs, with hollow workers.
+    Capacity(CapacityArguments),
     /// Run a fleet of today's size under load while parts of it fail.
     Trial(ScenarioArguments),
     /// Run whole fleets in one process under random or given faults.
@@ -31,6 +34,7 @@
 fn main() -> ExitCode {
     match Arguments::parse().command {
         Command::Demo(arguments) => demo::run(arguments).into(),
+        Command::Capacity(arguments) => capacity::run(arguments).into(),
         Command::Trial(arguments) => scenario::run(arguments).into(),
         Command::Simulate(arguments) => simulate::run(arguments).into(),
         Command::Daemon(arguments) => daemon::run(arguments).into(),
