--- a/crates/coordinator/src/leader.rs
+++ b/crates/coordinator/src/leader.rs
@@ -133,15 +133,14 @@
 
 impl Leader {
     /// A leader whose lease began to hold now. Open runs are entered at once,
-    /// so that ceilings count them; tasks follow in slices.
+    /// so that ceilings count them; tasks follow in slices. The dispatcher is new.
     pub(crate) fn new(
         options: CoordinatorOptions,
         identity: LeaderIdentity,
         record: &Record,
-        seed: u64,
+        mut dispatcher: Dispatcher,
         now: Now,
     ) -> Self {
-        let mut dispatcher = Dispatcher::new(options.dispatcher.clone(), identity.term, seed);
         let runs = adopt(record, &mut dispatcher, now.monotonic);
         Self {
             serving: true,
--- a/crates/coordinator/src/leadership.rs
+++ b/crates/coordinator/src/leadership.rs
@@ -7,6 +7,7 @@
 use crate::requests::{refusal_unavailable, reply_of};
 use crate::{Coordinator, placement};
 use consensus::RaftRole;
+use dispatch::Dispatcher;
 use peer::{OperationReply, PeerMessage, Reply};
 use rand::Rng;
 use record::{Change, Command, CommandReply};
@@ -68,7 +69,9 @@
         metrics::counter!("cypressdrum_elections_won_total").increment(1);
         let seed = self.random.random();
         let options = self.options.clone();
-        self.leader = Some(Leader::new(options, identity, &replica.record, seed, now));
+        let dispatcher = Dispatcher::new(options.dispatcher.clone(), identity.term, seed);
+        let record = &replica.record;
+        self.leader = Some(Leader::new(options, identity, record, dispatcher, now));
     }
 
     /// Answers every waiting request at once that it cannot be served here.
