Keep runs of a silent runner without self-stop over an election

Cause: whether a runner stops its own runs was known from its heartbeats only. A new leader that had not heard it took it for one that does, gave its runs up after lease and margin, and could start their tasks twice.

Ruled out: never giving up runs of runners this leader has not heard; a dead machine's tasks would wait for an operator after every election.

Change: the declaration goes into each reservation and open run. Before: the new test loses the run. After: it stays bound.

--- a/crates/coordinator/src/orders.rs
+++ b/crates/coordinator/src/orders.rs
@@ -13,19 +13,17 @@
 //! for starts based on them, counting from the election is enough. A runner
 //! that declares no self-stop is never given up by the clock.
 //!
-//! The declaration is known from heartbeats only. A runner this leader never
-//! heard is taken as one that stops itself, which the runner's side of the
-//! protocol asks for by default.
+//! The declaration goes into the record with each reservation, so a leader
+//! that never heard the runner knows it too.
 
 use crate::core::{Mutation, Sender};
 use crate::leader::Leader;
 use crate::runs::Phase;
 use peer::{DecisionEvent, OrderResult, PeerMessage};
 use record::{ClosedRun, Record};
-use std::collections::BTreeSet;
 use types::{
     Milliseconds, Monotonic, Now, OpenRun, OrderAnswer, OrderKind, Outcome, RefusalReason,
-    RunClose, RunId, RunnerId, RunnerOrder, TaskMeta,
+    RunClose, RunId, RunnerOrder, TaskMeta,
 };
 
 /// A start without an answer for this long is uncertain.
@@ -182,12 +180,11 @@
 
     /// Looks at all open runs: silence, missing answers, stops.
     pub(crate) fn sweep_runs(&mut self, record: &Record, now: Now) {
-        let silent = self.silent_runners(now.monotonic);
         let mut due = Vec::new();
         for tracked in self.runs.iter().filter(|tracked| !tracked.closing) {
             let waited = now.monotonic.since(tracked.ordered_at);
             let duty = match tracked.phase {
-                _ if silent.contains(&tracked.run.runner) => Duty::GiveUp,
+                _ if self.is_silent(&tracked.run, now.monotonic) => Duty::GiveUp,
                 // Its lease lapsed before the start left; nobody sends it now.
                 Phase::Reserved if !self.to_start.contains(&tracked.run.run) => Duty::Drop,
                 Phase::Ordered if waited >= ORDER_TIMEOUT => Duty::Void,
@@ -221,23 +218,22 @@
         }
     }
 
-    /// Runners with open runs whose lease and margin are over.
-    fn silent_runners(&self, now: Monotonic) -> BTreeSet<RunnerId> {
-        let full = self.timings.run_lease + self.timings.run_lease_margin;
-        let limit = match self.has_mutation(Mutation::ExpireRunsEarly) {
+    /// Longest silence of a runner before its runs are given up.
+    fn longest_silence(&self) -> Milliseconds {
+        match self.has_mutation(Mutation::ExpireRunsEarly) {
             true => Milliseconds(self.timings.run_lease.0 / 10),
-            false => full,
-        };
-        let silence = |id: &RunnerId| match self.runners.get(id) {
-            Some(runner) if !runner.self_stop => None,
-            Some(runner) => Some(now.since(runner.heard.max(self.serving_since))),
-            None => Some(now.since(self.serving_since)),
-        };
-        self.runs
-            .runners()
-            .filter(|id| silence(id).is_some_and(|silence| silence > limit))
-            .cloned()
-            .collect()
+            false => self.timings.run_lease + self.timings.run_lease_margin,
+        }
+    }
+
+    /// True when a run's lease and margin are over in silence.
+    fn is_silent(&self, run: &OpenRun, now: Monotonic) -> bool {
+        let runner = self.runners.get(&run.runner);
+        let stops_itself = run.self_stop && runner.is_none_or(|runner| runner.self_stop);
+        let heard = runner.map_or(self.serving_since, |runner| {
+            runner.heard.max(self.serving_since)
+        });
+        stops_itself && now.since(heard) > self.longest_silence()
     }
 
     /// Follows a closed run: the task may run again, or not.
--- a/crates/coordinator/tests/runs.rs
+++ b/crates/coordinator/tests/runs.rs
@@ -143,6 +143,21 @@
     assert!(world.record().open_runs().is_empty());
 }
 
+#[test]
+fn a_new_leader_keeps_the_runs_of_a_silent_runner_without_self_stop() {
+    let mut world = with_runner();
+    world.agents[0].self_stop = false;
+    world.run(500);
+    world.submit("job");
+    world.run(500);
+    assert_eq!(world.agents[0].started.len(), 1);
+    world.agents[0].silent = true;
+    let leader = world.leader().unwrap();
+    world.kill(leader);
+    world.run(60_000);
+    assert_eq!(world.record().open_runs().len(), 1);
+}
+
 #[test]
 fn runs_of_an_earlier_life_are_lost_with_it() {
     let mut world = with_runner();
--- a/crates/dispatch/src/draw.rs
+++ b/crates/dispatch/src/draw.rs
@@ -21,6 +21,7 @@
 struct Offer {
     runner: RunnerIndex,
     incarnation: RunnerIncarnation,
+    self_stop: bool,
     pool: usize,
     room: Resources,
     capacity: Resources,
@@ -85,6 +86,7 @@
         Some(Offer {
             runner,
             incarnation: last.incarnation,
+            self_stop: last.self_stop,
             pool: last.pool,
             room: state.room(),
             capacity: last.capacity,
@@ -284,6 +286,7 @@
             task: choice.task,
             runner: self.runners.name(offer.runner)?.clone(),
             incarnation: offer.incarnation,
+            self_stop: offer.self_stop,
         };
         let run = reservation.run;
         let shadow = self.queues[queue].mode == QueueMode::Shadow;
--- a/crates/dispatch/src/runner.rs
+++ b/crates/dispatch/src/runner.rs
@@ -23,6 +23,7 @@
     pub(crate) capacity: Resources,
     pub(crate) free: Resources,
     pub(crate) draining: bool,
+    pub(crate) self_stop: bool,
     pub(crate) heard_at: Monotonic,
 }
 
@@ -62,6 +63,7 @@
             capacity: report.capacity,
             free: report.free,
             draining: report.draining,
+            self_stop: report.self_stop,
             heard_at: now,
         });
         let held = report.held.iter().map(|held| held.run);
--- a/crates/dispatch/tests/steps.rs
+++ b/crates/dispatch/tests/steps.rs
@@ -45,6 +45,7 @@
         resources: slots(2),
         time_limit: Milliseconds(1_000),
         reserved_at: at(0).wall,
+        self_stop: true,
     };
     dispatcher.adopt_run(open.clone());
     dispatcher.adopt_run(open);
@@ -195,6 +196,7 @@
         resources: slots(1),
         time_limit: Milliseconds(1_000),
         reserved_at: at(0).wall,
+        self_stop: true,
     });
     dispatcher.publish(meta(2, "a", 1), at(0));
     let next = placed(dispatcher.reserve(&runner("r1"), at(0))).unwrap();
--- a/crates/record/src/state/runs.rs
+++ b/crates/record/src/state/runs.rs
@@ -62,6 +62,7 @@
             resources: step.resources,
             time_limit: step.time_limit,
             reserved_at: at,
+            self_stop: reservation.self_stop,
         };
         if !skips {
             self.check_queue_starts(&run)?;
--- a/crates/record/tests/properties/world.rs
+++ b/crates/record/tests/properties/world.rs
@@ -217,6 +217,7 @@
             task,
             runner: runner(on),
             incarnation: RunnerIncarnation(1),
+            self_stop: true,
         };
         let reservations = vec![reservation];
         let at = self.at;
--- a/crates/record/tests/support/mod.rs
+++ b/crates/record/tests/support/mod.rs
@@ -176,6 +176,7 @@
             task,
             runner: runner(on),
             incarnation: RunnerIncarnation(1),
+            self_stop: true,
         };
         let command = Command::Reserve {
             reservations: vec![reservation],
--- a/crates/types/src/task.rs
+++ b/crates/types/src/task.rs
@@ -49,6 +49,9 @@
     pub time_limit: Milliseconds,
     /// When the record took the reservation.
     pub reserved_at: WallTime,
+    /// Whether its runner stops it at the end of the run lease, as it said
+    /// when it was chosen. If not, the run stays bound however silent it is.
+    pub self_stop: bool,
 }
 
 /// A choice of the dispatcher, to be committed before its order may leave.
@@ -62,6 +65,8 @@
     pub runner: RunnerId,
     /// The life of the runner whose room was seen.
     pub incarnation: RunnerIncarnation,
+    /// Whether that runner stops its own runs at the end of the run lease.
+    pub self_stop: bool,
 }
 
 /// A job's number with the caller's names, for messages to people.
