--- a/crates/lab/src/simulate.rs
+++ b/crates/lab/src/simulate.rs
@@ -130,6 +130,9 @@
     let finished = AtomicU64::new(0);
     let bad = AtomicU64::new(0);
     run_campaign(&campaign, |result| {
+        if let Some(found) = result.report.violations.first() {
+            eprintln!("seed {}: {:?}", result.plan.seed, found.kind);
+        }
         let bad = bad.fetch_add(u64::from(!result.is_good()), Ordering::Relaxed);
         let finished = finished.fetch_add(1, Ordering::Relaxed) + 1;
         if finished.is_multiple_of(PROGRESS_SEEDS) {
