Take the late end of a lost run before its task starts again

Cause: a runner that was given up in silence came back and reported a done end.

Also ruled out: taking a late end while the task runs again, since that run decides.

Change: the record remembers lost runs of unfinished tasks. Their late end settles the task if it has not started again; a late failure uses up its allowance. Closes are proposed before reservations of the same round.

--- a/crates/coordinator/src/leadership.rs
+++ b/crates/coordinator/src/leadership.rs
@@ -126,8 +126,10 @@
             return false;
         };
         leader.start_reserved(&replica.record, now);
-        placement::place(leader, &replica.record, now);
+        // What ended goes first: a late done end must be in the log before
+        // its task could be reserved again.
         leader.propose_closes(now);
+        placement::place(leader, &replica.record, now);
         let proposals = std::mem::take(&mut leader.proposals);
         let any = !proposals.is_empty();
         for proposal in proposals {
--- a/crates/coordinator/src/runners.rs
+++ b/crates/coordinator/src/runners.rs
@@ -5,7 +5,7 @@
 use crate::leader::Leader;
 use crate::runs::Phase;
 use peer::{AgentReport, OrderResult, PeerMessage, RunnerUpdate};
-use record::Record;
+use record::{ClosedRun, Record};
 use std::collections::{BTreeMap, BTreeSet};
 use types::{
     EndedRun, HeartbeatSequence, HeldRun, Milliseconds, Monotonic, Now, RunClose, RunId, RunnerId,
@@ -175,6 +175,7 @@
             .collect();
         let held: BTreeMap<RunId, &HeldRun> =
             report.held.iter().map(|held| (held.run, held)).collect();
+        self.take_late_ends(record, report);
         for run in self.runs.of_runner(&report.runner) {
             let Some(tracked) = self.runs.get(run) else {
                 continue;
@@ -193,6 +194,20 @@
         }
     }
 
+    /// Passes late ends of runs that were given up on to the record. One that
+    /// is still under way when the next heartbeat comes is passed on again,
+    /// which changes nothing.
+    fn take_late_ends(&mut self, record: &Record, report: &RunnerReport) {
+        let late = report
+            .ended
+            .iter()
+            .filter(|ended| record.awaits_late_end(ended.run));
+        self.closes.extend(late.map(|ended| ClosedRun {
+            run: ended.run,
+            close: RunClose::Ended(ended.outcome.clone()),
+        }));
+    }
+
     fn run_held(&mut self, run: RunId, held: &HeldRun) {
         let Some(tracked) = self.runs.get_mut(run) else {
             return;
@@ -221,6 +236,7 @@
     /// Answers a heartbeat: the run lease, ends the record has, runs to stop.
     fn confirm(&mut self, record: &Record, agent: &Sender, report: &RunnerReport) {
         let closed = |run: &RunId| record.open_run(*run).is_none();
+        let recorded = |run: &RunId| closed(run) && !record.awaits_late_end(*run);
         let ended = report.ended.iter().map(|ended| ended.run);
         let held = report.held.iter().map(|held| held.run);
         let stop: BTreeSet<RunId> = held.filter(|run| closed(run)).collect();
@@ -230,7 +246,7 @@
             incarnation: report.incarnation,
             confirmed: report.sequence,
             lease: self.timings.run_lease,
-            recorded: ended.filter(closed).collect(),
+            recorded: ended.filter(recorded).collect(),
             stop: stop.into_iter().collect(),
         };
         self.answer(agent, PeerMessage::RunnerUpdate(update));
--- a/crates/coordinator/tests/runs.rs
+++ b/crates/coordinator/tests/runs.rs
@@ -128,6 +128,27 @@
     assert_eq!(world.job("job").state, JobState::Done);
 }
 
+#[test]
+fn a_late_done_end_settles_a_lost_run_s_task_before_it_starts_again() {
+    let mut world = with_runner();
+    world.submit("job");
+    world.run(500);
+    world.agents[0].silent = true;
+    world.agents[0].end_all(Outcome::Done);
+    world.run(given_up_after() + 1_000);
+    assert!(world.record().open_runs().is_empty(), "given up");
+    assert_eq!(world.job("job").state, JobState::Running);
+    world.agents[0].silent = false;
+    world.run(2_000);
+    assert_eq!(world.job("job").state, JobState::Done);
+    assert_eq!(
+        world.agents[0].started.len(),
+        1,
+        "done is not started again"
+    );
+    assert!(world.agents[0].ended.is_empty(), "confirmed once it is in");
+}
+
 #[test]
 fn a_runner_without_self_stop_keeps_its_runs_until_declared_lost() {
     let mut world = with_runner();
--- a/crates/record/src/command.rs
+++ b/crates/record/src/command.rs
@@ -34,7 +34,9 @@
         /// Leader's wall time.
         at: WallTime,
     },
-    /// Close runs. A run that is closed already, or unknown, stays as it is.
+    /// Close runs. A run that is closed already, or unknown, stays as it is;
+    /// but the late end of a run given up as lost settles its task, if that is
+    /// unfinished and has not started again.
     CloseRuns {
         /// The runs.
         runs: Vec<ClosedRun>,
--- a/crates/record/src/state.rs
+++ b/crates/record/src/state.rs
@@ -11,6 +11,7 @@
 mod indexes;
 mod job;
 mod jobs;
+mod late;
 mod queries;
 mod retention;
 mod runs;
@@ -27,7 +28,7 @@
 use job::Job;
 use std::collections::{BTreeMap, BTreeSet};
 use taken::TakenConfigurations;
-use types::{ConfigurationVersion, JobNumber, OpenRun, RunId, RunnerId};
+use types::{ConfigurationVersion, JobNumber, OpenRun, RunId, RunnerId, TaskRef};
 
 /// Jobs, runs, configuration and operators' words on runners.
 #[derive(Debug, Clone, PartialEq, Eq, Default)]
@@ -38,6 +39,8 @@
     last_number: JobNumber,
     jobs: BTreeMap<JobNumber, Job>,
     open_runs: BTreeMap<RunId, OpenRun>,
+    /// Tasks of runs given up as lost, whose late end would still be news.
+    lost_runs: BTreeMap<RunId, TaskRef>,
     draining_runners: BTreeSet<RunnerId>,
     /// The highest run of any forgotten job. Runs grow by term and sequence
     /// in the order of the log, and a job is forgotten a retention after its
--- a/crates/record/src/state/retention.rs
+++ b/crates/record/src/state/retention.rs
@@ -26,6 +26,9 @@
             return;
         };
         self.indexes.remove_job(number, &job);
+        for run in &job.closed_runs {
+            self.lost_runs.remove(run);
+        }
         let highest = job.closed_runs.iter().max().copied();
         self.highest_forgotten_run = self.highest_forgotten_run.max(highest);
     }
--- a/crates/record/src/state/runs.rs
+++ b/crates/record/src/state/runs.rs
@@ -113,7 +113,8 @@
         self.open_runs.insert(run.run, run);
     }
 
-    /// Closes runs; one that is closed already or unknown stays as it is.
+    /// Closes runs; one that is closed already or unknown stays as it is, but
+    /// the late end of a lost one is taken.
     pub(super) fn close_runs(
         &mut self,
         runs: &[ClosedRun],
@@ -125,6 +126,8 @@
             if let Some(open) = self.open_runs.remove(&run.run) {
                 closed.push(run.run);
                 self.close_run(open, &run.close, at, changes);
+            } else {
+                self.take_late_end(run.run, &run.close, at, changes);
             }
         }
         CommandReply::Closed { runs: closed }
@@ -148,6 +151,7 @@
         let failed = counts && settle(job, task, close, &self.document.timings, at);
         let again = job.startable_meta(task);
         self.indexes.refresh(task.job, job);
+        self.remember_lost(&run, close);
         changes.push(Change::RunClosed {
             run,
             close: close.clone(),
@@ -159,7 +163,7 @@
     }
 
     /// What the close of a run means for its task's step and job.
-    fn follow_close(
+    pub(super) fn follow_close(
         &mut self,
         task: TaskRef,
         close: &RunClose,
@@ -205,7 +209,13 @@
 /// Notes on an unfinished task how its run closed; true when the task failed
 /// by it. The last allowed failure fails the task even while another copy is
 /// going: copies race for one result and share the allowance.
-fn settle(job: &mut Job, at: TaskRef, close: &RunClose, timings: &Timings, now: WallTime) -> bool {
+pub(super) fn settle(
+    job: &mut Job,
+    at: TaskRef,
+    close: &RunClose,
+    timings: &Timings,
+    now: WallTime,
+) -> bool {
     let Some((step, _, _)) = job.task(at) else {
         return false;
     };
--- a/crates/record/src/state/snapshot.rs
+++ b/crates/record/src/state/snapshot.rs
@@ -9,13 +9,13 @@
 use configuration::ClusterConfiguration;
 use serde::{Deserialize, Serialize};
 use std::borrow::Cow;
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use types::{
     ConfigurationVersion, JobNumber, JobSpec, JobState, OpenRun, RunId, RunnerId, TaskRef, WallTime,
 };
 
 /// Version of the bytes; a program reads only its own.
-pub const SNAPSHOT_VERSION: u32 = 2;
+pub const SNAPSHOT_VERSION: u32 = 3;
 
 /// The version stands before the body, little-endian.
 const VERSION_BYTES: usize = size_of::<u32>();
@@ -28,6 +28,7 @@
     last_number: JobNumber,
     jobs: Vec<StoredJob<'a>>,
     open_runs: Vec<Cow<'a, OpenRun>>,
+    lost_runs: Cow<'a, BTreeMap<RunId, TaskRef>>,
     draining_runners: Cow<'a, BTreeSet<RunnerId>>,
     highest_forgotten_run: Option<RunId>,
 }
@@ -69,6 +70,7 @@
                 .map(|(n, job)| store_job(*n, job))
                 .collect(),
             open_runs: self.open_runs.values().map(Cow::Borrowed).collect(),
+            lost_runs: Cow::Borrowed(&self.lost_runs),
             draining_runners: Cow::Borrowed(&self.draining_runners),
             highest_forgotten_run: self.highest_forgotten_run,
         };
@@ -89,6 +91,7 @@
             document: stored.document.into_owned(),
             taken: stored.taken.into_owned(),
             last_number: stored.last_number,
+            lost_runs: stored.lost_runs.into_owned(),
             draining_runners: stored.draining_runners.into_owned(),
             highest_forgotten_run: stored.highest_forgotten_run,
             ..Self::default()
@@ -107,12 +110,26 @@
         for run in stored.open_runs {
             record.restore_run(run.into_owned())?;
         }
+        record.check_lost_runs()?;
         for (number, job) in &record.jobs {
             record.indexes.insert_job(*number, job);
         }
         Ok(record)
     }
 
+    fn check_lost_runs(&self) -> Result<(), RecordError> {
+        let closed = |run: &RunId, task: &TaskRef| {
+            let job = self.jobs.get(&task.job);
+            job.is_some_and(|job| job.closed_runs.contains(run) && job.task(*task).is_some())
+        };
+        match self.lost_runs.iter().all(|(run, task)| closed(run, task)) {
+            true => Ok(()),
+            false => Err(RecordError::Inconsistent(
+                "a lost run is no closed run of its job",
+            )),
+        }
+    }
+
     fn restore_job(&mut self, stored: StoredJob) -> Result<(), RecordError> {
         let number = stored.number;
         if number > self.last_number || self.jobs.contains_key(&number) {
--- a/crates/record/tests/runs.rs
+++ b/crates/record/tests/runs.rs
@@ -85,6 +85,37 @@
     }
 }
 
+#[test]
+fn a_late_end_settles_a_lost_run_s_task_until_it_starts_again() {
+    let mut driver = with_job(vec![step("a", 3, &[])]);
+    let tasks = [task(1, 0, 0), task(1, 0, 1), task(1, 0, 2)];
+    let runs = tasks.map(|task| driver.reserve(task).unwrap());
+    for run in runs {
+        driver.close(run, RunClose::Lost);
+        assert!(driver.record.awaits_late_end(run));
+    }
+    let changes = driver.close(runs[0], RunClose::Ended(Outcome::Done));
+    assert_eq!(ended_in(&changes), [(tasks[0], vec![])]);
+    assert!(!driver.record.awaits_late_end(runs[0]));
+    driver.close(runs[1], failed());
+    assert_eq!(driver.view("j").steps[0].failed_runs, 1);
+    driver.reserve(tasks[2]).unwrap();
+    assert!(
+        driver
+            .close(runs[2], RunClose::Ended(Outcome::Done))
+            .is_empty()
+    );
+    assert!(!driver.record.awaits_late_end(runs[2]));
+    assert_eq!(
+        driver.states("j")[2],
+        TaskState::Running,
+        "that run decides"
+    );
+    // Told twice, it changes nothing more.
+    driver.close(runs[1], failed());
+    assert_eq!(driver.view("j").steps[0].failed_runs, 1);
+}
+
 #[test]
 fn failures_wait_longer_each_time_and_the_last_one_fails_the_job() {
     let mut retried = step("s", 1, &[]);
