--- a/crates/replay/tests/inputs.rs
+++ b/crates/replay/tests/inputs.rs
@@ -179,7 +179,9 @@
     assert_eq!(closed[0]["run"], json!(run));
     assert_eq!(closed[0]["outcome"], "lost");
     let at = closed[0]["at_ms"].as_u64().unwrap() - common::START;
-    assert!((12_000..14_000).contains(&at), "{at}");
+    let timings = configuration::Timings::default();
+    let given_up = (timings.run_lease + timings.run_lease_margin).0;
+    assert!((given_up..given_up + 2_000).contains(&at), "{at}");
 }
 
 #[test]
