--- a/crates/agent/src/core.rs
+++ b/crates/agent/src/core.rs
@@ -14,7 +14,8 @@
 use session::{SessionClient, SessionEvent, SessionOptions};
 use std::net::SocketAddr;
 use types::{
-    Milliseconds, Monotonic, NodeId, Now, OrderAnswer, RefusalReason, RunnerId, RunnerOrder, Term,
+    Milliseconds, Monotonic, NodeId, Now, OrderAnswer, OrderKind, RefusalReason, RunnerId,
+    RunnerOrder, Term,
 };
 
 /// Reports of several runners that arrive within this time go out together.
@@ -247,6 +248,13 @@
 
     fn take_order(&mut self, now: Now, order: &RunnerOrder, effects: &mut Vec<Effect>) {
         match self.runners.standing(&order.runner, order.incarnation) {
+            Standing::Served if self.is_start_on_draining(order) => {
+                let answer = OrderAnswer::Refused(RefusalReason::Draining);
+                if self.orders.note(order) == Accepted::New {
+                    self.give_result(now, order.clone(), answer, effects);
+                }
+                return;
+            }
             Standing::Served => {}
             Standing::Ended => {
                 let answer = OrderAnswer::Refused(RefusalReason::OtherIncarnation);
@@ -263,6 +271,12 @@
         }
     }
 
+    /// The leader may not have heard yet that the runner leaves; this process
+    /// has, and nothing passes it by.
+    fn is_start_on_draining(&self, order: &RunnerOrder) -> bool {
+        matches!(order.kind, OrderKind::Start { .. }) && self.runners.is_draining(&order.runner)
+    }
+
     /// Told to the sender alone: it may be a leader that was voted out, and
     /// the leader of this session has no use for its orders.
     fn refuse_stale(&self, envelope: &Envelope, orders: &[RunnerOrder], effects: &mut Vec<Effect>) {
--- a/crates/agent/src/core/interface.rs
+++ b/crates/agent/src/core/interface.rs
@@ -1,6 +1,6 @@
 //! What goes into the core and what comes out.
 
-use peer::{Envelope, PeerMessage};
+use peer::{Envelope, NamedRun, PeerMessage};
 use std::net::SocketAddr;
 use types::{
     Address, HeartbeatSequence, Milliseconds, OrderAnswer, RunId, RunnerIncarnation, RunnerOrder,
@@ -94,4 +94,6 @@
     pub recorded: Vec<RunId>,
     /// Held runs the record closed: stop them.
     pub stop: Vec<RunId>,
+    /// Answers to the runs that could not be named.
+    pub names: Vec<NamedRun>,
 }
--- a/crates/agent/src/core/runners.rs
+++ b/crates/agent/src/core/runners.rs
@@ -1,7 +1,7 @@
 //! The runners an agent serves.
 
 use super::HeartbeatAnswer;
-use peer::RunnerUpdate;
+use peer::{NamedRun, RunnerUpdate};
 use std::collections::{BTreeMap, BTreeSet};
 use types::{
     HeartbeatSequence, Milliseconds, Monotonic, RunId, RunnerId, RunnerIncarnation, RunnerReport,
@@ -35,6 +35,8 @@
     lease: Milliseconds,
     recorded: BTreeSet<RunId>,
     stop: BTreeSet<RunId>,
+    names: Vec<NamedRun>,
+    draining: bool,
 }
 
 impl Entry {
@@ -49,6 +51,8 @@
             lease: Milliseconds::default(),
             recorded: BTreeSet::new(),
             stop: BTreeSet::new(),
+            names: Vec::new(),
+            draining: report.draining,
         }
     }
 }
@@ -80,6 +84,7 @@
         }
         entry.newest = report.sequence;
         entry.heard_at = now;
+        entry.draining = report.draining;
         if session_open {
             entry.heard_in_session = true;
             entry.unsent = Some(report);
@@ -100,6 +105,16 @@
         }
         entry.recorded.extend(&update.recorded);
         entry.stop.extend(&update.stop);
+        for named in &update.names {
+            if !entry.names.contains(named) {
+                entry.names.push(named.clone());
+            }
+        }
+    }
+
+    /// True when the runner said in its last heartbeat that it leaves.
+    pub fn is_draining(&self, runner: &RunnerId) -> bool {
+        self.entries.get(runner).is_some_and(|entry| entry.draining)
     }
 
     /// What to tell a runner, without the term. Lists are told once.
@@ -113,6 +128,7 @@
             lease: entry.lease,
             recorded: std::mem::take(&mut entry.recorded).into_iter().collect(),
             stop: std::mem::take(&mut entry.stop).into_iter().collect(),
+            names: std::mem::take(&mut entry.names),
             ..HeartbeatAnswer::default()
         }
     }
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -9,4 +9,4 @@
 pub mod shell;
 
 pub use crate::core::{Agent, AgentMutation, AgentOptions, Effect, HeartbeatAnswer, Input};
-pub use shell::{AgentError, ShellOptions, run};
+pub use shell::{AgentError, OrderCarrier, Questions, ShellOptions, run, run_with_carrier};
--- a/crates/agent/src/shell.rs
+++ b/crates/agent/src/shell.rs
@@ -8,8 +8,11 @@
 
 use crate::{Agent, AgentOptions};
 use admin::Readiness;
+use axum::Router;
 use delivery::Courier;
+pub use delivery::OrderCarrier;
 use driver::Driver;
+pub use question::Questions;
 use std::future::IntoFuture;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -73,10 +76,36 @@
     listener: TcpListener,
     options: ShellOptions,
     stop: watch::Receiver<bool>,
+) -> Result<(), AgentError> {
+    let courier = Courier::new(options.core.order_timeout, options.core.freeze_after)?;
+    serve(listener, options, stop, courier, http::router).await
+}
+
+/// Runs an agent until `stop` turns true, whose runners speak another
+/// interface than that of the `api` crate: `carrier` brings them orders, and
+/// `routes` takes what they send.
+pub async fn run_with_carrier<C: OrderCarrier>(
+    options: ShellOptions,
+    stop: watch::Receiver<bool>,
+    carrier: C,
+    routes: impl FnOnce(Questions, Readiness) -> Router,
+) -> Result<(), AgentError> {
+    let listen = options.http_listen;
+    let listener = TcpListener::bind(listen)
+        .await
+        .map_err(|source| AgentError::Http { listen, source })?;
+    serve(listener, options, stop, carrier, routes).await
+}
+
+async fn serve<C: OrderCarrier>(
+    listener: TcpListener,
+    options: ShellOptions,
+    stop: watch::Receiver<bool>,
+    courier: C,
+    routes: impl FnOnce(Questions, Readiness) -> Router,
 ) -> Result<(), AgentError> {
     let listen = options.http_listen;
     let mut core = options.core;
-    let courier = Courier::new(core.order_timeout, core.freeze_after)?;
     let own = core.address.clone();
     let started = peer::Transport::start(options.transport, options.cluster_key, own);
     let (transport, arriving) = started.await?;
@@ -90,8 +119,7 @@
     let grace = Duration::from_millis(options.grace.0);
     let closing = grace / CLOSING_PART;
 
-    let service =
-        http::router(questions, readiness).into_make_service_with_connect_info::<SocketAddr>();
+    let service = routes(questions, readiness).into_make_service_with_connect_info::<SocketAddr>();
     let serving = axum::serve(listener, service)
         .with_graceful_shutdown(turned_true(finished_seen))
         .into_future();
--- a/crates/agent/src/shell/delivery.rs
+++ b/crates/agent/src/shell/delivery.rs
@@ -33,10 +33,34 @@
         })
     }
 
+    async fn send(&self, url: &OrdersUrl, order: &RunnerOrder) -> Option<OrderAnswer> {
+        let body = OrderBody::from(order);
+        let request = self.client.post(url.to_string()).json(&body);
+        let response = request.send().await.ok()?;
+        if response.status() != StatusCode::OK {
+            return None;
+        }
+        let bytes = read_bounded(response).await?;
+        let body: OrderAnswerBody = api::runner::read(&bytes).ok()?;
+        OrderAnswer::try_from(body).ok()
+    }
+}
+
+/// Brings orders to runners.
+pub trait OrderCarrier: Clone + Send + Sync + 'static {
     /// Sends an order that the core gave out at `issued_at`, and waits for the
     /// answer. Anything but a readable answer is unknown: the order may or may
     /// not have arrived, and is never sent again.
-    pub async fn deliver(
+    fn deliver(
+        &self,
+        url: Option<&OrdersUrl>,
+        order: &RunnerOrder,
+        issued_at: Monotonic,
+    ) -> impl Future<Output = OrderAnswer> + Send;
+}
+
+impl OrderCarrier for Courier {
+    async fn deliver(
         &self,
         url: Option<&OrdersUrl>,
         order: &RunnerOrder,
@@ -53,18 +77,6 @@
         }
         answer.unwrap_or(OrderAnswer::Unknown)
     }
-
-    async fn send(&self, url: &OrdersUrl, order: &RunnerOrder) -> Option<OrderAnswer> {
-        let body = OrderBody::from(order);
-        let request = self.client.post(url.to_string()).json(&body);
-        let response = request.send().await.ok()?;
-        if response.status() != StatusCode::OK {
-            return None;
-        }
-        let bytes = read_bounded(response).await?;
-        let body: OrderAnswerBody = api::runner::read(&bytes).ok()?;
-        OrderAnswer::try_from(body).ok()
-    }
 }
 
 /// The body, unless it is too long or breaks off.
--- a/crates/agent/src/shell/driver.rs
+++ b/crates/agent/src/shell/driver.rs
@@ -1,6 +1,6 @@
 //! The task that owns the core: it reads the clock, gives inputs, does effects.
 
-use super::delivery::Courier;
+use super::delivery::OrderCarrier;
 use super::key::authorize;
 use super::question::Question;
 use super::turned_true;
@@ -26,19 +26,19 @@
 }
 
 /// The core with everything that its effects need.
-pub struct Driver {
+pub struct Driver<C> {
     agent: Agent,
     transport: Transport,
-    courier: Courier,
+    courier: C,
     readiness: Readiness,
     orders_urls: BTreeMap<RunnerId, KnownUrl>,
     deliveries: JoinSet<(RunnerOrder, OrderAnswer)>,
     stopped: bool,
 }
 
-impl Driver {
+impl<C: OrderCarrier> Driver<C> {
     /// A driver of a fresh agent.
-    pub fn new(agent: Agent, transport: Transport, courier: Courier, readiness: Readiness) -> Self {
+    pub fn new(agent: Agent, transport: Transport, courier: C, readiness: Readiness) -> Self {
         Self {
             agent,
             transport,
@@ -120,10 +120,15 @@
                 answer,
             } => {
                 let runner = report.runner.clone();
-                self.remember_url(&runner, orders_url);
+                if let Some(url) = orders_url {
+                    self.remember_url(&runner, url);
+                }
                 self.input(Input::Heartbeat(report));
                 let _ = answer.send(self.agent.heartbeat_answer(&runner));
             }
+            Question::News { runner, answer } => {
+                let _ = answer.send(self.agent.heartbeat_answer(&runner));
+            }
         }
     }
 
--- a/crates/agent/src/shell/http.rs
+++ b/crates/agent/src/shell/http.rs
@@ -53,7 +53,7 @@
     let body: HeartbeatBody = api::runner::read(body).map_err(invalid)?;
     let (report, orders_url) = body.into_report(runner).map_err(invalid)?;
     check_orders_host(&orders_url, sender)?;
-    Ok(questions.heartbeat(report, orders_url).await?)
+    Ok(questions.heartbeat(report, Some(orders_url)).await?)
 }
 
 /// An agent sends orders to its runner's own machine alone, so that no
--- a/crates/agent/src/shell/question.rs
+++ b/crates/agent/src/shell/question.rs
@@ -4,7 +4,7 @@
 use api::runner::OrdersUrl;
 use peer::{Refusal, RefusalCode};
 use tokio::sync::{mpsc, oneshot};
-use types::{Milliseconds, RunnerReport};
+use types::{Milliseconds, RunnerId, RunnerReport};
 
 /// Questions that may wait for the core; more are refused at once.
 const MAX_WAITING: usize = 512;
@@ -25,8 +25,15 @@
     Heartbeat {
         /// The heartbeat.
         report: RunnerReport,
-        /// Where the runner takes orders.
-        orders_url: OrdersUrl,
+        /// Where the runner takes orders; none where the carrier knows.
+        orders_url: Option<OrdersUrl>,
+        /// Where the answer goes.
+        answer: oneshot::Sender<HeartbeatAnswer>,
+    },
+    /// What the leader has answered since the last heartbeat of a runner.
+    News {
+        /// The runner.
+        runner: RunnerId,
         /// Where the answer goes.
         answer: oneshot::Sender<HeartbeatAnswer>,
     },
@@ -56,7 +63,7 @@
     pub async fn heartbeat(
         &self,
         report: RunnerReport,
-        orders_url: OrdersUrl,
+        orders_url: Option<OrdersUrl>,
     ) -> Result<HeartbeatAnswer, Refusal> {
         let (answer, answered) = oneshot::channel();
         self.ask(Question::Heartbeat {
@@ -67,6 +74,13 @@
         answered.await.map_err(|_| stopping())
     }
 
+    /// Asks what the leader has answered meanwhile, without a heartbeat.
+    pub async fn news(&self, runner: RunnerId) -> Result<HeartbeatAnswer, Refusal> {
+        let (answer, answered) = oneshot::channel();
+        self.ask(Question::News { runner, answer })?;
+        answered.await.map_err(|_| stopping())
+    }
+
     fn ask(&self, question: Question) -> Result<(), Refusal> {
         self.sender.try_send(question).map_err(|error| match error {
             mpsc::error::TrySendError::Full(_) => refusal(
--- a/crates/agent/tests/agent/bench.rs
+++ b/crates/agent/tests/agent/bench.rs
@@ -42,6 +42,7 @@
 
 pub fn report(incarnation: u64, sequence: u64) -> RunnerReport {
     RunnerReport {
+        unnamed: Vec::new(),
         runner: runner_id(),
         incarnation: RunnerIncarnation(incarnation),
         sequence: HeartbeatSequence(sequence),
@@ -61,6 +62,7 @@
 /// alike.
 pub fn order(term: u64, sequence: u64) -> RunnerOrder {
     RunnerOrder {
+        name: None,
         term: Term(term),
         sequence: OrderSequence(sequence),
         runner: runner_id(),
@@ -73,6 +75,7 @@
 
 pub fn update(term: u64, confirmed: u64) -> RunnerUpdate {
     RunnerUpdate {
+        names: Vec::new(),
         term: Term(term),
         runner: runner_id(),
         incarnation: RunnerIncarnation(LIFE),
--- a/crates/agent/tests/shell/bench.rs
+++ b/crates/agent/tests/shell/bench.rs
@@ -271,12 +271,15 @@
 /// A start of a run that takes 10 ms, from the room of `report`.
 pub fn start(report: &RunnerReport) -> RunnerOrder {
     RunnerOrder {
+        name: None,
         term: TERM,
         sequence: OrderSequence(1),
         runner: report.runner.clone(),
         incarnation: report.incarnation,
         kind: OrderKind::Start {
             run: RunSpec {
+                attempt: 1,
+                checkpoint: None,
                 run: run_id(),
                 job: JobKey {
                     tenant: TenantId::new("tenant").unwrap(),
--- a/crates/agent/tests/shell/delivery.rs
+++ b/crates/agent/tests/shell/delivery.rs
@@ -27,6 +27,7 @@
     assert_eq!(report.ended[0].run, run_id());
     assert_eq!(report.ended[0].outcome, Outcome::Done);
     let update = RunnerUpdate {
+        names: Vec::new(),
         term: crate::bench::TERM,
         runner: report.runner.clone(),
         incarnation: report.incarnation,
--- a/crates/api/src/configuration.rs
+++ b/crates/api/src/configuration.rs
@@ -3,16 +3,28 @@
 use crate::BodyError;
 use crate::key::KeyBody;
 use configuration::{
-    ClusterConfiguration, ErrorBudget, PoolSettings, QueueSettings, TenantSettings, Timings,
+    ClusterConfiguration, ErrorBudget, LeftOutQueues, PoolSettings, QueueSettings, TenantSettings,
+    Timings,
 };
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
-use types::{Milliseconds, PoolName, QueueName, Resources, TenantId};
+use types::{ConfigurationVersion, Milliseconds, PoolName, QueueName, Resources, TenantId};
 
 /// The whole document, in JSON or TOML.
 #[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct ConfigurationBody {
+    /// The version this document was made from; without it the one before its
+    /// own. Versions may skip numbers then.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub replaces: Option<u64>,
+    /// What becomes of queues and tenants left out while they hold unfinished
+    /// jobs.
+    #[serde(default)]
+    pub left_out: LeftOut,
+    /// The text this document was translated from, opaque here.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub source: Option<String>,
     /// Leases and waits.
     #[serde(default)]
     pub timings: TimingsBody,
@@ -30,6 +42,35 @@
     pub keys: Vec<KeyBody>,
 }
 
+/// What becomes of queues and tenants left out while they hold unfinished jobs.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum LeftOut {
+    /// The document is refused.
+    #[default]
+    Refuse,
+    /// They stay under their last settings, and the queues drain.
+    Drain,
+}
+
+impl From<LeftOutQueues> for LeftOut {
+    fn from(left_out: LeftOutQueues) -> Self {
+        match left_out {
+            LeftOutQueues::Refuse => Self::Refuse,
+            LeftOutQueues::Drain => Self::Drain,
+        }
+    }
+}
+
+impl From<LeftOut> for LeftOutQueues {
+    fn from(left_out: LeftOut) -> Self {
+        match left_out {
+            LeftOut::Refuse => Self::Refuse,
+            LeftOut::Drain => Self::Drain,
+        }
+    }
+}
+
 /// A pool of runners.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -165,6 +206,9 @@
     /// Unfinished jobs it may hold.
     #[serde(default = "default_queue_jobs")]
     pub max_unfinished_jobs: u64,
+    /// Place among the queues of its pool: work of a lower number goes first.
+    #[serde(default)]
+    pub priority: u8,
 }
 
 fn default_queue_jobs() -> u64 {
@@ -314,6 +358,7 @@
             pool: queue.pool,
             mode: queue.mode.into(),
             max_unfinished_jobs: queue.max_unfinished_jobs,
+            priority: queue.priority,
         }
     }
 }
@@ -324,6 +369,7 @@
             pool: body.pool,
             mode: body.mode.into(),
             max_unfinished_jobs: body.max_unfinished_jobs,
+            priority: body.priority,
         }
     }
 }
@@ -358,6 +404,9 @@
             tenants: convert(self.tenants),
             keys,
             timings: self.timings.into(),
+            replaces: self.replaces.map(ConfigurationVersion),
+            left_out: self.left_out.into(),
+            source: self.source,
         })
     }
 }
@@ -370,6 +419,9 @@
             queues: convert(document.queues),
             tenants: convert(document.tenants),
             keys: document.keys.into_iter().map(KeyBody::from).collect(),
+            replaces: document.replaces.map(|version| version.0),
+            left_out: document.left_out.into(),
+            source: document.source,
         }
     }
 }
--- a/crates/api/src/job.rs
+++ b/crates/api/src/job.rs
@@ -2,8 +2,8 @@
 
 use serde::{Deserialize, Serialize};
 use types::{
-    JobId, JobSpec, Labels, Milliseconds, QueueName, Resources, StepName, StepSpec, TenantId,
-    WallTime,
+    JobId, JobSpec, Labels, Milliseconds, QueueName, RackName, Resources, StepName, StepRules,
+    StepSpec, TenantId, WallTime,
 };
 
 /// Time limit of a run when the step names none, in milliseconds.
@@ -141,6 +141,9 @@
     /// No task starts before this time, in milliseconds since the epoch.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub start_at_ms: Option<u64>,
+    /// Opaque text for the runner, for every step that has none of its own.
+    #[serde(default, skip_serializing_if = "String::is_empty")]
+    pub payload: String,
     /// The steps.
     pub steps: Vec<StepBody>,
 }
@@ -175,6 +178,29 @@
     /// Opaque text for the runner.
     #[serde(default)]
     pub payload: String,
+    /// No task of the step starts before this time, in milliseconds since the
+    /// epoch.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub start_at_ms: Option<u64>,
+    /// The rack where its tasks run best.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub preferred_rack: Option<RackName>,
+    /// Most runs of the step on one runner at once.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub max_per_runner: Option<u32>,
+    /// The tasks work only all together.
+    #[serde(default, skip_serializing_if = "is_false")]
+    pub gang: bool,
+    /// The tasks of a gang run best within one rack.
+    #[serde(default, skip_serializing_if = "is_false")]
+    pub same_rack: bool,
+    /// The tasks run until the job is cancelled.
+    #[serde(default, skip_serializing_if = "is_false")]
+    pub endless: bool,
+}
+
+fn is_false(value: &bool) -> bool {
+    !value
 }
 
 fn one() -> u32 {
@@ -193,6 +219,7 @@
             queue: body.queue,
             urgency: body.urgency.into(),
             start_at: body.start_at_ms.map(WallTime),
+            payload: body.payload,
             steps: body.steps.into_iter().map(StepSpec::from).collect(),
         }
     }
@@ -206,6 +233,7 @@
             queue: spec.queue,
             urgency: spec.urgency.into(),
             start_at_ms: spec.start_at.map(|time| time.0),
+            payload: spec.payload,
             steps: spec.steps.into_iter().map(StepBody::from).collect(),
         }
     }
@@ -223,6 +251,14 @@
             allowed_failures: body.allowed_failures,
             time_limit: Milliseconds(body.time_limit_ms),
             payload: body.payload,
+            rules: StepRules {
+                start_at: body.start_at_ms.map(WallTime),
+                preferred_rack: body.preferred_rack,
+                max_per_runner: body.max_per_runner,
+                gang: body.gang,
+                same_rack: body.same_rack,
+                endless: body.endless,
+            },
         }
     }
 }
@@ -239,6 +275,12 @@
             allowed_failures: spec.allowed_failures,
             time_limit_ms: spec.time_limit.0,
             payload: spec.payload,
+            start_at_ms: spec.rules.start_at.map(|time| time.0),
+            preferred_rack: spec.rules.preferred_rack,
+            max_per_runner: spec.rules.max_per_runner,
+            gang: spec.rules.gang,
+            same_rack: spec.rules.same_rack,
+            endless: spec.rules.endless,
         }
     }
 }
--- a/crates/api/src/runner/heartbeat.rs
+++ b/crates/api/src/runner/heartbeat.rs
@@ -53,6 +53,12 @@
     pub run: RunText,
     /// How long it has been going, in milliseconds.
     pub age_ms: u64,
+    /// How far it has come, in percent, where the runner can tell.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub progress: Option<u8>,
+    /// What it saved last; the next run of its task is given it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub checkpoint: Option<String>,
 }
 
 /// A run that ended.
@@ -66,6 +72,9 @@
     /// Why it failed, for people.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub reason: Option<String>,
+    /// What it saved last; the next run of its task is given it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub checkpoint: Option<String>,
 }
 
 /// How a run ended.
@@ -126,6 +135,7 @@
         let orders_url = OrdersUrl::new(&self.orders_url)?;
         self.check_bounds()?;
         let report = RunnerReport {
+            unnamed: Vec::new(),
             runner,
             incarnation: RunnerIncarnation(self.incarnation),
             sequence: HeartbeatSequence(self.sequence),
@@ -164,6 +174,8 @@
         Self {
             run: RunText(held.run),
             age_ms: held.age.0,
+            progress: held.progress,
+            checkpoint: held.checkpoint.clone(),
         }
     }
 }
@@ -173,6 +185,8 @@
         Self {
             run: body.run.0,
             age: Milliseconds(body.age_ms),
+            progress: body.progress,
+            checkpoint: body.checkpoint,
         }
     }
 }
@@ -188,6 +202,7 @@
             run: RunText(ended.run),
             outcome,
             reason,
+            checkpoint: ended.checkpoint.clone(),
         }
     }
 }
@@ -207,6 +222,7 @@
         Self {
             run: body.run.0,
             outcome,
+            checkpoint: body.checkpoint,
         }
     }
 }
--- a/crates/api/src/runner/order.rs
+++ b/crates/api/src/runner/order.rs
@@ -53,6 +53,12 @@
     pub step: String,
     /// Position in the step, from 0.
     pub task: u32,
+    /// Number of the run among those of its task, from 1.
+    #[serde(default = "first_attempt")]
+    pub attempt: u32,
+    /// What an earlier run of the task saved, to go on from.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub checkpoint: Option<String>,
     /// What it may use.
     pub resources: Resources,
     /// The runner stops it after this time, in milliseconds.
@@ -111,6 +117,8 @@
     NoRoom,
     /// The runner is draining.
     Draining,
+    /// The runner is not well.
+    Unhealthy,
 }
 
 impl From<&RunnerOrder> for OrderBody {
@@ -152,11 +160,16 @@
             sequence: OrderSequence(body.sequence),
             runner: in_field("runner", RunnerId::new(body.runner))?,
             incarnation: RunnerIncarnation(body.incarnation),
+            name: None,
             kind,
         })
     }
 }
 
+fn first_attempt() -> u32 {
+    1
+}
+
 fn start_must(must: &'static str) -> RunnerBodyError {
     RunnerBodyError::Contradiction {
         field: "start",
@@ -171,6 +184,8 @@
             job: run.job.job.to_string(),
             step: run.step.to_string(),
             task: run.task,
+            attempt: run.attempt,
+            checkpoint: run.checkpoint.clone(),
             resources: run.resources,
             time_limit_ms: run.time_limit.0,
             payload: run.payload.clone(),
@@ -185,6 +200,8 @@
             job: in_field("start.job", JobId::new(self.job))?,
         };
         let run = RunSpec {
+            attempt: self.attempt,
+            checkpoint: self.checkpoint,
             run,
             job,
             step: in_field("start.step", StepName::new(self.step))?,
@@ -251,6 +268,7 @@
             RefusalReason::KnownRun => Self::KnownRun,
             RefusalReason::NoRoom => Self::NoRoom,
             RefusalReason::Draining => Self::Draining,
+            RefusalReason::Unhealthy => Self::Unhealthy,
         }
     }
 }
@@ -264,6 +282,7 @@
             ReasonName::KnownRun => Self::KnownRun,
             ReasonName::NoRoom => Self::NoRoom,
             ReasonName::Draining => Self::Draining,
+            ReasonName::Unhealthy => Self::Unhealthy,
         }
     }
 }
--- a/crates/api/tests/properties.rs
+++ b/crates/api/tests/properties.rs
@@ -46,6 +46,7 @@
         ),
     )
         .prop_map(|((name, after, tasks, resources), rest)| StepSpec {
+            rules: Default::default(),
             name,
             after,
             tasks,
@@ -68,6 +69,7 @@
         vec(step(), 0..4),
     )
         .prop_map(|(tenant, job, queue, urgent, start_at, steps)| JobSpec {
+            payload: String::new(),
             tenant,
             job,
             queue,
@@ -120,6 +122,7 @@
         any::<u32>(),
     )
         .prop_map(|(pool, mode, jobs)| QueueSettings {
+            priority: 0,
             pool,
             mode,
             max_unfinished_jobs: jobs.into(),
@@ -151,6 +154,9 @@
         .prop_map(|(pools, queues, tenants, keys, timings)| {
             let wait = |position: usize| Milliseconds(timings[position].into());
             ClusterConfiguration {
+                replaces: None,
+                left_out: Default::default(),
+                source: None,
                 pools,
                 queues,
                 tenants,
--- a/crates/configuration/src/document.rs
+++ b/crates/configuration/src/document.rs
@@ -3,7 +3,7 @@
 use crate::Key;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
-use types::{Milliseconds, PoolName, QueueName, Resources, TenantId};
+use types::{ConfigurationVersion, Milliseconds, PoolName, QueueName, Resources, TenantId};
 
 /// The whole cluster configuration under one version.
 #[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
@@ -18,6 +18,27 @@
     pub keys: Vec<Key>,
     /// Leases and waits that hold in the whole cluster.
     pub timings: Timings,
+    /// The version that this document was made from; none for the one before
+    /// its own. Versions may skip numbers, so it must be said then.
+    pub replaces: Option<ConfigurationVersion>,
+    /// What becomes of a queue that this document leaves out.
+    pub left_out: LeftOutQueues,
+    /// The text this document was translated from, opaque here, for tools that
+    /// keep their own format.
+    pub source: Option<String>,
+}
+
+/// What becomes of queues and tenants that a new document leaves out while
+/// they hold unfinished jobs.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Default, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum LeftOutQueues {
+    /// The document is refused: the operator drains or cancels first.
+    #[default]
+    Refuse,
+    /// They stay under their last settings, and the queues drain, until a
+    /// later document finds them empty.
+    Drain,
 }
 
 /// A pool of runners.
@@ -52,6 +73,8 @@
     pub mode: QueueMode,
     /// Unfinished jobs it may hold; more are refused with a time to come back.
     pub max_unfinished_jobs: u64,
+    /// Place among the queues of its pool: work of a lower number goes first.
+    pub priority: u8,
 }
 
 /// A tenant contract.
--- a/crates/configuration/tests/validate.rs
+++ b/crates/configuration/tests/validate.rs
@@ -44,6 +44,7 @@
     };
     document.pools.insert(pool.clone(), settings);
     let queue = QueueSettings {
+        priority: 0,
         pool,
         mode: QueueMode::Active,
         max_unfinished_jobs: 10,
--- a/crates/coordinator/src/core.rs
+++ b/crates/coordinator/src/core.rs
@@ -30,8 +30,13 @@
     pub address: Address,
     /// Peer sockets of other processes of any role; may be dead, or its own.
     pub seeds: Vec<SocketAddr>,
-    /// Initial coordinators of a new cluster.
+    /// Initial coordinators of a new cluster, and voters wanted ever after.
     pub initial_coordinators: u32,
+    /// Who may found a cluster.
+    pub founding: Founding,
+    /// A run whose progress stands still for this long is stopped and placed
+    /// again; none where it is left alone.
+    pub stalled_after: Option<Milliseconds>,
     /// Timings of consensus.
     pub consensus: consensus::Options,
     /// Limits of the dispatcher.
@@ -55,6 +60,20 @@
     pub mutation: Option<Mutation>,
 }
 
+/// Who may found a cluster.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum Founding {
+    /// The lowest identity, when exactly the initial coordinators are there.
+    #[default]
+    Exact,
+    /// The process at this socket alone, when at least the initial
+    /// coordinators are there; the others join. For fleets that know one
+    /// socket in common and not their own number.
+    At(SocketAddr),
+    /// Nobody: a cluster is there or will come back.
+    Never,
+}
+
 /// Faults that the simulation may build in, to prove that they are found.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum Mutation {
--- a/crates/coordinator/src/first_start.rs
+++ b/crates/coordinator/src/first_start.rs
@@ -17,14 +17,14 @@
 //! is left is a start with too many coordinators that do not hear each other.
 
 use crate::Coordinator;
-use crate::core::{Effect, Sender};
+use crate::core::{Effect, Founding, Sender};
 use crate::identification::Identification;
 use consensus::Membership;
 use peer::{Bootstrap, PeerMessage};
 use rand::Rng;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use types::{Address, ClusterId, Milliseconds, Monotonic, NodeId, Now, Role};
+use types::{Address, ClusterId, Milliseconds, Monotonic, NodeId, Now, Role, ZoneName};
 
 /// An announcement counts for this long.
 const ANNOUNCEMENT_VALID: Milliseconds = Milliseconds(1_500);
@@ -56,19 +56,27 @@
         &mut self,
         own: &Address,
         expected: u32,
+        founding: Founding,
         now: Monotonic,
     ) -> Option<Membership> {
         self.forget_old_announcements(now);
         let present = self.announced.len() + 1;
         let agreed = self.announced.values().all(|a| a.expected == expected);
         let lowest = self.announced.keys().all(|node| *node > own.node);
-        if present != expected as usize || !agreed || !lowest {
+        let may_found = match founding {
+            Founding::Exact => present == expected as usize && lowest,
+            Founding::At(socket) => present >= expected as usize && socket == own.socket,
+            Founding::Never => false,
+        };
+        if !may_found || !agreed {
             return None;
         }
+        let others = (expected as usize).saturating_sub(1);
         let mut voters: BTreeMap<NodeId, SocketAddr> = self
-            .announced
-            .iter()
-            .map(|(node, announced)| (*node, announced.address.socket))
+            .spread_over_zones(own)
+            .into_iter()
+            .take(others)
+            .map(|address| (address.node, address.socket))
             .collect();
         voters.insert(own.node, own.socket);
         Some(Membership {
@@ -76,6 +84,21 @@
             learners: BTreeMap::new(),
         })
     }
+
+    /// Announced coordinators in an order that takes one of each zone in turn,
+    /// this process's own zone last.
+    fn spread_over_zones(&self, own: &Address) -> Vec<Address> {
+        let mut seen: BTreeMap<ZoneName, usize> = BTreeMap::from([(own.zone.clone(), 1)]);
+        let mut order: Vec<(usize, Address)> = Vec::new();
+        for announced in self.announced.values() {
+            let address = announced.address.clone();
+            let turn = seen.entry(address.zone.clone()).or_default();
+            order.push((*turn, address));
+            *turn += 1;
+        }
+        order.sort();
+        order.into_iter().map(|(_, address)| address).collect()
+    }
 }
 
 impl Coordinator {
@@ -85,10 +108,12 @@
         }
         let expected = self.options.initial_coordinators;
         let own = self.own.clone();
-        let Some(voters) = self
-            .identification
-            .voters_to_propose(&own, expected, now.monotonic)
-        else {
+        let Some(voters) = self.identification.voters_to_propose(
+            &own,
+            expected,
+            self.options.founding,
+            now.monotonic,
+        ) else {
             return;
         };
         let cluster = ClusterId(self.random.random());
@@ -203,7 +228,10 @@
         }
         let named = voters.voters.get(&self.own.node) == Some(&self.own.socket);
         let other_seen = self.identification.seen.is_some_and(|seen| seen != cluster);
-        let unnamed = self.identification.hears_other_than(&voters, now.monotonic);
+        // Where one process alone may found, there is one proposal, and whoever
+        // is not named in it joins.
+        let unnamed = self.options.founding == Founding::Exact
+            && self.identification.hears_other_than(&voters, now.monotonic);
         if !named || other_seen || unnamed || !self.identification.is_empty() {
             return;
         }
--- a/crates/coordinator/src/leader.rs
+++ b/crates/coordinator/src/leader.rs
@@ -28,7 +28,7 @@
 use std::net::SocketAddr;
 use types::{
     Address, ClusterId, ConfigurationVersion, JobNumber, LogIndex, Milliseconds, Monotonic, NodeId,
-    Now, OrderSequence, Reservation, RunId, RunnerOrder, Term,
+    Now, OrderSequence, Reservation, RunId, RunnerId, RunnerOrder, Term,
 };
 
 /// Who waits for an entry to be applied.
@@ -101,6 +101,8 @@
     pub(crate) proposals: Vec<Proposal>,
     pub(crate) orders: Vec<(Sender, RunnerOrder)>,
     pub(crate) messages: Vec<(SocketAddr, PeerMessage)>,
+    /// Ends that the record has taken since the last message left, by runner.
+    pub(crate) recorded: BTreeMap<RunnerId, Vec<RunId>>,
     pub(crate) placement_due: bool,
     /// Refused runs that stay bound in the view for a moment.
     pub(crate) refused: VecDeque<RefusedRun>,
@@ -167,6 +169,7 @@
             proposals: Vec::new(),
             orders: Vec::new(),
             messages: Vec::new(),
+            recorded: BTreeMap::new(),
             placement_due: true,
             refused: VecDeque::new(),
             timers: Timers::new(now.monotonic),
@@ -237,6 +240,7 @@
         self.proposals.clear();
         self.orders.clear();
         self.messages.clear();
+        self.recorded.clear();
         for close in std::mem::take(&mut self.closes) {
             self.runs.close_failed(close.run);
         }
--- a/crates/coordinator/src/leadership.rs
+++ b/crates/coordinator/src/leadership.rs
@@ -4,7 +4,7 @@
 use crate::core::{Effect, Mutation};
 use crate::leader::{Leader, LeaderIdentity, Rebuild, Waiting};
 use crate::replica::AppliedEntry;
-use crate::requests::{refusal_unavailable, reply_of};
+use crate::requests::{refusal_unavailable, refusal_uncertain, reply_of};
 use crate::{Coordinator, placement};
 use consensus::RaftRole;
 use dispatch::Dispatcher;
@@ -82,7 +82,7 @@
         for request in leader.requests.take_all() {
             let reply = PeerMessage::Reply(Reply {
                 id: request.id,
-                result: Err(refusal_unavailable()),
+                result: Err(refusal_uncertain()),
             });
             let (to, message) = request.sender.answer(&self.own, reply);
             effects.push(Effect::Send { to, message });
@@ -157,6 +157,7 @@
         };
         leader.emit_decisions(effects);
         leader.pack_orders();
+        leader.confirm_recorded();
         let messages = std::mem::take(&mut leader.messages);
         if serving {
             effects.extend(
@@ -284,6 +285,11 @@
                     self.runs.want_stop(run.run);
                 }
             }
+            Change::RunsUseless(runs) => {
+                for run in runs {
+                    self.runs.want_stop(run);
+                }
+            }
             Change::RunOpened(run) => self.runs.reserved(run, now.monotonic),
             Change::RunClosed { run, close, again } => {
                 self.run_closed(record, run, close, again, now)
--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -30,5 +30,5 @@
 mod sessions;
 mod waiting;
 
-pub use crate::core::{Coordinator, CoordinatorOptions, Effect, Input, Mutation};
+pub use crate::core::{Coordinator, CoordinatorOptions, Effect, Founding, Input, Mutation};
 pub use shell::{CoordinatorError, ShellOptions, run};
--- a/crates/coordinator/src/orders.rs
+++ b/crates/coordinator/src/orders.rs
@@ -18,7 +18,7 @@
 
 use crate::core::{Mutation, Sender};
 use crate::leader::Leader;
-use crate::runs::Phase;
+use crate::runs::{Phase, TrackedRun};
 use peer::{DecisionEvent, OrderResult, PeerMessage};
 use record::{ClosedRun, Record};
 use types::{
@@ -34,16 +34,47 @@
 impl Leader {
     /// Sends the starts of runs that the record took.
     pub(crate) fn start_reserved(&mut self, record: &Record, now: Now) {
-        for run in std::mem::take(&mut self.to_start) {
-            let Some(tracked) = self.runs.get(run) else {
-                continue;
-            };
-            if tracked.phase != Phase::Reserved || tracked.closing {
-                continue;
+        let to_start = std::mem::take(&mut self.to_start);
+        let same_gang = |a: &RunId, b: &RunId| self.are_of_one_gang(record, *a, *b);
+        let groups: Vec<Vec<RunId>> = to_start
+            .chunk_by(same_gang)
+            .map(<[RunId]>::to_vec)
+            .collect();
+        for group in groups {
+            self.start_group(record, &group, now);
+        }
+    }
+
+    fn are_of_one_gang(&self, record: &Record, a: RunId, b: RunId) -> bool {
+        let task = |run| self.runs.get(run).map(|tracked| tracked.run.task);
+        let (Some(a), Some(b)) = (task(a), task(b)) else {
+            return false;
+        };
+        (a.job, a.step) == (b.job, b.step) && record.is_gang(a)
+    }
+
+    /// Sends the start of one run, or those of a gang: all of them, or none
+    /// when something speaks against one, since the others would only wait.
+    fn start_group(&mut self, record: &Record, group: &[RunId], now: Now) {
+        let is_waiting = |run: &RunId| {
+            let tracked = self.runs.get(*run);
+            tracked.is_some_and(|run| run.phase == Phase::Reserved && !run.closing)
+        };
+        let waiting: Vec<RunId> = group.iter().copied().filter(is_waiting).collect();
+        let orders: Option<Vec<OrderKind>> = waiting
+            .iter()
+            .map(|run| self.start_order(record, *run, now.monotonic))
+            .collect();
+        match orders.filter(|orders| orders.len() == group.len()) {
+            Some(orders) => {
+                for (run, kind) in waiting.into_iter().zip(orders) {
+                    self.send_start(record, run, kind, now);
+                }
             }
-            match self.start_order(record, run, now.monotonic) {
-                Some(kind) => self.send_start(record, run, kind, now),
-                None => self.close(run, RunClose::Refused),
+            None => {
+                for run in waiting {
+                    self.close(run, RunClose::Refused);
+                }
             }
         }
     }
@@ -76,13 +107,13 @@
         };
         tracked.phase = Phase::Ordered;
         let open = tracked.run.clone();
-        self.send_order(&open, kind, now.monotonic);
+        self.send_order(record, &open, kind, now.monotonic);
         self.note_ordered(record, &open, now);
         metrics::counter!("cypressdrum_runs_ordered_total").increment(1);
     }
 
     /// Sends an order to the agent that serves the runner, if there is one.
-    fn send_order(&mut self, open: &OpenRun, kind: OrderKind, now: Monotonic) {
+    fn send_order(&mut self, record: &Record, open: &OpenRun, kind: OrderKind, now: Monotonic) {
         if let Some(tracked) = self.runs.get_mut(open.run) {
             tracked.ordered_at = now;
         }
@@ -100,6 +131,7 @@
             sequence: self.next_order,
             runner: open.runner.clone(),
             incarnation: open.incarnation,
+            name: record.run_name(open),
             kind,
         };
         self.orders.push((agent, order));
@@ -119,13 +151,13 @@
         if self.has_mutation(Mutation::ResendStartInsteadOfVoid)
             && let Some(kind) = self.start_order(record, run, now)
         {
-            return self.send_order(&open, kind, now);
+            return self.send_order(record, &open, kind, now);
         }
         let kind = match stop {
             true => OrderKind::Stop { run },
             false => OrderKind::Void { run },
         };
-        self.send_order(&open, kind, now);
+        self.send_order(record, &open, kind, now);
     }
 
     /// Takes what became of an order of this term. Answers to orders of an
@@ -155,7 +187,13 @@
                 self.send_void(record, run, now.monotonic);
             }
             // Its one start was refused, so it never began.
-            OrderAnswer::Refused(_) if start => self.close(run, RunClose::Refused),
+            OrderAnswer::Refused(reason) if start => {
+                if *reason == RefusalReason::Unhealthy {
+                    let (runner, task) = (tracked.run.runner.clone(), tracked.run.task);
+                    self.dispatcher.note_outcome(&runner, task, true, now);
+                }
+                self.close(run, RunClose::Refused);
+            }
             // Not known yet: the sweep asks again.
             OrderAnswer::Refused(_) | OrderAnswer::Unknown => {}
         }
@@ -175,7 +213,12 @@
             _ if stopped && tracked.timed_out => RunClose::TimedOut,
             other => other,
         };
-        self.closes.push(ClosedRun { run, close });
+        let checkpoint = tracked.checkpoint.clone();
+        self.closes.push(ClosedRun {
+            run,
+            close,
+            checkpoint,
+        });
     }
 
     /// Looks at all open runs: silence, missing answers, stops.
@@ -188,6 +231,7 @@
                 // Its lease lapsed before the start left; nobody sends it now.
                 Phase::Reserved if !self.to_start.contains(&tracked.run.run) => Duty::Drop,
                 Phase::Ordered if waited >= ORDER_TIMEOUT => Duty::Void,
+                Phase::Held if self.is_stalled(tracked) => Duty::StopStalled,
                 Phase::Ordered | Phase::Held if tracked.stop && waited >= REPEAT_INTERVAL => {
                     Duty::Stop
                 }
@@ -200,7 +244,8 @@
             match duty {
                 Duty::GiveUp => self.close(run, RunClose::Lost),
                 Duty::Drop => self.close(run, RunClose::Refused),
-                Duty::Stop => self.send_stop(run, now.monotonic),
+                Duty::Stop => self.send_stop(record, run, now.monotonic),
+                Duty::StopStalled => self.stop_stalled(record, run, now),
                 Duty::Void => {
                     if let Some(tracked) = self.runs.get_mut(run) {
                         tracked.phase = Phase::Uncertain;
@@ -211,10 +256,36 @@
         }
     }
 
-    fn send_stop(&mut self, run: RunId, now: Monotonic) {
+    /// True when a run has stood still for longer than runs may. Nothing is
+    /// known of a runner that tells no progress.
+    fn is_stalled(&self, tracked: &TrackedRun) -> bool {
+        let Some(allowed) = self.options.stalled_after else {
+            return false;
+        };
+        let heard = self.runners.get(&tracked.run.runner);
+        let heard = heard.map(|runner| runner.heard);
+        !tracked.stop
+            && tracked.progress.is_some()
+            && heard.is_some_and(|heard| heard.since(tracked.progressed_at) >= allowed)
+    }
+
+    /// Stops a run that stands still. That is no failure of its task, but it
+    /// speaks against its runner.
+    fn stop_stalled(&mut self, record: &Record, run: RunId, now: Now) {
+        let Some(tracked) = self.runs.get(run) else {
+            return;
+        };
+        let (runner, task) = (tracked.run.runner.clone(), tracked.run.task);
+        tracing::info!(%run, %runner, "a run stands still and is stopped");
+        self.dispatcher.note_outcome(&runner, task, true, now);
+        self.runs.want_stop(run);
+        self.send_stop(record, run, now.monotonic);
+    }
+
+    fn send_stop(&mut self, record: &Record, run: RunId, now: Monotonic) {
         if let Some(tracked) = self.runs.get(run) {
             let open = tracked.run.clone();
-            self.send_order(&open, OrderKind::Stop { run }, now);
+            self.send_order(record, &open, OrderKind::Stop { run }, now);
         }
     }
 
@@ -246,6 +317,10 @@
         now: Now,
     ) {
         self.runs.closed(run.run);
+        if matches!(close, RunClose::Ended(_)) {
+            let recorded = self.recorded.entry(run.runner.clone()).or_default();
+            recorded.push(run.run);
+        }
         match again {
             Some(_) if close == RunClose::Refused => {
                 self.release_later(run.run, run.task, now.monotonic);
@@ -306,5 +381,6 @@
     GiveUp,
     Drop,
     Stop,
+    StopStalled,
     Void,
 }
--- a/crates/coordinator/src/reads.rs
+++ b/crates/coordinator/src/reads.rs
@@ -41,7 +41,14 @@
                 .ok_or_else(|| not_found(format!("job {key} is not known"))),
             Operation::ListJobs(filter) => Ok(list_jobs(record, &filter)),
             Operation::Explain(key) => self.explain(record, &key, now),
-            Operation::GetConfiguration => {
+            Operation::GetJobState(key) => record
+                .job_state(&key)
+                .map(OperationReply::JobState)
+                .ok_or_else(|| not_found(format!("job {key} is not known"))),
+            Operation::CountJobs(queue) => {
+                Ok(OperationReply::Count(record.unfinished_of_queue(&queue)))
+            }
+            Operation::GetConfiguration | Operation::GetNewestConfiguration => {
                 let (version, document) = record.configuration();
                 let document = document.clone();
                 Ok(OperationReply::Configuration { version, document })
--- a/crates/coordinator/src/requests.rs
+++ b/crates/coordinator/src/requests.rs
@@ -189,6 +189,7 @@
             .of_runner(runner)
             .into_iter()
             .map(|run| ClosedRun {
+                checkpoint: None,
                 run,
                 close: RunClose::Lost,
             })
@@ -272,6 +273,17 @@
     }
 }
 
+/// The answer to a request whose entry may or may not be taken by the next
+/// leader: to be sent again, never to be taken for a refusal.
+pub(crate) fn refusal_uncertain() -> Refusal {
+    Refusal {
+        code: RefusalCode::TimedOut,
+        message: "the lease was lost before the answer: it may or may not be taken".to_owned(),
+        retry_after: Some(RETRY_UNAVAILABLE),
+        problems: Vec::new(),
+    }
+}
+
 /// The refusal for a name that names nothing.
 pub(crate) fn not_found(message: String) -> Refusal {
     Refusal {
--- a/crates/coordinator/src/runners.rs
+++ b/crates/coordinator/src/runners.rs
@@ -4,12 +4,12 @@
 use crate::core::Sender;
 use crate::leader::Leader;
 use crate::runs::Phase;
-use peer::{AgentReport, OrderResult, PeerMessage, RunnerUpdate};
+use peer::{AgentReport, NamedRun, OrderResult, PeerMessage, RunnerUpdate};
 use record::{ClosedRun, Record};
 use std::collections::{BTreeMap, BTreeSet};
 use types::{
     EndedRun, HeartbeatSequence, HeldRun, Milliseconds, Monotonic, Now, RunClose, RunId, RunnerId,
-    RunnerIncarnation, RunnerReport,
+    RunnerIncarnation, RunnerReport, UnnamedRun,
 };
 
 /// A run this far past its time limit is stopped by the leader; its runner
@@ -148,6 +148,26 @@
 
 impl Leader {
     fn heartbeat(&mut self, record: &Record, agent: &Sender, report: &RunnerReport, now: Now) {
+        if report.unnamed.is_empty() {
+            return self.named_heartbeat(record, agent, report, now);
+        }
+        let mut named = report.clone();
+        for unnamed in &report.unnamed {
+            if let Some(run) = record.find_open_run(&unnamed.name) {
+                give_name(&mut named, run, unnamed);
+            }
+        }
+        self.named_heartbeat(record, agent, &named, now);
+    }
+
+    /// Takes a heartbeat that names every open run of the runner.
+    fn named_heartbeat(
+        &mut self,
+        record: &Record,
+        agent: &Sender,
+        report: &RunnerReport,
+        now: Now,
+    ) {
         match self.runners.freshness(report) {
             Freshness::Old => return,
             // The answer may have been lost.
@@ -182,12 +202,13 @@
             };
             let bound_to = tracked.run.incarnation;
             if let Some(ended) = ended.get(&run) {
+                self.keep_checkpoint(run, ended.checkpoint.as_ref());
                 self.close(run, RunClose::Ended(ended.outcome.clone()));
             } else if bound_to < report.incarnation {
                 // It died with that life.
                 self.close(run, RunClose::Lost);
             } else if let Some(held) = held.get(&run) {
-                self.run_held(run, held);
+                self.run_held(run, held, now.monotonic);
             } else if bound_to == report.incarnation {
                 self.run_absent(record, run, now);
             }
@@ -205,14 +226,28 @@
         self.closes.extend(late.map(|ended| ClosedRun {
             run: ended.run,
             close: RunClose::Ended(ended.outcome.clone()),
+            checkpoint: ended.checkpoint.clone(),
         }));
     }
 
-    fn run_held(&mut self, run: RunId, held: &HeldRun) {
+    fn keep_checkpoint(&mut self, run: RunId, checkpoint: Option<&String>) {
+        if let (Some(tracked), Some(checkpoint)) = (self.runs.get_mut(run), checkpoint)
+            && tracked.checkpoint.as_ref() != Some(checkpoint)
+        {
+            tracked.checkpoint = Some(checkpoint.clone());
+        }
+    }
+
+    fn run_held(&mut self, run: RunId, held: &HeldRun, now: Monotonic) {
+        self.keep_checkpoint(run, held.checkpoint.as_ref());
         let Some(tracked) = self.runs.get_mut(run) else {
             return;
         };
         tracked.phase = Phase::Held;
+        if tracked.progress != held.progress {
+            tracked.progress = held.progress;
+            tracked.progressed_at = now;
+        }
         let limit = tracked.run.time_limit + TIME_LIMIT_GRACE;
         if held.age > limit && !tracked.timed_out {
             tracked.timed_out = true;
@@ -233,6 +268,28 @@
         }
     }
 
+    /// Tells runners at once which of their ends the record has taken, so that
+    /// they need not name them until their next heartbeat is answered.
+    pub(crate) fn confirm_recorded(&mut self) {
+        for (runner, recorded) in std::mem::take(&mut self.recorded) {
+            let Some(state) = self.runners.get(&runner) else {
+                continue;
+            };
+            let agent = state.agent.clone();
+            let update = RunnerUpdate {
+                term: self.identity.term,
+                incarnation: state.incarnation,
+                confirmed: state.sequence,
+                lease: self.timings.run_lease,
+                recorded,
+                stop: Vec::new(),
+                names: Vec::new(),
+                runner,
+            };
+            self.answer(&agent, PeerMessage::RunnerUpdate(update));
+        }
+    }
+
     /// Answers a heartbeat: the run lease, ends the record has, runs to stop.
     fn confirm(&mut self, record: &Record, agent: &Sender, report: &RunnerReport) {
         let closed = |run: &RunId| record.open_run(*run).is_none();
@@ -248,7 +305,32 @@
             lease: self.timings.run_lease,
             recorded: ended.filter(recorded).collect(),
             stop: stop.into_iter().collect(),
+            names: report
+                .unnamed
+                .iter()
+                .map(|unnamed| NamedRun {
+                    name: unnamed.name.clone(),
+                    run: record.find_open_run(&unnamed.name),
+                })
+                .collect(),
         };
         self.answer(agent, PeerMessage::RunnerUpdate(update));
     }
 }
+
+/// Enters a run under its identifier, now that it is found.
+fn give_name(report: &mut RunnerReport, run: RunId, unnamed: &UnnamedRun) {
+    match &unnamed.outcome {
+        Some(outcome) => report.ended.push(EndedRun {
+            run,
+            outcome: outcome.clone(),
+            checkpoint: unnamed.checkpoint.clone(),
+        }),
+        None => report.held.push(HeldRun {
+            run,
+            age: Milliseconds(0),
+            progress: unnamed.progress,
+            checkpoint: unnamed.checkpoint.clone(),
+        }),
+    }
+}
--- a/crates/coordinator/src/runs.rs
+++ b/crates/coordinator/src/runs.rs
@@ -30,6 +30,12 @@
     pub(crate) timed_out: bool,
     /// Its close is on the way through the log.
     pub(crate) closing: bool,
+    /// How far it had come when it was last heard, in percent.
+    pub(crate) progress: Option<u8>,
+    /// Since when it stands there.
+    pub(crate) progressed_at: Monotonic,
+    /// What it saved last.
+    pub(crate) checkpoint: Option<String>,
 }
 
 /// All open runs, and those bound to each runner.
@@ -62,6 +68,9 @@
             stop: false,
             timed_out: false,
             closing: false,
+            progress: None,
+            progressed_at: now,
+            checkpoint: None,
             run,
         };
         self.runs.insert(tracked.run.run, tracked);
--- a/crates/coordinator/tests/common/document.rs
+++ b/crates/coordinator/tests/common/document.rs
@@ -32,6 +32,7 @@
 pub fn document() -> ClusterConfiguration {
     let pool = PoolName::new("pool").unwrap();
     let queue = QueueSettings {
+        priority: 0,
         pool: pool.clone(),
         mode: QueueMode::Active,
         max_unfinished_jobs: 1_000,
@@ -52,6 +53,9 @@
         largest_runner: slots(8),
     };
     ClusterConfiguration {
+        replaces: None,
+        left_out: configuration::LeftOutQueues::Refuse,
+        source: None,
         pools: BTreeMap::from([(pool, settings)]),
         queues: BTreeMap::from([(QueueName::new("queue").unwrap(), queue)]),
         tenants: BTreeMap::from([(tenant(), contract)]),
@@ -63,12 +67,14 @@
 /// A job of one task.
 pub fn job(job: &str) -> JobSpec {
     JobSpec {
+        payload: String::new(),
         tenant: tenant(),
         job: JobId::new(job).unwrap(),
         queue: QueueName::new("queue").unwrap(),
         urgency: Urgency::Normal,
         start_at: None,
         steps: vec![StepSpec {
+            rules: Default::default(),
             name: StepName::new("step").unwrap(),
             after: Vec::new(),
             tasks: 1,
--- a/crates/coordinator/tests/common/mod.rs
+++ b/crates/coordinator/tests/common/mod.rs
@@ -356,6 +356,8 @@
     CoordinatorOptions {
         address: address(0, Role::Coordinator, 0),
         seeds,
+        founding: coordinator::Founding::Exact,
+        stalled_after: None,
         initial_coordinators: 3,
         consensus: consensus::Options::default(),
         dispatcher: dispatch::DispatcherOptions::default(),
--- a/crates/coordinator/tests/runs.rs
+++ b/crates/coordinator/tests/runs.rs
@@ -225,6 +225,7 @@
     ] {
         let results = vec![OrderResult {
             order: RunnerOrder {
+                name: None,
                 term,
                 ..order.clone()
             },
--- a/crates/coordinator/tests/shell.rs
+++ b/crates/coordinator/tests/shell.rs
@@ -53,6 +53,8 @@
         core: CoordinatorOptions {
             address: address(Role::Coordinator, peer),
             seeds: seeds.to_vec(),
+            founding: coordinator::Founding::Exact,
+            stalled_after: None,
             initial_coordinators: 3,
             consensus: Options::default(),
             dispatcher: dispatch::DispatcherOptions::default(),
--- a/crates/cypressdrum/src/daemon/options.rs
+++ b/crates/cypressdrum/src/daemon/options.rs
@@ -35,6 +35,8 @@
         address: address(node, Role::Coordinator, draws),
         seeds: node.seeds.clone(),
         initial_coordinators: settings.initial_coordinators,
+        founding: coordinator::Founding::Exact,
+        stalled_after: dispatcher.stalled_after_ms.map(Milliseconds),
         consensus: consensus::Options {
             election_timeout: Milliseconds(timings.election_timeout_ms),
             heartbeat_interval: Milliseconds(timings.heartbeat_interval_ms),
@@ -47,6 +49,7 @@
             probation_failures: dispatcher.probation_failures,
             probation: Milliseconds(dispatcher.probation_ms),
             silent_after: Milliseconds(dispatcher.silent_after_ms),
+            patience: Milliseconds(dispatcher.patience_ms),
         },
         session_lease: Milliseconds(timings.session_lease_ms),
         replace_voter_after: Milliseconds(timings.replace_voter_after_ms),
--- a/crates/dispatch/examples/reserve_rate.rs
+++ b/crates/dispatch/examples/reserve_rate.rs
@@ -42,6 +42,7 @@
     let settings = PoolSettings { largest_runner };
     document.pools.insert(pool.clone(), settings);
     let settings = QueueSettings {
+        priority: 0,
         pool,
         mode: QueueMode::Active,
         max_unfinished_jobs: u64::MAX,
@@ -75,6 +76,7 @@
 
 fn heartbeat(runner: RunnerId) -> Result<RunnerReport, InvalidName> {
     Ok(RunnerReport {
+        unnamed: Vec::new(),
         runner,
         incarnation: RunnerIncarnation(1),
         sequence: HeartbeatSequence(1),
@@ -103,6 +105,8 @@
             task: 0,
         };
         let meta = TaskMeta {
+            rules: Default::default(),
+            step_tasks: 1,
             task,
             tenant: tenant.clone(),
             queue: queue.clone(),
--- a/crates/dispatch/src/audit.rs
+++ b/crates/dispatch/src/audit.rs
@@ -1,5 +1,6 @@
 //! Comparison of the view with the record, a slice of jobs at a time.
 
+use crate::shape::Shape;
 use crate::task::{Standing, Task};
 use crate::{AuditReport, Dispatcher, Published};
 use std::collections::BTreeSet;
@@ -73,11 +74,12 @@
         let same_shape = self
             .shapes
             .get(entry.shape)
-            .is_some_and(|shape| shape.resources == meta.resources && shape.labels == meta.labels);
+            .is_some_and(|shape| **shape == Shape::new(meta, shape.failed_on));
         same_shape
             && self.queues.name(list.queue) == Some(&meta.queue)
             && self.tenants.name(list.tenant) == Some(&meta.tenant)
             && entry.urgency == meta.urgency
+            && entry.rules == meta.rules
             && entry.max_copies == meta.max_copies.max(1)
             && entry.not_before == meta.not_before.unwrap_or_default()
     }
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -1,9 +1,10 @@
 //! The dispatcher's public steps; each module beside this one has one part.
 
+use crate::gang::Gangs;
 use crate::options::{AuditReport, DispatcherOptions, Published, RunnerView};
 use crate::queue::{ListIndex, Pool, Queue, Tenant, TenantList};
 use crate::run::Run;
-use crate::runner::Runner;
+use crate::runner::{Runner, RunnerIndex};
 use crate::shape::ShapeTable;
 use crate::table::Table;
 use crate::task::Task;
@@ -39,6 +40,9 @@
     pub(crate) delayed: BTreeSet<(WallTime, TaskRef)>,
     pub(crate) runs: BTreeMap<RunId, Run>,
     pub(crate) runs_of: BTreeMap<TaskRef, Vec<RunId>>,
+    pub(crate) gangs: Gangs,
+    /// The runner on which an unfinished task failed last.
+    pub(crate) failed_on: BTreeMap<TaskRef, RunnerIndex>,
     pub(crate) reason_cursor: usize,
     pub(crate) search_holds_after: Monotonic,
 }
@@ -62,6 +66,8 @@
             delayed: BTreeSet::new(),
             runs: BTreeMap::new(),
             runs_of: BTreeMap::new(),
+            gangs: Gangs::default(),
+            failed_on: BTreeMap::new(),
             reason_cursor: 0,
             search_holds_after: Monotonic::default(),
         }
@@ -120,6 +126,7 @@
     /// Atomic step: the task will never start again; its open runs go on
     /// counting until they are removed. Idempotent.
     pub fn remove(&mut self, task: TaskRef) {
+        self.failed_on.remove(&task);
         self.remove_task(task);
     }
 
--- a/crates/dispatch/src/draw.rs
+++ b/crates/dispatch/src/draw.rs
@@ -4,13 +4,16 @@
 use crate::queue::ListIndex;
 use crate::run::Run;
 use crate::runner::RunnerIndex;
-use crate::shape::ShapeIndex;
+use crate::shape::{Shape, ShapeIndex, StepRef};
 use crate::task::Standing;
 use crate::{Decision, DecisionKind, Dispatcher};
 use configuration::QueueMode;
 use rand::Rng;
+use std::collections::BTreeSet;
 use std::sync::Arc;
-use types::{Labels, Milliseconds, Now, Reservation, Resources, RunId, RunnerIncarnation, TaskRef};
+use types::{
+    Labels, Milliseconds, Now, RackName, Reservation, Resources, RunId, RunnerIncarnation, TaskRef,
+};
 
 /// How long pulls do without a search for a runner that could be kept free,
 /// after one found none.
@@ -26,6 +29,7 @@
     room: Resources,
     capacity: Resources,
     labels: Arc<Labels>,
+    rack: RackName,
 }
 
 /// A task that the pull may take.
@@ -72,6 +76,7 @@
             return None;
         }
         let choice = match self.held_task(runner, now) {
+            Some(task) if self.gangs.has(task) => return None,
             Some(task) => self.choose_held(task, &offer)?,
             None => self
                 .choose(Kind::Ordinary, &offer, now)
@@ -91,6 +96,7 @@
             room: state.room(),
             capacity: last.capacity,
             labels: Arc::clone(&last.labels),
+            rack: last.rack.clone(),
         })
     }
 
@@ -102,9 +108,19 @@
         })
     }
 
+    /// Work of a more urgent queue goes first; within one level the draw
+    /// decides.
     fn choose(&mut self, kind: Kind, offer: &Offer, now: Now) -> Option<Choice> {
+        let queues = self.pools[offer.pool].queues.iter();
+        let levels: BTreeSet<u8> = queues.map(|queue| self.queues[*queue].priority).collect();
+        levels
+            .into_iter()
+            .find_map(|level| self.choose_at(level, kind, offer, now))
+    }
+
+    fn choose_at(&mut self, level: u8, kind: Kind, offer: &Offer, now: Now) -> Option<Choice> {
         let runnable_tenants = self.runnable_count(offer.pool, kind);
-        let walk = self.walk_tenants(kind, offer, now);
+        let walk = self.walk_tenants(level, kind, offer, now);
         for index in walk.above_ceiling {
             self.lists[index].above_ceiling = true;
             self.refresh_list(index);
@@ -125,10 +141,10 @@
 
     /// Draws tenants, never one twice, until one below its share has a task
     /// that fits; notes the first above its share that has one.
-    fn walk_tenants(&mut self, kind: Kind, offer: &Offer, now: Now) -> Walk {
+    fn walk_tenants(&mut self, level: u8, kind: Kind, offer: &Offer, now: Now) -> Walk {
         let mut drawn = vec![0; self.pools[offer.pool].queues.len()];
         let mut walk = Walk::default();
-        while let Some(index) = self.draw_list(kind, offer.pool, &mut drawn) {
+        while let Some(index) = self.draw_list(level, kind, offer.pool, &mut drawn) {
             let finding = match kind {
                 Kind::Ordinary => self.look_for_task(index, offer, now),
                 Kind::Copies => self.look_for_copy(index, offer),
@@ -157,17 +173,28 @@
         })
     }
 
-    fn draw_list(&mut self, kind: Kind, pool: usize, drawn: &mut [usize]) -> Option<ListIndex> {
+    fn draw_list(
+        &mut self,
+        level: u8,
+        kind: Kind,
+        pool: usize,
+        drawn: &mut [usize],
+    ) -> Option<ListIndex> {
         let queues = &self.pools[pool].queues;
         let mut left = 0;
         for (position, queue) in queues.iter().enumerate() {
-            left += self.drawable_count(*queue, kind) - drawn[position];
+            if self.queues[*queue].priority == level {
+                left += self.drawable_count(*queue, kind) - drawn[position];
+            }
         }
         if left == 0 {
             return None;
         }
         let mut place = self.random.random_range(0..left);
         for (position, &queue) in queues.iter().enumerate() {
+            if self.queues[queue].priority != level {
+                continue;
+            }
             let here = self.drawable_count(queue, kind) - drawn[position];
             if place >= here {
                 place -= here;
@@ -220,7 +247,7 @@
                 continue;
             }
             finding.above_ceiling = false;
-            if !needs.matches(&offer.labels) {
+            if !needs.matches(&offer.labels) || !self.suits(task, needs, offer, now) {
                 continue;
             }
             if needs.resources.fits_in(&offer.room) {
@@ -235,6 +262,51 @@
         finding
     }
 
+    /// True when the task should go to this very runner: its step is not held
+    /// there as often as it may be, and it has no better place to wait for.
+    fn suits(&self, task: TaskRef, needs: &Shape, offer: &Offer, now: Now) -> bool {
+        if let Some(spread) = needs.spread
+            && self.runs_of_step_on(spread.step, offer.runner) >= spread.max_per_runner as usize
+        {
+            return false;
+        }
+        let waited = self.tasks.get(&task);
+        let waited = waited.map(|entry| now.monotonic.since(entry.waiting_since));
+        if waited.is_none_or(|waited| waited >= self.options.patience) {
+            return true;
+        }
+        if needs.failed_on == Some(offer.runner) {
+            return false;
+        }
+        match &needs.preferred_rack {
+            Some(rack) if *rack != offer.rack => !self.rack_may_serve(rack, needs, offer.pool, now),
+            _ => true,
+        }
+    }
+
+    /// True when a runner of the rack could hold the task, now or as soon as
+    /// something on it ends.
+    fn rack_may_serve(&self, rack: &RackName, needs: &Shape, pool: usize, now: Now) -> bool {
+        self.pools[pool].runners.iter().any(|runner| {
+            let reported = self.runners[*runner].reported.as_ref();
+            reported.is_some_and(|last| {
+                last.rack == *rack
+                    && needs.matches(&last.labels)
+                    && needs.resources.fits_in(&last.capacity)
+                    && self.pull_refusal(*runner, now).is_none()
+            })
+        })
+    }
+
+    /// Open runs of one step on a runner.
+    pub(crate) fn runs_of_step_on(&self, step: StepRef, runner: RunnerIndex) -> usize {
+        let tasks = self.runs_of.range(step.task(0)..=step.task(u32::MAX));
+        let runs = tasks.flat_map(|(_, runs)| runs);
+        runs.filter_map(|run| self.runs.get(run))
+            .filter(|run| run.runner == runner)
+            .count()
+    }
+
     fn look_for_copy(&self, index: ListIndex, offer: &Offer) -> Finding {
         let list = &self.lists[index];
         let tenant = &self.tenants[list.tenant];
@@ -307,6 +379,22 @@
         })
     }
 
+    /// Binds one member of a gang to a runner.
+    pub(crate) fn take_member(
+        &mut self,
+        task: TaskRef,
+        runner: RunnerIndex,
+        now: Now,
+    ) -> Option<Decision> {
+        let offer = self.offer(runner)?;
+        let runnable_tenants = self.runnable_count(offer.pool, Kind::Ordinary);
+        let choice = Choice {
+            task,
+            runnable_tenants,
+        };
+        self.take(choice, &offer, now)
+    }
+
     fn bind(
         &mut self,
         task: TaskRef,
--- a/crates/dispatch/src/heartbeat.rs
+++ b/crates/dispatch/src/heartbeat.rs
@@ -80,6 +80,9 @@
             self.runners[index].health.note_done();
             return;
         }
+        if self.runs_of.contains_key(&task) || self.tasks.contains_key(&task) {
+            self.failed_on.insert(task, index);
+        }
         let threshold = self.options.probation_failures;
         let health = &mut self.runners[index].health;
         if health.note_failed(task.job, threshold, now) && self.may_go_on_probation(index, now) {
--- a/crates/dispatch/src/hold.rs
+++ b/crates/dispatch/src/hold.rs
@@ -52,7 +52,7 @@
             .0
             .saturating_mul(LONGEST_HOLD_FACTOR);
         let starts_work = matches!(queue.mode, QueueMode::Active | QueueMode::Draining);
-        entry.standing == Standing::Pending
+        matches!(entry.standing, Standing::Pending | Standing::Gathered)
             && starts_work
             && now.monotonic.since(hold.since).0 <= longest
             && self.tenants[list.tenant].allows(&shape.resources)
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod dispatcher;
 mod draw;
 mod explain;
+mod gang;
 mod health;
 mod heartbeat;
 mod hold;
--- a/crates/dispatch/src/options.rs
+++ b/crates/dispatch/src/options.rs
@@ -18,6 +18,9 @@
     pub probation: Milliseconds,
     /// A runner silent for this long gets no pulls.
     pub silent_after: Milliseconds,
+    /// A task waits this long for the rack, or for another runner than the one
+    /// it failed on, while those have no room; then any runner serves.
+    pub patience: Milliseconds,
 }
 
 impl Default for DispatcherOptions {
@@ -28,6 +31,7 @@
             probation_failures: 8,
             probation: Milliseconds(10_000),
             silent_after: Milliseconds(1_500),
+            patience: Milliseconds(300),
         }
     }
 }
--- a/crates/dispatch/src/place.rs
+++ b/crates/dispatch/src/place.rs
@@ -31,6 +31,7 @@
                 self.collect_turns(pool, now, &mut turns);
             }
         }
+        self.place_gangs(now, limit, &mut decisions);
         while decisions.len() < limit {
             let Some((_, _, _, runner)) = turns.pop() else {
                 break;
--- a/crates/dispatch/src/queue.rs
+++ b/crates/dispatch/src/queue.rs
@@ -70,6 +70,8 @@
     /// Its pool; None when the configuration does not know the queue.
     pub(crate) pool: Option<usize>,
     pub(crate) mode: QueueMode,
+    /// Work of a lower number goes first.
+    pub(crate) priority: u8,
     /// Lists with startable tasks of tenants below their ceiling.
     pub(crate) runnable: RunnableSet,
     /// Lists with startable copies of tenants below their ceiling.
--- a/crates/dispatch/src/shape.rs
+++ b/crates/dispatch/src/shape.rs
@@ -3,18 +3,74 @@
 //! With millions of tasks waiting, each carries a small index in place of its
 //! resources and labels.
 
+use crate::runner::RunnerIndex;
 use std::collections::HashMap;
 use std::sync::Arc;
-use types::{Labels, Resources};
+use types::{JobNumber, Labels, RackName, Resources, TaskMeta, TaskRef};
 
 /// What a run of a task holds and which labels its runner must carry.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub(crate) struct Shape {
     pub(crate) resources: Resources,
     pub(crate) labels: Labels,
+    /// The rack where its tasks run best.
+    pub(crate) preferred_rack: Option<RackName>,
+    /// Most runs of one step on a runner, and the step.
+    pub(crate) spread: Option<Spread>,
+    /// The runner on which the task failed last; another is tried first.
+    pub(crate) failed_on: Option<RunnerIndex>,
+}
+
+/// A bound on the runs of one step that a runner holds at once.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub(crate) struct Spread {
+    pub(crate) max_per_runner: u32,
+    pub(crate) step: StepRef,
+}
+
+/// One step of a job.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub(crate) struct StepRef {
+    pub(crate) job: JobNumber,
+    pub(crate) step: u16,
+}
+
+impl StepRef {
+    /// The step of a task.
+    pub(crate) fn of(task: TaskRef) -> Self {
+        Self {
+            job: task.job,
+            step: task.step,
+        }
+    }
+
+    /// The task at a position in the step.
+    pub(crate) fn task(self, task: u32) -> TaskRef {
+        TaskRef {
+            job: self.job,
+            step: self.step,
+            task,
+        }
+    }
 }
 
 impl Shape {
+    /// What a published task needs. A gang's members wait apart from other
+    /// work, so their shape needs no bound of its own.
+    pub(crate) fn new(meta: &TaskMeta, failed_on: Option<RunnerIndex>) -> Self {
+        let spread = |max_per_runner| Spread {
+            max_per_runner,
+            step: StepRef::of(meta.task),
+        };
+        Self {
+            resources: meta.resources,
+            labels: meta.labels.clone(),
+            preferred_rack: meta.rules.preferred_rack.clone(),
+            spread: meta.rules.max_per_runner.map(spread),
+            failed_on,
+        }
+    }
+
     /// True when a runner with these labels carries all that are asked for.
     pub(crate) fn matches(&self, labels: &Labels) -> bool {
         self.labels
--- a/crates/dispatch/src/task.rs
+++ b/crates/dispatch/src/task.rs
@@ -4,7 +4,7 @@
 use crate::queue::{ListIndex, TenantList};
 use crate::shape::{Shape, ShapeIndex};
 use crate::{Dispatcher, Published};
-use types::{Monotonic, Now, QueueName, TaskMeta, TaskRef, TenantId, Urgency, WallTime};
+use types::{Monotonic, Now, QueueName, StepRules, TaskMeta, TaskRef, TenantId, Urgency, WallTime};
 
 /// Where a published task stands.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -17,6 +17,8 @@
     Delayed,
     /// A shadow queue has decided on it.
     Shadowed,
+    /// A member of a gang that could start, were the whole gang here.
+    Gathered,
     /// Has all the runs it may have.
     Bound,
 }
@@ -33,6 +35,10 @@
     pub(crate) not_before: WallTime,
     /// Since when it may start, on this leader's clock.
     pub(crate) waiting_since: Monotonic,
+    /// The rules of its step.
+    pub(crate) rules: StepRules,
+    /// Tasks of its step.
+    pub(crate) step_tasks: u32,
 }
 
 impl Task {
@@ -49,10 +55,8 @@
             return Published::Present;
         }
         let list = self.list_index(&meta.queue, &meta.tenant);
-        let shape = self.shapes.acquire(Shape {
-            resources: meta.resources,
-            labels: meta.labels,
-        });
+        let shape = Shape::new(&meta, self.failed_on.get(&meta.task).copied());
+        let shape = self.shapes.acquire(shape);
         let task = Task {
             list,
             shape,
@@ -61,6 +65,8 @@
             standing: Standing::Bound,
             not_before: meta.not_before.unwrap_or_default(),
             waiting_since: now.monotonic,
+            rules: meta.rules,
+            step_tasks: meta.step_tasks,
         };
         self.tasks.insert(meta.task, task);
         self.settle(meta.task, now);
@@ -88,6 +94,8 @@
             Standing::Bound
         } else if entry.not_before > now.wall {
             Standing::Delayed
+        } else if open_runs == 0 && entry.rules.gang {
+            Standing::Gathered
         } else if open_runs == 0 {
             Standing::Pending
         } else {
@@ -109,6 +117,7 @@
         }
         let order = entry.order(task);
         let (index, shape, not_before) = (entry.list, entry.shape, entry.not_before);
+        let size = entry.step_tasks;
         let old = std::mem::replace(&mut entry.standing, standing);
         let list = &mut self.lists[index];
         match old {
@@ -116,6 +125,7 @@
             Standing::Copies => drop(list.copies.remove(order, shape)),
             Standing::Delayed => drop(self.delayed.remove(&(not_before, task))),
             Standing::Shadowed => drop(list.shadowed.remove(&task)),
+            Standing::Gathered => self.gangs.leave(task),
             Standing::Bound => {}
         }
         match standing {
@@ -123,6 +133,7 @@
             Standing::Copies => drop(list.copies.insert(order, shape)),
             Standing::Delayed => drop(self.delayed.insert((not_before, task))),
             Standing::Shadowed => drop(list.shadowed.insert(task)),
+            Standing::Gathered => self.gangs.gather(task, size, index),
             Standing::Bound => {}
         }
         list.above_ceiling = false;
--- a/crates/dispatch/tests/room.rs
+++ b/crates/dispatch/tests/room.rs
@@ -38,6 +38,7 @@
     let first = placed(dispatcher.reserve(&runner("r1"), at(0))).unwrap();
     let mut over = report("r1", 2, 1, 1);
     over.ended.push(EndedRun {
+        checkpoint: None,
         run: first.run,
         outcome: Outcome::Done,
     });
--- a/crates/dispatch/tests/support/mod.rs
+++ b/crates/dispatch/tests/support/mod.rs
@@ -44,6 +44,8 @@
 
 pub fn meta(job: u64, owner: &str, needs: u32) -> TaskMeta {
     TaskMeta {
+        rules: Default::default(),
+        step_tasks: 1,
         task: task(job),
         tenant: tenant(owner),
         queue: queue("main"),
@@ -90,6 +92,7 @@
 
 pub fn add_queue(document: &mut ClusterConfiguration, name: &str, mode: QueueMode) {
     let settings = QueueSettings {
+        priority: 0,
         pool: PoolName::new("pool").unwrap(),
         mode,
         max_unfinished_jobs: 1_000_000,
@@ -99,6 +102,7 @@
 
 pub fn report(name: &str, sequence: u64, capacity: u32, free: u32) -> RunnerReport {
     RunnerReport {
+        unnamed: Vec::new(),
         runner: runner(name),
         incarnation: RunnerIncarnation(1),
         sequence: HeartbeatSequence(sequence),
@@ -116,6 +120,8 @@
 
 pub fn held(run: RunId) -> HeldRun {
     HeldRun {
+        progress: None,
+        checkpoint: None,
         run,
         age: Milliseconds(10),
     }
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -15,6 +15,7 @@
 
 pub use interface::{Caller, Effect, GatewayOptions, Input, TicketId};
 
+use configuration::ClusterConfiguration;
 use peer::{Envelope, Operation, OperationReply, PeerMessage, Refusal, Reply, Request, RequestId};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -113,6 +114,13 @@
         self.session.configuration(now).map(|(version, _)| version)
     }
 
+    /// The configuration replica, while it is valid.
+    pub fn configuration(&self, now: Now) -> Option<&ClusterConfiguration> {
+        self.session
+            .configuration(now)
+            .map(|(_, document)| document)
+    }
+
     fn take_request(
         &mut self,
         now: Now,
--- a/crates/gateway/src/core/access.rs
+++ b/crates/gateway/src/core/access.rs
@@ -37,7 +37,9 @@
 pub fn party(operation: &Operation) -> Party {
     let tenant = match operation {
         Operation::Submit(spec) => Some(&spec.tenant),
-        Operation::GetJob(key) | Operation::Explain(key) => Some(&key.tenant),
+        Operation::GetJob(key) | Operation::GetJobState(key) | Operation::Explain(key) => {
+            Some(&key.tenant)
+        }
         Operation::ListJobs(filter) => filter.tenant.as_ref(),
         Operation::Cancel(CancelSelector::Tenant { tenant, .. }) => Some(tenant),
         Operation::Cancel(CancelSelector::Jobs(jobs)) => {
@@ -64,7 +66,9 @@
     }
     let allowed = match &operation {
         Operation::Submit(spec) => spec.tenant == *own,
-        Operation::GetJob(key) | Operation::Explain(key) => key.tenant == *own,
+        Operation::GetJob(key) | Operation::GetJobState(key) | Operation::Explain(key) => {
+            key.tenant == *own
+        }
         Operation::ListJobs(filter) => filter.tenant.as_ref() == Some(own),
         Operation::Cancel(CancelSelector::Tenant { tenant, .. }) => tenant == own,
         Operation::Cancel(CancelSelector::Jobs(jobs)) => jobs.iter().all(|key| key.tenant == *own),
--- a/crates/gateway/src/core/refusal.rs
+++ b/crates/gateway/src/core/refusal.rs
@@ -17,7 +17,11 @@
 
 /// The leader went away before it answered.
 pub fn leader_lost() -> Refusal {
-    unavailable("the leader was lost before it answered: it may or may not be taken")
+    refuse(
+        RefusalCode::TimedOut,
+        "the leader was lost before it answered: it may or may not be taken, send the same again",
+        Some(UNAVAILABLE_RETRY),
+    )
 }
 
 /// A leader's refusal of a request that had been sent before: it speaks for
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -9,4 +9,6 @@
 pub mod shell;
 
 pub use crate::core::{Caller, Effect, Gateway, GatewayOptions, Input, TicketId};
-pub use shell::{GatewayError, ShellOptions, run};
+pub use shell::{
+    Answer, Face, GatewayError, Replica, Requests, ShellOptions, ShownReplica, run, run_with_routes,
+};
--- a/crates/gateway/src/shell.rs
+++ b/crates/gateway/src/shell.rs
@@ -7,15 +7,19 @@
 
 use crate::{Gateway, GatewayOptions};
 use admin::Readiness;
+use axum::Router;
 use connection::LimitedListener;
 use driver::Driver;
+pub use driver::{Replica, ShownReplica};
 use http::Server;
+pub use requests::{Answer, Requests};
 use std::future::IntoFuture;
 use std::net::SocketAddr;
 use std::time::Duration;
 use thiserror::Error;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
+use types::NodeId;
 
 /// Part of the grace time kept for closing HTTP connections.
 const CLOSING_PART: u32 = 4;
@@ -60,6 +64,35 @@
     run_on(listener, options, stop).await
 }
 
+/// What the routes of a gateway are made from.
+#[derive(Debug, Clone)]
+pub struct Face {
+    /// Where to ask.
+    pub requests: Requests,
+    /// The configuration replica.
+    pub replica: watch::Receiver<ShownReplica>,
+    /// Whether the gateway should get traffic.
+    pub readiness: Readiness,
+    /// Turns true when the gateway is to stop.
+    pub stop: watch::Receiver<bool>,
+    /// The gateway's identity.
+    pub node: NodeId,
+}
+
+/// Runs a gateway until `stop` turns true, behind routes of the caller's own in
+/// place of the interface of the `api` crate.
+pub async fn run_with_routes(
+    options: ShellOptions,
+    stop: watch::Receiver<bool>,
+    routes: impl FnOnce(Face) -> Router,
+) -> Result<(), GatewayError> {
+    let listen = options.http_listen;
+    let listener = TcpListener::bind(listen)
+        .await
+        .map_err(|source| GatewayError::Http { listen, source })?;
+    serve(listener, options, stop, routes).await
+}
+
 /// As [`run`], on an HTTP socket that is bound already.
 ///
 /// After the stop, waiting requests are finished and new ones refused; when
@@ -69,6 +102,19 @@
     listener: TcpListener,
     options: ShellOptions,
     stop: watch::Receiver<bool>,
+) -> Result<(), GatewayError> {
+    serve(listener, options, stop, |face| {
+        let server = Server::new(face.requests, face.node, face.stop);
+        http::router(server, face.readiness)
+    })
+    .await
+}
+
+async fn serve(
+    listener: TcpListener,
+    options: ShellOptions,
+    stop: watch::Receiver<bool>,
+    routes: impl FnOnce(Face) -> Router,
 ) -> Result<(), GatewayError> {
     let listen = options.http_listen;
     let own = options.core.address.clone();
@@ -77,18 +123,22 @@
     let readiness = Readiness::starting();
     let (requests, inbox) = requests::channel();
     let gateway = Gateway::new(options.core, peer::clock::now());
-    let driver = Driver::new(gateway, transport.clone(), readiness.clone());
-    let server = Server::new(requests, own.node, stop.clone());
+    let (shown, replica) = watch::channel(None);
+    let driver = Driver::new(gateway, transport.clone(), readiness.clone(), shown);
+    let face = Face {
+        requests,
+        replica,
+        readiness,
+        stop: stop.clone(),
+        node: own.node,
+    };
     let (finished, finished_seen) = watch::channel(false);
     let grace = Duration::from_millis(options.grace.0);
     let closing = grace / CLOSING_PART;
 
-    let serving = axum::serve(
-        LimitedListener::new(listener),
-        http::router(server, readiness),
-    )
-    .with_graceful_shutdown(turned_true(finished_seen))
-    .into_future();
+    let serving = axum::serve(LimitedListener::new(listener), routes(face))
+        .with_graceful_shutdown(turned_true(finished_seen))
+        .into_future();
     let driving = async {
         driver.run(inbox, arriving, stop, grace - closing).await;
         finished.send_replace(true);
--- a/crates/gateway/src/shell/driver.rs
+++ b/crates/gateway/src/shell/driver.rs
@@ -4,28 +4,50 @@
 use crate::shell::requests::{Answer, Inbox, Question};
 use crate::{Effect, Gateway, Input, TicketId};
 use admin::Readiness;
+use configuration::ClusterConfiguration;
 use peer::{Envelope, Transport};
 use std::collections::BTreeMap;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::Instant;
+use types::ConfigurationVersion;
 
 /// Longest sleep: tokio's clock may stand still where the core's counts on.
 const LONGEST_SLEEP: Duration = Duration::from_millis(250);
 
+/// A valid configuration replica.
+#[derive(Debug, Clone)]
+pub struct Replica {
+    /// Its version.
+    pub version: ConfigurationVersion,
+    /// The document.
+    pub document: Arc<ClusterConfiguration>,
+}
+
+/// What routes see of the replica: none while it is not valid.
+pub type ShownReplica = Option<Replica>;
+
 /// The core with all that its effects need.
 pub struct Driver {
     gateway: Gateway,
     transport: Transport,
     readiness: Readiness,
     answers: BTreeMap<TicketId, oneshot::Sender<Answer>>,
+    shown: watch::Sender<ShownReplica>,
     stopped: bool,
 }
 
 impl Driver {
     /// A driver that has not begun.
-    pub fn new(gateway: Gateway, transport: Transport, readiness: Readiness) -> Self {
+    pub fn new(
+        gateway: Gateway,
+        transport: Transport,
+        readiness: Readiness,
+        shown: watch::Sender<ShownReplica>,
+    ) -> Self {
         Self {
+            shown,
             gateway,
             transport,
             readiness,
@@ -100,9 +122,23 @@
         for effect in effects {
             self.carry_out(effect);
         }
+        self.show_replica();
         metrics::gauge!("cypressdrum_gateway_waiting_requests").set(self.answers.len() as f64);
     }
 
+    /// Shows the routes which configuration counts, if that changed.
+    fn show_replica(&self) {
+        let now = peer::clock::now();
+        let version = self.gateway.configuration_version(now);
+        let changed = |shown: &ShownReplica| shown.as_ref().map(|shown| shown.version) != version;
+        if changed(&self.shown.borrow()) {
+            let document = self.gateway.configuration(now).cloned().map(Arc::new);
+            let replica = version.zip(document);
+            self.shown
+                .send_replace(replica.map(|(version, document)| Replica { version, document }));
+        }
+    }
+
     fn carry_out(&mut self, effect: Effect) {
         match effect {
             Effect::Send { to, message } => self.transport.send(to, message),
--- a/crates/gateway/src/shell/requests.rs
+++ b/crates/gateway/src/shell/requests.rs
@@ -112,7 +112,7 @@
         let Some(answered) = &mut self.answered else {
             return Err(ending());
         };
-        let answer = answered.await.unwrap_or_else(|_| Err(ending()));
+        let answer = answered.await.unwrap_or_else(|_| Err(ended_unanswered()));
         self.answered = None;
         answer
     }
@@ -129,6 +129,14 @@
     }
 }
 
+/// The core ended with the request: whether it was sent is not known here.
+fn ended_unanswered() -> Refusal {
+    refuse(
+        RefusalCode::TimedOut,
+        "this gateway stopped before the answer: it may or may not be taken",
+    )
+}
+
 fn ending() -> Refusal {
     refuse(RefusalCode::Unavailable, "this gateway has stopped")
 }
--- a/crates/gateway/tests/core/bench.rs
+++ b/crates/gateway/tests/core/bench.rs
@@ -346,12 +346,14 @@
 pub fn submit(tenant: &str, job: &str) -> Operation {
     let JobKey { tenant, job } = job_key(tenant, job);
     Operation::Submit(JobSpec {
+        payload: String::new(),
         tenant,
         job,
         queue: "hover".parse().unwrap(),
         urgency: Urgency::Normal,
         start_at: None,
         steps: vec![StepSpec {
+            rules: Default::default(),
             name: "frame".parse().unwrap(),
             after: Vec::new(),
             tasks: 1,
--- a/crates/lab/src/capacity/load.rs
+++ b/crates/lab/src/capacity/load.rs
@@ -187,6 +187,7 @@
             urgent: stream.urgency == Urgency::Urgent,
         };
         let step = StepSpec {
+            rules: Default::default(),
             name: StepName::new("step")?,
             after: Vec::new(),
             tasks: stream.tasks,
@@ -203,6 +204,7 @@
             payload: serde_json::to_string(&payload).unwrap_or_default(),
         };
         Ok(JobSpec {
+            payload: String::new(),
             tenant: self.shared.size.tenant(tenant)?,
             job: JobId::new(format!("{}-{place}", stream.name))?,
             queue: QueueName::new(QUEUE)?,
--- a/crates/lab/src/capacity/plan.rs
+++ b/crates/lab/src/capacity/plan.rs
@@ -90,6 +90,7 @@
     pub fn document(&self, version: u64) -> Result<ClusterConfiguration, InvalidName> {
         let pool = PoolName::new(POOL)?;
         let queue = QueueSettings {
+            priority: 0,
             pool: pool.clone(),
             mode: QueueMode::Active,
             max_unfinished_jobs: PLENTY,
@@ -101,6 +102,9 @@
             .map(|place| Ok((self.tenant(place)?, self.contract())))
             .collect::<Result<_, InvalidName>>()?;
         Ok(ClusterConfiguration {
+            replaces: None,
+            left_out: configuration::LeftOutQueues::Refuse,
+            source: None,
             pools: [(pool, settings)].into(),
             queues: [(QueueName::new(QUEUE)?, queue)].into(),
             tenants,
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -13,8 +13,8 @@
 pub mod transport;
 
 pub use message::{
-    AgentReport, Bootstrap, Envelope, Hello, Members, OrderResult, PeerMessage, RunnerUpdate,
-    SessionLease,
+    AgentReport, Bootstrap, Envelope, Hello, Members, NamedRun, OrderResult, PeerMessage,
+    RunnerUpdate, SessionLease,
 };
 pub use relay::Relay;
 pub use request::{
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -6,7 +6,7 @@
 use std::net::SocketAddr;
 use types::{
     Address, ClusterId, ConfigurationVersion, HeartbeatSequence, Milliseconds, NodeId, OrderAnswer,
-    RunId, RunnerId, RunnerIncarnation, RunnerOrder, RunnerReport, Term,
+    RunId, RunName, RunnerId, RunnerIncarnation, RunnerOrder, RunnerReport, Term,
 };
 
 /// A message with its sender, as a core receives it.
@@ -200,6 +200,18 @@
     pub recorded: Vec<RunId>,
     /// Held runs that the record closed: the runner must stop them.
     pub stop: Vec<RunId>,
+    /// Answers to the runs the agent could not name.
+    pub names: Vec<NamedRun>,
+}
+
+/// A run that an agent could not name, and its identifier.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct NamedRun {
+    /// As the agent told of it.
+    pub name: RunName,
+    /// Its identifier; none when the record has no such run open, and the
+    /// runner is to stop and forget it.
+    pub run: Option<RunId>,
 }
 
 /// What became of one order.
--- a/crates/peer/src/request.rs
+++ b/crates/peer/src/request.rs
@@ -32,8 +32,10 @@
 pub enum Operation {
     /// Take a job.
     Submit(JobSpec),
-    /// State of a job.
+    /// State of a job, with its steps.
     GetJob(JobKey),
+    /// Where a job stands, and nothing more.
+    GetJobState(JobKey),
     /// Jobs in order of submission.
     ListJobs(JobFilter),
     /// Cancel jobs.
@@ -47,8 +49,12 @@
         /// The document.
         document: ClusterConfiguration,
     },
-    /// Version and document in force.
+    /// Version and document in force, from the replica of the gateway asked.
     GetConfiguration,
+    /// The same from the leader: nothing acknowledged before is missing.
+    GetNewestConfiguration,
+    /// Unfinished jobs of a queue.
+    CountJobs(QueueName),
     /// Mark a runner as draining, or take it back.
     DrainRunner {
         /// The runner.
@@ -147,6 +153,10 @@
         /// The document.
         document: ClusterConfiguration,
     },
+    /// Where a job stands.
+    JobState(JobState),
+    /// A number of jobs.
+    Count(u64),
     /// Done.
     Accepted,
     /// Runs closed as lost.
--- a/crates/record/src/command.rs
+++ b/crates/record/src/command.rs
@@ -105,6 +105,19 @@
     pub run: RunId,
     /// Why.
     pub close: RunClose,
+    /// What it saved last, for the next run of its task.
+    pub checkpoint: Option<String>,
+}
+
+impl ClosedRun {
+    /// A run that saved nothing.
+    pub fn new(run: RunId, close: RunClose) -> Self {
+        Self {
+            run,
+            close,
+            checkpoint: None,
+        }
+    }
 }
 
 /// What applying a command gave.
@@ -255,6 +268,9 @@
         /// Runs still open.
         open_runs: Vec<OpenRun>,
     },
+    /// Open runs that are of no more use, since another member of their gang
+    /// ended: they are to be stopped.
+    RunsUseless(Vec<RunId>),
     /// A run was bound.
     RunOpened(OpenRun),
     /// A run was closed.
--- a/crates/record/src/state/configuration.rs
+++ b/crates/record/src/state/configuration.rs
@@ -3,7 +3,9 @@
 use super::Record;
 use crate::mutation::Mutation;
 use crate::{Change, CommandReply, RecordRefusal};
-use configuration::{ClusterConfiguration, ConfigurationProblem, validate};
+use configuration::{
+    ClusterConfiguration, ConfigurationProblem, LeftOutQueues, QueueMode, validate,
+};
 use types::{ConfigurationVersion, RunnerId};
 
 impl Record {
@@ -23,7 +25,9 @@
                 known: true,
             });
         }
-        let fits = self.version.0.checked_add(1) == Some(version.0)
+        let before = ConfigurationVersion(version.0.saturating_sub(1));
+        let base = document.replaces.unwrap_or(before);
+        let fits = (base == self.version && version > self.version)
             || self.mutation == Some(Mutation::AnyConfigurationVersion);
         if !fits {
             return Err(RecordRefusal::VersionConflict {
@@ -32,12 +36,15 @@
             });
         }
         let mut problems = validate(document);
-        problems.extend(self.find_removed_in_use(document));
+        if document.left_out == LeftOutQueues::Refuse {
+            problems.extend(self.find_removed_in_use(document));
+        }
         if !problems.is_empty() {
             return Err(RecordRefusal::InvalidConfiguration { problems });
         }
         self.version = version;
-        self.document = document.clone();
+        let old = std::mem::replace(&mut self.document, document.clone());
+        self.keep_left_out(&old);
         self.taken.note(version, document);
         changes.push(Change::ConfigurationChanged(version));
         Ok(CommandReply::Configured {
@@ -67,6 +74,35 @@
         removed_queues.chain(removed_tenants).collect()
     }
 
+    /// Keeps what the document leaves out while unfinished jobs need it: their
+    /// queues drain under their last settings. Does nothing where the document
+    /// would have been refused for it.
+    fn keep_left_out(&mut self, old: &ClusterConfiguration) {
+        for name in self.indexes.unfinished_of_queue.keys() {
+            let left_out = !self.document.queues.contains_key(name);
+            let Some(settings) = old.queues.get(name).filter(|_| left_out) else {
+                continue;
+            };
+            let mut settings = settings.clone();
+            settings.mode = QueueMode::Draining;
+            if let Some(pool) = old.pools.get(&settings.pool) {
+                let pools = &mut self.document.pools;
+                pools
+                    .entry(settings.pool.clone())
+                    .or_insert_with(|| pool.clone());
+            }
+            self.document.queues.insert(name.clone(), settings);
+        }
+        for name in self.indexes.unfinished.keys() {
+            if let Some(contract) = old.tenants.get(name) {
+                let tenants = &mut self.document.tenants;
+                tenants
+                    .entry(name.clone())
+                    .or_insert_with(|| contract.clone());
+            }
+        }
+    }
+
     /// Marks a runner as draining, or takes that back.
     pub(super) fn set_runner_draining(
         &mut self,
--- a/crates/record/src/state/job.rs
+++ b/crates/record/src/state/job.rs
@@ -1,6 +1,7 @@
 //! A job with its steps and tasks, kept compact: a pending task is 16 bytes.
 
 use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
 use types::{
     JobKey, JobNumber, JobSpec, JobState, JobView, RunId, StepSpec, StepView, TaskMeta, TaskRef,
     TaskState, WallTime,
@@ -31,6 +32,11 @@
     pub failed_runs: u8,
     /// Open runs now.
     pub open_runs: u8,
+    /// Runs so far: the number of the newest one.
+    pub attempts: u16,
+    /// Number of the run that failed last; the members of a gang fail once by
+    /// each number.
+    pub failed_attempt: u16,
 }
 
 const NEW_TASK: Task = Task {
@@ -38,6 +44,8 @@
     progress: Progress::Unfinished,
     failed_runs: 0,
     open_runs: 0,
+    attempts: 0,
+    failed_attempt: 0,
 };
 
 /// A step's tasks with counters over them.
@@ -154,6 +162,9 @@
     pub open_runs: u32,
     /// Its closed runs in the order they closed.
     pub closed_runs: Vec<RunId>,
+    /// What runs of its unfinished tasks saved last; of a gang under its first
+    /// task.
+    pub checkpoints: BTreeMap<(u16, u32), String>,
     unfinished_steps: u16,
 }
 
@@ -169,6 +180,7 @@
             ended_at: None,
             open_runs: 0,
             closed_runs: Vec::new(),
+            checkpoints: BTreeMap::new(),
             unfinished_steps: u16::try_from(steps.len()).unwrap_or(u16::MAX),
             steps,
             spec,
@@ -262,23 +274,61 @@
         (0..steps).flat_map(move |step| self.step_tasks(number, step))
     }
 
-    /// True when the task may have another run.
+    /// True when the task may have another run. A member of a gang may only
+    /// while no run of the whole gang is open.
     pub fn is_startable(&self, at: TaskRef) -> bool {
         self.task(at).is_some_and(|(spec, step, task)| {
-            Counts::of(task, step.waiting_for > 0, spec.max_copies).startable > 0
+            let alone = Counts::of(task, step.waiting_for > 0, spec.max_copies).startable > 0;
+            alone && (!spec.rules.gang || step.counts.running == 0)
         })
     }
 
+    /// True when the task's step is a gang.
+    pub fn is_gang(&self, step: u16) -> bool {
+        let spec = self.spec.steps.get(usize::from(step));
+        spec.is_some_and(|spec| spec.rules.gang)
+    }
+
+    /// The number that the next run of a task has; one for a whole gang.
+    pub fn next_attempt(&self, at: TaskRef) -> u16 {
+        let newest = match self.steps.get(usize::from(at.step)) {
+            Some(step) if self.is_gang(at.step) => {
+                step.tasks.iter().map(|task| task.attempts).max()
+            }
+            _ => self.task(at).map(|(_, _, task)| task.attempts),
+        };
+        newest.unwrap_or(0).saturating_add(1)
+    }
+
+    /// Where the checkpoint of a task is kept: a gang has one in common.
+    fn checkpoint_place(&self, at: TaskRef) -> (u16, u32) {
+        match self.is_gang(at.step) {
+            true => (at.step, 0),
+            false => (at.step, at.task),
+        }
+    }
+
+    /// What runs of the task saved last.
+    pub fn checkpoint(&self, at: TaskRef) -> Option<&String> {
+        self.checkpoints.get(&self.checkpoint_place(at))
+    }
+
+    /// Keeps what a run of the task saved.
+    pub fn keep_checkpoint(&mut self, at: TaskRef, checkpoint: &str) {
+        let place = self.checkpoint_place(at);
+        self.checkpoints.insert(place, checkpoint.to_owned());
+    }
+
     /// Where a task stands.
     pub fn task_state(&self, at: TaskRef) -> Option<TaskState> {
         self.task(at).map(|(_, step, task)| step.state_of(task))
     }
 
-    /// When a task may start: the later of the job's own time and the end of
-    /// its backoff.
-    pub fn not_before(&self, task: &Task) -> Option<WallTime> {
+    /// When a task may start: the latest of the job's own time, its step's and
+    /// the end of its backoff.
+    pub fn not_before(&self, step: &StepSpec, task: &Task) -> Option<WallTime> {
         let backoff = (task.backoff_until.0 > 0).then_some(task.backoff_until);
-        self.spec.start_at.max(backoff)
+        self.spec.start_at.max(step.rules.start_at).max(backoff)
     }
 
     /// What the dispatcher needs, when the task may have another run.
@@ -295,7 +345,9 @@
             resources: step.resources,
             labels: step.labels.clone(),
             max_copies: step.max_copies,
-            not_before: self.not_before(task),
+            not_before: self.not_before(step, task),
+            rules: step.rules.clone(),
+            step_tasks: step.tasks,
         })
     }
 
--- a/crates/record/src/state/late.rs
+++ b/crates/record/src/state/late.rs
@@ -59,16 +59,17 @@
         let Some(job) = self.jobs.get_mut(&task.job) else {
             return;
         };
-        let Some((open_runs, backoff_until)) = job
+        let Some((open_runs, backoff_until, attempt)) = job
             .task(task)
-            .map(|(_, _, task)| (task.open_runs, task.backoff_until))
+            .map(|(_, _, task)| (task.open_runs, task.backoff_until, task.attempts))
         else {
             return;
         };
         if open_runs > 0 || !is_unfinished(job, task) {
             return;
         }
-        let failed = settle(job, task, close, &self.document.timings, at);
+        let attempt = u32::from(attempt);
+        let failed = settle(job, task, attempt, close, &self.document.timings, at);
         // The task was told ready when the run was given up, and has waited
         // longer than any backoff: a late failure only uses up its allowance.
         job.change_task(task, |task| task.backoff_until = backoff_until);
--- a/crates/record/src/state/queries.rs
+++ b/crates/record/src/state/queries.rs
@@ -6,7 +6,7 @@
 use std::ops::Bound;
 use types::{
     ConfigurationVersion, JobKey, JobNumber, JobSpec, JobState, JobView, OpenRun, QueueName,
-    Resources, RunId, RunSpec, RunnerId, TaskMeta, TaskRef, TaskState, TenantId, WallTime,
+    Resources, RunId, RunName, RunSpec, RunnerId, TaskMeta, TaskRef, TaskState, TenantId, WallTime,
 };
 
 /// Where one task of a job stands.
@@ -35,6 +35,11 @@
         self.find(key).map(Job::view)
     }
 
+    /// Where a job stands.
+    pub fn job_state(&self, key: &JobKey) -> Option<JobState> {
+        self.find(key).map(|job| job.state)
+    }
+
     /// A job as its caller sees it, by its number.
     pub fn job_view(&self, number: JobNumber) -> Option<JobView> {
         self.jobs.get(&number).map(Job::view)
@@ -126,17 +131,56 @@
         let open = self.open_runs.get(&run)?;
         let job = self.jobs.get(&open.task.job)?;
         let (step, _, _) = job.task(open.task)?;
+        let payload = match step.payload.is_empty() {
+            true => &job.spec.payload,
+            false => &step.payload,
+        };
         Some(RunSpec {
             run,
             job: job.key(),
             step: step.name.clone(),
             task: open.task.task,
+            attempt: open.attempt,
+            checkpoint: job.checkpoint(open.task).cloned(),
             resources: open.resources,
             time_limit: open.time_limit,
-            payload: step.payload.clone(),
+            payload: payload.clone(),
+        })
+    }
+
+    /// A run as callers and runners name it.
+    pub fn run_name(&self, open: &OpenRun) -> Option<RunName> {
+        let job = self.jobs.get(&open.task.job)?;
+        let step = job.spec.steps.get(usize::from(open.task.step))?;
+        Some(RunName {
+            job: job.spec.job.clone(),
+            step: step.name.clone(),
+            task: open.task.task,
+            attempt: open.attempt,
         })
     }
 
+    /// The open run that callers and runners know by this name.
+    pub fn find_open_run(&self, name: &RunName) -> Option<RunId> {
+        let of_name = |tenant: &TenantId| {
+            let key = JobKey {
+                tenant: tenant.clone(),
+                job: name.job.clone(),
+            };
+            let number = self.job_number(&key)?;
+            let job = self.jobs.get(&number)?;
+            let step = job.spec.steps.iter().position(|s| s.name == name.step)?;
+            let task = TaskRef {
+                job: number,
+                step: u16::try_from(step).ok()?,
+                task: name.task,
+            };
+            let mut runs = self.indexes.runs_of(task);
+            runs.find(|run| self.open_runs.get(run).map(|open| open.attempt) == Some(name.attempt))
+        };
+        self.indexes.of_tenant.keys().find_map(of_name)
+    }
+
     /// True when the run was closed, and its job is not forgotten.
     pub fn is_closed(&self, run: RunId) -> bool {
         self.indexes.closed_runs.contains(&run)
@@ -179,12 +223,12 @@
 }
 
 fn standing(job: &Job, at: TaskRef) -> Option<TaskStanding> {
-    let (_, _, task) = job.task(at)?;
+    let (step, _, task) = job.task(at)?;
     Some(TaskStanding {
         task: at,
         state: job.task_state(at)?,
         failed_runs: u32::from(task.failed_runs),
         open_runs: u32::from(task.open_runs),
-        not_before: job.not_before(task),
+        not_before: job.not_before(step, task),
     })
 }
--- a/crates/record/src/state/runs.rs
+++ b/crates/record/src/state/runs.rs
@@ -6,6 +6,7 @@
 use crate::mutation::Mutation;
 use crate::{Change, ClosedRun, CommandReply, ReserveRefusal};
 use configuration::{QueueMode, Timings};
+use std::collections::BTreeSet;
 use types::{
     JobState, Milliseconds, OpenRun, Outcome, Reservation, RunClose, RunId, TaskRef, WallTime,
 };
@@ -20,19 +21,71 @@
     ) -> CommandReply {
         let mut taken = Vec::new();
         let mut refused = Vec::new();
-        for reservation in reservations {
-            match self.check_reservation(reservation, at) {
-                Ok(run) => {
-                    self.open_run_of(run.clone());
-                    taken.push(run.run);
-                    changes.push(Change::RunOpened(run));
+        let same_gang = |a: &Reservation, b: &Reservation| {
+            (a.task.job, a.task.step) == (b.task.job, b.task.step) && self.is_gang(a.task)
+        };
+        let groups: Vec<&[Reservation]> = reservations.chunk_by(same_gang).collect();
+        for group in groups {
+            match self.check_group(group, at) {
+                Ok(runs) => {
+                    for run in runs {
+                        self.open_run_of(run.clone());
+                        taken.push(run.run);
+                        changes.push(Change::RunOpened(run));
+                    }
                 }
-                Err(refusal) => refused.push((reservation.run, refusal)),
+                Err(refusal) => refused.extend(group.iter().map(|one| (one.run, refusal))),
             }
         }
         CommandReply::Reserved { taken, refused }
     }
 
+    /// True when the task is a member of a gang.
+    pub fn is_gang(&self, task: TaskRef) -> bool {
+        let job = self.jobs.get(&task.job);
+        job.is_some_and(|job| job.is_gang(task.step))
+    }
+
+    /// The runs of one reservation, or of a whole gang: all or none.
+    fn check_group(
+        &self,
+        group: &[Reservation],
+        at: WallTime,
+    ) -> Result<Vec<OpenRun>, ReserveRefusal> {
+        let runs = group
+            .iter()
+            .map(|reservation| self.check_reservation(reservation, at))
+            .collect::<Result<Vec<OpenRun>, ReserveRefusal>>()?;
+        if let Some(first) = runs.first()
+            && self.is_gang(first.task)
+        {
+            self.check_gang(&runs)?;
+        }
+        Ok(runs)
+    }
+
+    /// A gang starts whole, each member once, within its tenant's ceiling.
+    fn check_gang(&self, runs: &[OpenRun]) -> Result<(), ReserveRefusal> {
+        let Some(first) = runs.first() else {
+            return Ok(());
+        };
+        let members: BTreeSet<u32> = runs.iter().map(|run| run.task.task).collect();
+        let job = self.jobs.get(&first.task.job);
+        let step = job.and_then(|job| job.spec.steps.get(usize::from(first.task.step)));
+        let size = step.map_or(0, |step| step.tasks as usize);
+        if members.len() != size || runs.len() != size {
+            return Err(ReserveRefusal::NotReady);
+        }
+        let held = self.indexes.holdings.get(&first.tenant).copied();
+        let wanted = runs
+            .iter()
+            .fold(held.unwrap_or_default(), |sum, run| sum.plus(run.resources));
+        match self.document.tenants.get(&first.tenant) {
+            Some(contract) if wanted.fits_in(contract.ceiling) => Ok(()),
+            _ => Err(ReserveRefusal::TenantAtCeiling),
+        }
+    }
+
     /// The run as it would be, when nothing speaks against it.
     fn check_reservation(
         &self,
@@ -55,6 +108,7 @@
         let run = OpenRun {
             run: reservation.run,
             task,
+            attempt: u32::from(job.next_attempt(task)),
             tenant: job.spec.tenant.clone(),
             queue: job.spec.queue.clone(),
             runner: reservation.runner.clone(),
@@ -102,8 +156,10 @@
     fn open_run_of(&mut self, run: OpenRun) {
         let number = run.task.job;
         if let Some(job) = self.jobs.get_mut(&number) {
+            let attempt = u16::try_from(run.attempt).unwrap_or(u16::MAX);
             job.change_task(run.task, |task| {
                 task.open_runs = task.open_runs.saturating_add(1);
+                task.attempts = task.attempts.max(attempt);
             });
             job.first_reserved_at.get_or_insert(run.reserved_at);
             job.state = JobState::Running;
@@ -125,7 +181,7 @@
         for run in runs {
             if let Some(open) = self.open_runs.remove(&run.run) {
                 closed.push(run.run);
-                self.close_run(open, &run.close, at, changes);
+                self.close_run(open, run, at, changes);
             } else {
                 self.take_late_end(run.run, &run.close, at, changes);
             }
@@ -136,19 +192,24 @@
     fn close_run(
         &mut self,
         run: OpenRun,
-        close: &RunClose,
+        closed: &ClosedRun,
         at: WallTime,
         changes: &mut Vec<Change>,
     ) {
+        let close = &closed.close;
         self.indexes.close_run(&run);
         let task = run.task;
+        let attempt = run.attempt;
         let Some(job) = self.jobs.get_mut(&task.job) else {
             return;
         };
         job.closed_runs.push(run.run);
+        if let Some(checkpoint) = &closed.checkpoint {
+            job.keep_checkpoint(task, checkpoint);
+        }
         let counts = is_unfinished(job, task);
         release(job, task);
-        let failed = counts && settle(job, task, close, &self.document.timings, at);
+        let failed = counts && settle(job, task, attempt, close, &self.document.timings, at);
         let again = job.startable_meta(task);
         self.indexes.refresh(task.job, job);
         self.remember_lost(&run, close);
@@ -159,9 +220,55 @@
         });
         if counts {
             self.follow_close(task, close, failed, at, changes);
+            self.follow_gang(task, close, changes);
         }
     }
 
+    /// What the end of one member means for the rest of its gang: after any
+    /// end but done the others are of no use and are stopped; once no run of
+    /// the gang is open, all of it may start again.
+    fn follow_gang(&self, task: TaskRef, close: &RunClose, changes: &mut Vec<Change>) {
+        let Some(job) = self
+            .jobs
+            .get(&task.job)
+            .filter(|job| job.is_gang(task.step))
+        else {
+            return;
+        };
+        let members: Vec<TaskRef> = job.step_tasks(task.job, task.step).collect();
+        let open = members
+            .iter()
+            .flat_map(|member| self.indexes.runs_of(*member));
+        let open: Vec<RunId> = open.collect();
+        if open.is_empty() {
+            let others = members.into_iter().filter(|member| *member != task);
+            let ready = others.filter_map(|member| job.startable_meta(member));
+            changes.extend(ready.map(Change::TaskReady));
+        } else if *close != RunClose::Ended(Outcome::Done) {
+            changes.push(Change::RunsUseless(open));
+        }
+    }
+
+    /// One member's done end is the end of all: their own ends may come later.
+    fn complete_gang(&mut self, task: TaskRef, changes: &mut Vec<Change>) {
+        let Some(job) = self
+            .jobs
+            .get_mut(&task.job)
+            .filter(|job| job.is_gang(task.step))
+        else {
+            return;
+        };
+        let members: Vec<TaskRef> = job.step_tasks(task.job, task.step).collect();
+        for member in members.into_iter().filter(|member| *member != task) {
+            job.change_task(member, |member| member.progress = Progress::Done);
+            changes.push(Change::TaskEnded {
+                task: member,
+                open_runs: Vec::new(),
+            });
+        }
+        self.indexes.refresh(task.job, job);
+    }
+
     /// What the close of a run means for its task's step and job.
     pub(super) fn follow_close(
         &mut self,
@@ -175,8 +282,9 @@
             changes.push(self.task_ended(task));
             let reason = self.failure_reason(task, close);
             self.end_job(task.job, JobState::Failed, reason, at, changes);
-        } else if *close == RunClose::Ended(Outcome::Done) {
+        } else if self.is_done_end(task, close) {
             changes.push(self.task_ended(task));
+            self.complete_gang(task, changes);
             let job = self.jobs.get(&task.job);
             let step = job.and_then(|job| job.steps.get(usize::from(task.step)));
             if step.is_some_and(|step| step.is_done()) {
@@ -185,6 +293,16 @@
         }
     }
 
+    /// True for an end that finishes its task. No end finishes a task of an
+    /// endless step.
+    fn is_done_end(&self, task: TaskRef, close: &RunClose) -> bool {
+        let job = self.jobs.get(&task.job);
+        let endless = job
+            .and_then(|job| job.task(task))
+            .is_some_and(|(step, _, _)| step.rules.endless);
+        !endless && *close == RunClose::Ended(Outcome::Done)
+    }
+
     fn failure_reason(&self, at: TaskRef, close: &RunClose) -> Option<String> {
         let (step, _, task) = self.jobs.get(&at.job)?.task(at)?;
         let last = match close {
@@ -212,6 +330,7 @@
 pub(super) fn settle(
     job: &mut Job,
     at: TaskRef,
+    attempt: u32,
     close: &RunClose,
     timings: &Timings,
     now: WallTime,
@@ -219,10 +338,21 @@
     let Some((step, _, _)) = job.task(at) else {
         return false;
     };
-    let allowed = step.allowed_failures;
+    let (allowed, rules) = (step.allowed_failures, step.rules.clone());
+    let done = *close == RunClose::Ended(Outcome::Done);
+    if rules.endless {
+        if done || close.is_failure() {
+            let again = now + timings.retry_backoff;
+            job.change_task(at, |task| task.backoff_until = again);
+        }
+        return false;
+    }
+    if rules.gang && close.is_failure() {
+        return settle_gang_failure(job, at, attempt, allowed, timings, now);
+    }
     let mut failed = false;
     job.change_task(at, |task| {
-        if *close == RunClose::Ended(Outcome::Done) {
+        if done {
             task.progress = Progress::Done;
         } else if close.is_failure() {
             task.failed_runs = task.failed_runs.saturating_add(1);
@@ -236,6 +366,39 @@
     failed
 }
 
+/// A gang fails as a whole, once by each number of its runs, whichever and
+/// however many of its members failed.
+fn settle_gang_failure(
+    job: &mut Job,
+    at: TaskRef,
+    attempt: u32,
+    allowed: u32,
+    timings: &Timings,
+    now: WallTime,
+) -> bool {
+    let attempt = u16::try_from(attempt).unwrap_or(u16::MAX);
+    let counted = job
+        .task(at)
+        .is_some_and(|(_, _, task)| task.failed_attempt >= attempt);
+    if counted {
+        return false;
+    }
+    let mut failed = false;
+    let members: Vec<TaskRef> = job.step_tasks(at.job, at.step).collect();
+    for member in members {
+        job.change_task(member, |task| {
+            task.failed_attempt = attempt;
+            task.failed_runs = task.failed_runs.saturating_add(1);
+            task.backoff_until = now + backoff(timings, task.failed_runs);
+            failed = u32::from(task.failed_runs) > allowed;
+            if failed && member == at {
+                task.progress = Progress::Failed;
+            }
+        });
+    }
+    failed
+}
+
 /// The wait after the given number of failures: doubled each time, bounded.
 fn backoff(timings: &Timings, failures: u8) -> Milliseconds {
     let doublings = u32::from(failures.saturating_sub(1));
--- a/crates/record/src/state/snapshot.rs
+++ b/crates/record/src/state/snapshot.rs
@@ -15,7 +15,7 @@
 };
 
 /// Version of the bytes; a program reads only its own.
-pub const SNAPSHOT_VERSION: u32 = 3;
+pub const SNAPSHOT_VERSION: u32 = 4;
 
 /// The version stands before the body, little-endian.
 const VERSION_BYTES: usize = size_of::<u32>();
@@ -43,6 +43,7 @@
     first_reserved_at: Option<WallTime>,
     ended_at: Option<WallTime>,
     closed_runs: Cow<'a, [RunId]>,
+    checkpoints: Cow<'a, BTreeMap<(u16, u32), String>>,
     /// Only tasks that are no longer as they were at the submission.
     tasks: Vec<StoredTask>,
 }
@@ -54,6 +55,8 @@
     progress: Progress,
     failed_runs: u8,
     backoff_until: WallTime,
+    attempts: u16,
+    failed_attempt: u16,
 }
 
 impl Record {
@@ -144,6 +147,7 @@
         job.first_reserved_at = stored.first_reserved_at;
         job.ended_at = stored.ended_at;
         job.closed_runs = stored.closed_runs.into_owned();
+        job.checkpoints = stored.checkpoints.into_owned();
         if job.state.is_final() != job.ended_at.is_some() {
             return Err(RecordError::Inconsistent(
                 "a job's end does not fit its state",
@@ -219,19 +223,22 @@
         first_reserved_at: job.first_reserved_at,
         ended_at: job.ended_at,
         closed_runs: Cow::Borrowed(&job.closed_runs),
+        checkpoints: Cow::Borrowed(&job.checkpoints),
         tasks: tasks.collect(),
     }
 }
 
 fn store_task(job: &Job, at: TaskRef) -> Option<StoredTask> {
     let (_, _, task) = job.task(at)?;
-    let untouched = task.progress == Progress::Unfinished && task.failed_runs == 0;
+    let untouched = task.progress == Progress::Unfinished && task.attempts == 0;
     (!untouched).then_some(StoredTask {
         step: at.step,
         task: at.task,
         progress: task.progress,
         failed_runs: task.failed_runs,
         backoff_until: task.backoff_until,
+        attempts: task.attempts,
+        failed_attempt: task.failed_attempt,
     })
 }
 
@@ -248,6 +255,8 @@
         task.progress = stored.progress;
         task.failed_runs = stored.failed_runs;
         task.backoff_until = stored.backoff_until;
+        task.attempts = stored.attempts;
+        task.failed_attempt = stored.failed_attempt;
     });
     Ok(())
 }
--- a/crates/record/src/state/submission.rs
+++ b/crates/record/src/state/submission.rs
@@ -6,7 +6,7 @@
 use types::{JobSpec, Milliseconds, Resources, StepName, StepSpec};
 
 /// Most steps of a job.
-pub const MAX_STEPS: usize = 64;
+pub const MAX_STEPS: usize = 1_024;
 /// Most tasks of a job over all its steps.
 pub const MAX_TASKS: u64 = 10_000;
 /// Most copies of one task that may run at once.
@@ -56,6 +56,13 @@
     require(step.allowed_failures <= MAX_ALLOWED_FAILURES, || {
         format!("step {name} may allow at most {MAX_ALLOWED_FAILURES} failures")
     })?;
+    let rules = &step.rules;
+    require(!rules.gang || step.max_copies == 1, || {
+        format!("step {name} is a gang, so its tasks have one copy each")
+    })?;
+    require(rules.max_per_runner != Some(0), || {
+        format!("step {name} may run nowhere: max_per_runner must be at least 1")
+    })?;
     let limit = step.time_limit;
     require(limit.0 > 0 && limit <= MAX_TIME_LIMIT, || {
         format!("the time limit of step {name} must be 1 ms to {MAX_TIME_LIMIT}")
--- a/crates/record/tests/properties/world.rs
+++ b/crates/record/tests/properties/world.rs
@@ -62,6 +62,7 @@
 
     fn note(&mut self, change: &Change) {
         match change {
+            Change::RunsUseless(_) => {}
             Change::TaskReady(meta) => {
                 self.copies.insert(meta.task, meta.max_copies);
                 assert!(self.ready.insert(meta.task, meta.clone()).is_none());
@@ -265,6 +266,7 @@
 
     fn close(&mut self, run: RunId, close: &RunClose) {
         let runs = vec![ClosedRun {
+            checkpoint: None,
             run,
             close: close.clone(),
         }];
--- a/crates/replay/src/cluster.rs
+++ b/crates/replay/src/cluster.rs
@@ -151,6 +151,8 @@
     CoordinatorOptions {
         address,
         seeds: Vec::new(),
+        founding: coordinator::Founding::Exact,
+        stalled_after: None,
         initial_coordinators: 1,
         consensus: consensus::Options::default(),
         dispatcher: dispatch::DispatcherOptions::default(),
--- a/crates/settings/src/coordinator.rs
+++ b/crates/settings/src/coordinator.rs
@@ -166,6 +166,12 @@
     pub probation_ms: u64,
     /// A runner silent for this long gets nothing new. Default 1500.
     pub silent_after_ms: u64,
+    /// A task waits this long for its rack, or for another runner than the one
+    /// it failed on. Default 300.
+    pub patience_ms: u64,
+    /// A run whose progress stands still for this long is stopped and placed
+    /// again. Without the key, and by default, it is left alone.
+    pub stalled_after_ms: Option<u64>,
 }
 
 impl DispatcherSettings {
@@ -176,6 +182,11 @@
             probation_failures: reader.ranged("dispatcher.probation_failures", 8, 1..=100_000),
             probation_ms: reader.ranged("dispatcher.probation_ms", 10_000, 0..=86_400_000),
             silent_after_ms: reader.ranged("dispatcher.silent_after_ms", 1_500, 100..=60_000),
+            patience_ms: reader.ranged("dispatcher.patience_ms", 300, 0..=60_000),
+            stalled_after_ms: match reader.ranged("dispatcher.stalled_after_ms", 0, 0..=3_600_000) {
+                0 => None,
+                length => Some(length),
+            },
         }
     }
 }
--- a/crates/standin/src/fleet.rs
+++ b/crates/standin/src/fleet.rs
@@ -2,8 +2,8 @@
 
 use crate::workload::Mix;
 use configuration::{
-    ClusterConfiguration, ErrorBudget, PoolSettings, QueueMode, QueueSettings, TenantSettings,
-    Timings,
+    ClusterConfiguration, ErrorBudget, LeftOutQueues, PoolSettings, QueueMode, QueueSettings,
+    TenantSettings, Timings,
 };
 use std::fmt::Debug;
 use std::str::FromStr;
@@ -94,6 +94,9 @@
 /// queues, six tenants, no keys.
 pub fn example_configuration() -> ClusterConfiguration {
     ClusterConfiguration {
+        replaces: None,
+        left_out: LeftOutQueues::Refuse,
+        source: None,
         pools: [STILLS_POOL, DOCUMENTS_POOL]
             .map(|pool| (checked_name(pool), pool_settings()))
             .into(),
@@ -130,6 +133,7 @@
 
 fn queue_settings(pool: &str) -> QueueSettings {
     QueueSettings {
+        priority: 0,
         pool: checked_name(pool),
         mode: QueueMode::Active,
         max_unfinished_jobs: 50_000,
--- a/crates/standin/src/runner.rs
+++ b/crates/standin/src/runner.rs
@@ -110,6 +110,7 @@
         self.tombstones.forget_before(self.heartbeats.oldest());
         let options = &self.options;
         RunnerReport {
+            unnamed: Vec::new(),
             runner: options.runner.clone(),
             incarnation: options.incarnation,
             sequence,
@@ -346,6 +347,8 @@
     fn held_runs(&self, now: Monotonic) -> Vec<HeldRun> {
         let held = self.held.iter();
         held.map(|(run, work)| HeldRun {
+            progress: None,
+            checkpoint: None,
             run: *run,
             age: work.age(now),
         })
@@ -356,6 +359,7 @@
         let ended = self.ended.iter();
         ended
             .map(|(run, outcome)| EndedRun {
+                checkpoint: None,
                 run: *run,
                 outcome: outcome.clone(),
             })
--- a/crates/standin/src/workload.rs
+++ b/crates/standin/src/workload.rs
@@ -212,6 +212,7 @@
         let tenant = self.draw_tenant(kind);
         self.drawn += 1;
         JobSpec {
+            payload: String::new(),
             tenant: checked_name(tenant),
             job: checked_name(&format!("{}-{}", self.prefix, self.drawn)),
             queue: checked_name(kind.queue),
@@ -251,6 +252,7 @@
             let after = steps.last().map(|before| before.name.clone());
             let duration = self.random.random_range(step.duration_ms.clone());
             steps.push(StepSpec {
+                rules: Default::default(),
                 name: checked_name(step.name),
                 after: after.into_iter().collect(),
                 tasks: self.random.random_range(step.tasks.clone()),
--- a/crates/standin/tests/runner/bench.rs
+++ b/crates/standin/tests/runner/bench.rs
@@ -58,6 +58,8 @@
 
 pub fn run(sequence: u64, payload: &str) -> RunSpec {
     RunSpec {
+        attempt: 1,
+        checkpoint: None,
         run: run_id(sequence),
         job: JobKey {
             tenant: TenantId::new("tenant").unwrap(),
@@ -73,6 +75,7 @@
 
 pub fn order(term: u64, kind: OrderKind) -> RunnerOrder {
     RunnerOrder {
+        name: None,
         term: Term(term),
         sequence: OrderSequence(1),
         runner: RunnerId::new("runner-1").unwrap(),
--- a/crates/standin/tests/shell.rs
+++ b/crates/standin/tests/shell.rs
@@ -127,6 +127,8 @@
         order: OrderName::Start,
         run: RunText(run_id()),
         start: Some(StartBody {
+            attempt: 1,
+            checkpoint: None,
             tenant: "tenant".to_owned(),
             job: "job".to_owned(),
             step: "step".to_owned(),
--- a/crates/types/src/job.rs
+++ b/crates/types/src/job.rs
@@ -1,6 +1,8 @@
 //! Jobs, steps and tasks: what callers submit and what they are told back.
 
-use crate::{JobId, Labels, Milliseconds, QueueName, Resources, StepName, TenantId, WallTime};
+use crate::{
+    JobId, Labels, Milliseconds, QueueName, RackName, Resources, StepName, TenantId, WallTime,
+};
 use serde::{Deserialize, Serialize};
 
 /// How soon a job's caller needs it. An order within a tenant's own work:
@@ -30,6 +32,8 @@
     pub urgency: Urgency,
     /// No task starts before this time, judged by the leader's clock.
     pub start_at: Option<WallTime>,
+    /// Opaque text for the runner, for every step that has none of its own.
+    pub payload: String,
     /// Steps; dependencies among them have no cycle.
     pub steps: Vec<StepSpec>,
 }
@@ -55,6 +59,29 @@
     pub time_limit: Milliseconds,
     /// Opaque text for the runner.
     pub payload: String,
+    /// When, where and with which others its tasks run.
+    pub rules: StepRules,
+}
+
+/// When, where and with which others the tasks of a step run. The default asks
+/// for nothing.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Default, Serialize, Deserialize)]
+pub struct StepRules {
+    /// No task of the step starts before this time, judged by the leader's
+    /// clock; beside the time of the whole job.
+    pub start_at: Option<WallTime>,
+    /// The rack where its tasks run best. Others serve when that has no room.
+    pub preferred_rack: Option<RackName>,
+    /// Most runs of the step that one runner holds at once; none is no limit.
+    pub max_per_runner: Option<u32>,
+    /// The tasks work only all together: they are reserved as one, and one
+    /// end of a run ends all of them.
+    pub gang: bool,
+    /// The tasks of a gang run best within one rack.
+    pub same_rack: bool,
+    /// The tasks run until the job is cancelled, and start again however a run
+    /// of them ends.
+    pub endless: bool,
 }
 
 /// Where a job stands.
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -20,9 +20,9 @@
     NodeId, OrderSequence, PoolName, QueueName, RackName, RunId, RunnerId, RunnerIncarnation,
     StepName, TaskRef, TenantId, Term, ZoneName,
 };
-pub use job::{JobSpec, JobState, JobView, StepSpec, StepView, TaskState, Urgency};
+pub use job::{JobSpec, JobState, JobView, StepRules, StepSpec, StepView, TaskState, Urgency};
 pub use resources::{Labels, Resources};
-pub use run::{EndedRun, HeldRun, Outcome, RunClose, RunSpec};
+pub use run::{EndedRun, HeldRun, Outcome, RunClose, RunName, RunSpec, UnnamedRun};
 pub use runner::{OrderAnswer, OrderKind, RefusalReason, RunnerOrder, RunnerReport};
 pub use task::{NumberedJob, OpenRun, Reservation, TaskMeta};
 pub use time::{Milliseconds, Monotonic, Now, WallTime};
--- a/crates/types/src/resources.rs
+++ b/crates/types/src/resources.rs
@@ -65,6 +65,26 @@
         }
     }
 
+    /// So many times as much of each kind, held at the largest value.
+    pub fn times(&self, count: u32) -> Self {
+        Self {
+            slots: self.slots.saturating_mul(count),
+            cpu_milli: self.cpu_milli.saturating_mul(count),
+            memory_mib: self.memory_mib.saturating_mul(count),
+            gpus: self.gpus.saturating_mul(count),
+        }
+    }
+
+    /// How often this amount fits into `room`.
+    pub fn count_in(&self, room: &Self) -> usize {
+        let fits = |need: u32, room: u32| room.checked_div(need).unwrap_or(u32::MAX);
+        let least = fits(self.slots, room.slots)
+            .min(fits(self.cpu_milli, room.cpu_milli))
+            .min(fits(self.memory_mib, room.memory_mib))
+            .min(fits(self.gpus, room.gpus));
+        least as usize
+    }
+
     /// The smaller amount of each kind.
     pub fn least(&self, other: &Self) -> Self {
         Self {
--- a/crates/types/src/runner.rs
+++ b/crates/types/src/runner.rs
@@ -8,7 +8,7 @@
 
 use crate::{
     EndedRun, HeartbeatSequence, HeldRun, Labels, Milliseconds, OrderSequence, PoolName, RackName,
-    Resources, RunId, RunSpec, RunnerId, RunnerIncarnation, Term,
+    Resources, RunId, RunName, RunSpec, RunnerId, RunnerIncarnation, Term, UnnamedRun,
 };
 use serde::{Deserialize, Serialize};
 
@@ -39,6 +39,8 @@
     pub held: Vec<HeldRun>,
     /// Ended runs the record has not confirmed yet.
     pub ended: Vec<EndedRun>,
+    /// Runs held or ended whose identifiers the agent does not know.
+    pub unnamed: Vec<UnnamedRun>,
 }
 
 /// An order to one runner.
@@ -52,6 +54,9 @@
     pub runner: RunnerId,
     /// The life of the runner it is for.
     pub incarnation: RunnerIncarnation,
+    /// The run as callers and runners name it: an agent that was started anew
+    /// does not know its identifier.
+    pub name: Option<RunName>,
     /// What to do.
     pub kind: OrderKind,
 }
@@ -107,6 +112,8 @@
     NoRoom,
     /// The runner is draining.
     Draining,
+    /// The runner says that it is not well; it has done nothing.
+    Unhealthy,
 }
 
 /// What became of an order.
--- a/crates/types/src/task.rs
+++ b/crates/types/src/task.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     JobNumber, Labels, Milliseconds, QueueName, Resources, RunId, RunnerId, RunnerIncarnation,
-    TaskRef, TenantId, Urgency, WallTime,
+    StepRules, TaskRef, TenantId, Urgency, WallTime,
 };
 use serde::{Deserialize, Serialize};
 
@@ -26,6 +26,10 @@
     pub max_copies: u32,
     /// Not before this time: the job's start time or a retry's backoff.
     pub not_before: Option<WallTime>,
+    /// The rules of its step.
+    pub rules: StepRules,
+    /// Tasks of its step: the members, where it is a gang.
+    pub step_tasks: u32,
 }
 
 /// A run that is reserved and not closed.
@@ -35,6 +39,8 @@
     pub run: RunId,
     /// Its task.
     pub task: TaskRef,
+    /// Number of the run among those of its task, from 1.
+    pub attempt: u32,
     /// Whose ceiling it counts against.
     pub tenant: TenantId,
     /// Its queue.
