--- a/crates/session/src/client.rs
+++ b/crates/session/src/client.rs
@@ -194,6 +194,10 @@
         }
     }
 
+    pub(crate) fn has_lease(&self) -> bool {
+        self.lease.is_some()
+    }
+
     fn end_lease_if_over(&mut self, now: Monotonic) -> Vec<SessionEvent> {
         if self.lease.is_none_or(|lease| now < lease.ends) {
             return Vec::new();
--- a/crates/session/src/round.rs
+++ b/crates/session/src/round.rs
@@ -17,15 +17,21 @@
 /// A round comes up to this part of the interval later, drawn each time, so
 /// that a fleet's hellos spread.
 const JITTER_PART: u64 = 8;
+/// Without a lease the next round comes after this part of the interval:
+/// nothing is served until a leader is found.
+const SEARCH_PART: u64 = 4;
 
 impl SessionClient {
     pub(crate) fn send_round_if_due(&mut self, now: Monotonic, out: &mut Outbox) {
         if now < self.next_round {
             return;
         }
-        let jitter = self.options.interval.0 / JITTER_PART;
-        let jitter = Milliseconds(self.random.random_range(0..=jitter));
-        self.next_round = now + self.options.interval + jitter;
+        let interval = match self.has_lease() {
+            true => self.options.interval,
+            false => Milliseconds(self.options.interval.0 / SEARCH_PART),
+        };
+        let jitter = Milliseconds(self.random.random_range(0..=interval.0 / JITTER_PART));
+        self.next_round = now + interval + jitter;
         self.round += 1;
         self.hints_left = HINTS_EACH_ROUND;
         self.send_round(now, out);
