Let a new leader tell gateways and agents that it leads

Second: tasks standing still on one runner were noticed after 2.5 s. Ruled out: the rebuild of the view (some ms).

Change: coordinators hear of all sessions now and then; one that is elected says so to all of them, and a higher term is believed at once. A run counts as standing still by the time its caller expects it to take (expected_ms).

--- a/crates/api/src/job.rs
+++ b/crates/api/src/job.rs
@@ -197,6 +197,9 @@
     /// The tasks run until the job is cancelled.
     #[serde(default, skip_serializing_if = "is_false")]
     pub endless: bool,
+    /// About how long one run takes, in milliseconds.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub expected_ms: Option<u64>,
 }
 
 fn is_false(value: &bool) -> bool {
@@ -258,6 +261,7 @@
                 gang: body.gang,
                 same_rack: body.same_rack,
                 endless: body.endless,
+                expected: body.expected_ms.map(Milliseconds),
             },
         }
     }
@@ -281,6 +285,7 @@
             gang: spec.rules.gang,
             same_rack: spec.rules.same_rack,
             endless: spec.rules.endless,
+            expected_ms: spec.rules.expected.map(|length| length.0),
         }
     }
 }
--- a/crates/coordinator/src/core.rs
+++ b/crates/coordinator/src/core.rs
@@ -300,7 +300,7 @@
                 message,
             } => self.raft_received(now, &sender, cluster, to, message),
             PeerMessage::Hello(hello) => self.hello_received(now, &sender, hello, effects),
-            PeerMessage::Lease(lease) => self.lease_received(lease, effects),
+            PeerMessage::Lease(lease) => self.lease_received(now, lease, effects),
             PeerMessage::NotLeader { leader } => self.identification.hint_leader(leader),
             PeerMessage::Request(request) => self.request_received(now, &sender, request, effects),
             PeerMessage::AgentReport(report) => self.report_received(now, &sender, report),
--- a/crates/coordinator/src/directory.rs
+++ b/crates/coordinator/src/directory.rs
@@ -128,6 +128,15 @@
             .collect()
     }
 
+    /// Sockets of all gateways and agents known.
+    pub(crate) fn other_sockets(&self) -> Vec<SocketAddr> {
+        let others = self.known.values();
+        others
+            .filter(|known| known.address.role != Role::Coordinator)
+            .map(|known| known.address.socket)
+            .collect()
+    }
+
     /// Sockets of all other coordinators known.
     pub(crate) fn coordinator_sockets(&self) -> Vec<SocketAddr> {
         self.known
--- a/crates/coordinator/src/identification.rs
+++ b/crates/coordinator/src/identification.rs
@@ -239,7 +239,7 @@
         effects.push(Effect::Send { to, message });
     }
 
-    fn member_view(&self, now: Now) -> Members {
+    pub(crate) fn member_view(&self, now: Now) -> Members {
         let term = self.status(now).map(|status| status.term);
         Members {
             members: self.directory.alive(now.monotonic),
@@ -278,7 +278,12 @@
     }
 
     /// A leader answered: an empty process takes its cluster as its own.
-    pub(crate) fn lease_received(&mut self, lease: SessionLease, effects: &mut Vec<Effect>) {
+    pub(crate) fn lease_received(
+        &mut self,
+        now: Now,
+        lease: SessionLease,
+        effects: &mut Vec<Effect>,
+    ) {
         if self
             .identification
             .cluster()
@@ -286,6 +291,9 @@
         {
             return;
         }
+        for other in &lease.others {
+            self.directory.learn(other, now.monotonic);
+        }
         self.identification.seen = Some(lease.cluster);
         self.identification.hint_leader(Some(lease.leader));
         if self.identification.is_empty() {
--- a/crates/coordinator/src/leadership.rs
+++ b/crates/coordinator/src/leadership.rs
@@ -49,7 +49,10 @@
             }
             Some(leader) if !leader.serving && may_serve => leader.resume(now.monotonic),
             Some(_) => {}
-            None if may_serve => self.take_office(now),
+            None if may_serve => {
+                self.take_office(now);
+                self.announce_office(now, effects);
+            }
             None => {}
         }
     }
@@ -74,6 +77,18 @@
         self.leader = Some(Leader::new(options, identity, record, dispatcher, now));
     }
 
+    /// Tells every gateway and agent known who leads, so that none has to wait
+    /// until it misses the old leader.
+    fn announce_office(&self, now: Now, effects: &mut Vec<Effect>) {
+        let members = self.member_view(now);
+        for to in self.directory.other_sockets() {
+            effects.push(Effect::Send {
+                to,
+                message: PeerMessage::Members(members.clone()),
+            });
+        }
+    }
+
     /// Answers every waiting request at once that it cannot be served here.
     fn refuse_waiting(&mut self, effects: &mut Vec<Effect>) {
         let Some(leader) = &mut self.leader else {
--- a/crates/coordinator/src/orders.rs
+++ b/crates/coordinator/src/orders.rs
@@ -30,6 +30,11 @@
 const ORDER_TIMEOUT: Milliseconds = Milliseconds(2_000);
 /// Time between two voids or stops of one run.
 const REPEAT_INTERVAL: Milliseconds = Milliseconds(1_000);
+/// A run has moved on by a percent long before this part of its expected time
+/// is over, even on a slow runner.
+const STALL_PART: u64 = 4;
+/// No run counts as standing still before this time.
+const SHORTEST_STALL: Milliseconds = Milliseconds(500);
 
 impl Leader {
     /// Sends the starts of runs that the record took.
@@ -264,9 +269,17 @@
         };
         let heard = self.runners.get(&tracked.run.runner);
         let heard = heard.map(|runner| runner.heard);
+        let expected = tracked.run.expected.unwrap_or(allowed);
+        let patience = Milliseconds(expected.0 / STALL_PART).max(SHORTEST_STALL);
+        // At its beginning a run may still fetch what it needs, or wait for
+        // the rest of its gang.
+        let patience = match tracked.progress {
+            Some(0) => allowed,
+            _ => patience.min(allowed),
+        };
         !tracked.stop
             && tracked.progress.is_some()
-            && heard.is_some_and(|heard| heard.since(tracked.progressed_at) >= allowed)
+            && heard.is_some_and(|heard| heard.since(tracked.progressed_at) >= patience)
     }
 
     /// Stops a run that stands still. That is no failure of its task, but it
--- a/crates/coordinator/src/sessions.rs
+++ b/crates/coordinator/src/sessions.rs
@@ -12,6 +12,9 @@
 /// Gateways and agents named in one lease. They serve as further seeds only.
 const MAX_OTHERS: usize = 16;
 
+/// A coordinator is told all sessions once in this many hellos.
+const HELLOS_PER_LIST: u64 = 5;
+
 /// A process that said hello.
 #[derive(Debug, Clone)]
 pub(crate) struct Session {
@@ -196,7 +199,10 @@
             lease: self.options.session_lease,
             configuration: version,
             coordinators,
-            others: self.sessions.others(sender.address.node),
+            others: match sender.address.role {
+                Role::Coordinator => self.all_sessions(hello.sequence),
+                _ => self.sessions.others(sender.address.node),
+            },
         };
         self.answer(sender, PeerMessage::Lease(lease));
         if hello.configuration < version && sender.address.role != Role::Coordinator {
@@ -205,6 +211,18 @@
         }
     }
 
+    /// Every gateway and agent, told to coordinators now and then: one that is
+    /// elected says so to all of them at once.
+    fn all_sessions(&self, hello: u64) -> Vec<Address> {
+        if !hello.is_multiple_of(HELLOS_PER_LIST) {
+            return Vec::new();
+        }
+        let sessions = self.sessions.iter();
+        sessions
+            .map(|session| session.sender.address.clone())
+            .collect()
+    }
+
     /// Ends sessions of processes silent over their lease.
     pub(crate) fn expire_sessions(&mut self, now: Monotonic) {
         let lease = self.options.session_lease;
--- a/crates/dispatch/tests/steps.rs
+++ b/crates/dispatch/tests/steps.rs
@@ -37,6 +37,7 @@
     };
     let open = OpenRun {
         attempt: 1,
+        expected: None,
         run,
         task: task(1),
         tenant: tenant("a"),
@@ -186,6 +187,7 @@
     let sequence = 41;
     dispatcher.adopt_run(OpenRun {
         attempt: 1,
+        expected: None,
         run: RunId {
             term: Term(3),
             sequence,
--- a/crates/record/src/state/runs.rs
+++ b/crates/record/src/state/runs.rs
@@ -115,6 +115,7 @@
             incarnation: reservation.incarnation,
             resources: step.resources,
             time_limit: step.time_limit,
+            expected: step.rules.expected,
             reserved_at: at,
             self_stop: reservation.self_stop,
         };
--- a/crates/session/src/client.rs
+++ b/crates/session/src/client.rs
@@ -242,6 +242,9 @@
         match &members.leader {
             Some(leader) if members.term >= self.highest_term => {
                 self.directory.learn(leader);
+                if members.term > self.highest_term {
+                    self.leave_superseded(leader);
+                }
                 self.follow_hint(now, leader, out);
             }
             _ if knew_no_coordinator && self.leader.is_none() => self.try_next(now, out),
@@ -249,6 +252,15 @@
         }
     }
 
+    /// A leader of a higher term than any seen makes the one followed an old
+    /// one, however well it still answers.
+    fn leave_superseded(&mut self, newer: &Address) {
+        let followed = self.leader.as_ref().map(LeaderContact::address);
+        if followed.is_some_and(|followed| followed != newer) {
+            self.leader = None;
+        }
+    }
+
     fn take_lease(
         &mut self,
         now: Monotonic,
--- a/crates/types/src/job.rs
+++ b/crates/types/src/job.rs
@@ -82,6 +82,8 @@
     /// The tasks run until the job is cancelled, and start again however a run
     /// of them ends.
     pub endless: bool,
+    /// About how long one run takes, by its caller.
+    pub expected: Option<Milliseconds>,
 }
 
 /// Where a job stands.
--- a/crates/types/src/task.rs
+++ b/crates/types/src/task.rs
@@ -53,6 +53,8 @@
     pub resources: Resources,
     /// Its time limit.
     pub time_limit: Milliseconds,
+    /// About how long it takes, by its caller.
+    pub expected: Option<Milliseconds>,
     /// When the record took the reservation.
     pub reserved_at: WallTime,
     /// Whether its runner stops it at the end of the run lease, as it said
