--- a/crates/consensus/src/election.rs
+++ b/crates/consensus/src/election.rs
@@ -36,7 +36,8 @@
 
     pub(crate) fn reset_election_deadline(&mut self) {
         let shortest = self.options.election_timeout.0;
-        let extra = self.random.random_range(0..shortest.max(1));
+        let spread = self.options.election_spread.0;
+        let extra = self.random.random_range(0..spread.max(1));
         self.election_deadline = self.clock + Milliseconds(shortest.saturating_add(extra));
     }
 
--- a/crates/consensus/src/options.rs
+++ b/crates/consensus/src/options.rs
@@ -5,8 +5,11 @@
 /// Timings and limits of a node.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Options {
-    /// Shortest silence before an election; drawn between this and twice it.
+    /// Shortest silence before an election.
     pub election_timeout: Milliseconds,
+    /// Up to this much is drawn and added to it, so that nodes stand one after
+    /// the other. More than a round trip and a sync.
+    pub election_spread: Milliseconds,
     /// Time between heartbeats.
     pub heartbeat_interval: Milliseconds,
     /// The leader acts for this long after the start of the last round that a
@@ -30,6 +33,7 @@
     fn default() -> Self {
         Self {
             election_timeout: Milliseconds(1_000),
+            election_spread: Milliseconds(1_000),
             heartbeat_interval: Milliseconds(150),
             leader_lease: Milliseconds(800),
             max_append_bytes: 512 * 1024,
--- a/crates/coordinator/src/shell.rs
+++ b/crates/coordinator/src/shell.rs
@@ -106,7 +106,11 @@
 }
 
 fn open_store(data: &Path) -> Result<Opened<RealDisk>, StorageError> {
+    let begun = clock::now().monotonic;
     let opened = Store::open(RealDisk::open(data)?)?;
+    let took = clock::now().monotonic.since(begun);
+    let entries = opened.recovered.entries.len();
+    tracing::info!(%took, entries, "opened the store");
     if opened.cut_bytes > 0 {
         tracing::warn!(bytes = opened.cut_bytes, "cut a torn tail of the log");
     }
--- a/crates/cypressdrum/src/daemon/options.rs
+++ b/crates/cypressdrum/src/daemon/options.rs
@@ -39,6 +39,7 @@
         stalled_after: dispatcher.stalled_after_ms.map(Milliseconds),
         consensus: consensus::Options {
             election_timeout: Milliseconds(timings.election_timeout_ms),
+            election_spread: Milliseconds(timings.election_timeout_ms),
             heartbeat_interval: Milliseconds(timings.heartbeat_interval_ms),
             leader_lease: Milliseconds(timings.leader_lease_ms),
             ..consensus::Options::default()
