Stop runs that a slow runner holds up

Change: a run is slow when what is left would take three whole runs, and is stopped only when runs of three jobs on its runner are, and most of those watched. A run that stands still at 0 % counts too, unless it restores a checkpoint or waits for its gang.

--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -21,6 +21,7 @@
 mod lifecycle;
 mod membership;
 mod orders;
+mod pace;
 mod placement;
 mod reads;
 mod replica;
--- a/crates/coordinator/src/orders.rs
+++ b/crates/coordinator/src/orders.rs
@@ -18,7 +18,7 @@
 
 use crate::core::{Mutation, Sender};
 use crate::leader::Leader;
-use crate::runs::{Phase, TrackedRun};
+use crate::runs::Phase;
 use peer::{DecisionEvent, OrderResult, PeerMessage};
 use record::{ClosedRun, Record};
 use types::{
@@ -30,12 +30,6 @@
 const ORDER_TIMEOUT: Milliseconds = Milliseconds(2_000);
 /// Time between two voids or stops of one run.
 const REPEAT_INTERVAL: Milliseconds = Milliseconds(1_000);
-/// A run has moved on by a percent long before this part of its expected time
-/// is over, even on a slow runner.
-const STALL_PART: u64 = 4;
-/// No run counts as standing still before this time.
-const SHORTEST_STALL: Milliseconds = Milliseconds(500);
-
 impl Leader {
     /// Sends the starts of runs that the record took.
     pub(crate) fn start_reserved(&mut self, record: &Record, now: Now) {
@@ -236,7 +230,7 @@
                 // Its lease lapsed before the start left; nobody sends it now.
                 Phase::Reserved if !self.to_start.contains(&tracked.run.run) => Duty::Drop,
                 Phase::Ordered if waited >= ORDER_TIMEOUT => Duty::Void,
-                Phase::Held if self.is_stalled(tracked) => Duty::StopStalled,
+                Phase::Held if self.is_held_up(record, tracked) => Duty::StopHeldUp,
                 Phase::Ordered | Phase::Held if tracked.stop && waited >= REPEAT_INTERVAL => {
                     Duty::Stop
                 }
@@ -250,7 +244,7 @@
                 Duty::GiveUp => self.close(run, RunClose::Lost),
                 Duty::Drop => self.close(run, RunClose::Refused),
                 Duty::Stop => self.send_stop(record, run, now.monotonic),
-                Duty::StopStalled => self.stop_stalled(record, run, now),
+                Duty::StopHeldUp => self.stop_held_up(record, run, now),
                 Duty::Void => {
                     if let Some(tracked) = self.runs.get_mut(run) {
                         tracked.phase = Phase::Uncertain;
@@ -261,35 +255,14 @@
         }
     }
 
-    /// True when a run has stood still for longer than runs may. Nothing is
-    /// known of a runner that tells no progress.
-    fn is_stalled(&self, tracked: &TrackedRun) -> bool {
-        let Some(allowed) = self.options.stalled_after else {
-            return false;
-        };
-        let heard = self.runners.get(&tracked.run.runner);
-        let heard = heard.map(|runner| runner.heard);
-        let expected = tracked.run.expected.unwrap_or(allowed);
-        let patience = Milliseconds(expected.0 / STALL_PART).max(SHORTEST_STALL);
-        // At its beginning a run may still fetch what it needs, or wait for
-        // the rest of its gang.
-        let patience = match tracked.progress {
-            Some(0) => allowed,
-            _ => patience.min(allowed),
-        };
-        !tracked.stop
-            && tracked.progress.is_some()
-            && heard.is_some_and(|heard| heard.since(tracked.progressed_at) >= patience)
-    }
-
-    /// Stops a run that stands still. That is no failure of its task, but it
+    /// Stops a run that is held up. That is no failure of its task, but it
     /// speaks against its runner.
-    fn stop_stalled(&mut self, record: &Record, run: RunId, now: Now) {
+    fn stop_held_up(&mut self, record: &Record, run: RunId, now: Now) {
         let Some(tracked) = self.runs.get(run) else {
             return;
         };
         let (runner, task) = (tracked.run.runner.clone(), tracked.run.task);
-        tracing::info!(%run, %runner, "a run stands still and is stopped");
+        tracing::info!(%run, %runner, "a run is held up by its runner and stopped");
         self.dispatcher.note_outcome(&runner, task, true, now);
         self.runs.want_stop(run);
         self.send_stop(record, run, now.monotonic);
@@ -394,6 +367,6 @@
     GiveUp,
     Drop,
     Stop,
-    StopStalled,
+    StopHeldUp,
     Void,
 }
--- a/crates/coordinator/src/runners.rs
+++ b/crates/coordinator/src/runners.rs
@@ -3,7 +3,7 @@
 use crate::Coordinator;
 use crate::core::Sender;
 use crate::leader::Leader;
-use crate::runs::Phase;
+use crate::runs::{Pace, Phase};
 use peer::{AgentReport, NamedRun, OrderResult, PeerMessage, RunnerUpdate};
 use record::{ClosedRun, Record};
 use std::collections::{BTreeMap, BTreeSet};
@@ -244,9 +244,9 @@
             return;
         };
         tracked.phase = Phase::Held;
-        if tracked.progress != held.progress {
-            tracked.progress = held.progress;
-            tracked.progressed_at = now;
+        if let Some(progress) = held.progress {
+            let pace = tracked.pace.get_or_insert(Pace::new(progress, now));
+            pace.heard(progress, now);
         }
         let limit = tracked.run.time_limit + TIME_LIMIT_GRACE;
         if held.age > limit && !tracked.timed_out {
--- a/crates/coordinator/src/runs.rs
+++ b/crates/coordinator/src/runs.rs
@@ -1,7 +1,7 @@
 //! Open runs as the leader follows them.
 
 use std::collections::{BTreeMap, BTreeSet};
-use types::{Monotonic, OpenRun, RunId, RunnerId};
+use types::{Milliseconds, Monotonic, OpenRun, RunId, RunnerId};
 
 /// What the leader knows about a run's start.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -17,6 +17,51 @@
     Held,
 }
 
+/// How a run moves on, by what its runner tells.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct Pace {
+    /// How far it had come when it was first heard, in percent.
+    first: u8,
+    first_at: Monotonic,
+    /// How far it had come when it was last heard.
+    pub(crate) last: u8,
+    /// Since when it has stood there.
+    pub(crate) last_at: Monotonic,
+}
+
+impl Pace {
+    /// A run heard for the first time.
+    pub(crate) fn new(progress: u8, now: Monotonic) -> Self {
+        Self {
+            first: progress,
+            first_at: now,
+            last: progress,
+            last_at: now,
+        }
+    }
+
+    /// Takes what was heard later.
+    pub(crate) fn heard(&mut self, progress: u8, now: Monotonic) {
+        if progress != self.last {
+            self.last = progress;
+            self.last_at = now;
+        }
+    }
+
+    /// What is left at the pace seen so far; none before it has moved.
+    pub(crate) fn time_left(&self) -> Option<Milliseconds> {
+        let moved = u64::from(self.last.saturating_sub(self.first));
+        let left = u64::from(100_u8.saturating_sub(self.last));
+        let took = self.last_at.since(self.first_at).0;
+        (moved > 0).then(|| Milliseconds(took * left / moved))
+    }
+
+    /// Time from when it was first heard.
+    pub(crate) fn watched(&self, now: Monotonic) -> Milliseconds {
+        now.since(self.first_at)
+    }
+}
+
 /// An open run.
 #[derive(Debug, Clone)]
 pub(crate) struct TrackedRun {
@@ -30,10 +75,8 @@
     pub(crate) timed_out: bool,
     /// Its close is on the way through the log.
     pub(crate) closing: bool,
-    /// How far it had come when it was last heard, in percent.
-    pub(crate) progress: Option<u8>,
-    /// Since when it stands there.
-    pub(crate) progressed_at: Monotonic,
+    /// How it moves on, where its runner tells.
+    pub(crate) pace: Option<Pace>,
     /// What it saved last.
     pub(crate) checkpoint: Option<String>,
 }
@@ -68,8 +111,7 @@
             stop: false,
             timed_out: false,
             closing: false,
-            progress: None,
-            progressed_at: now,
+            pace: None,
             checkpoint: None,
             run,
         };
