Give suspect runners work last; keep a task off all runners it failed on

Change: a runner on which several jobs failed lately, and half of all that ended there, comes after sound ones with room; it is not shut out. A task avoids every runner it failed on, three times as long as its rack.

--- a/crates/dispatch/src/audit.rs
+++ b/crates/dispatch/src/audit.rs
@@ -74,7 +74,7 @@
         let same_shape = self
             .shapes
             .get(entry.shape)
-            .is_some_and(|shape| **shape == Shape::new(meta, shape.failed_on));
+            .is_some_and(|shape| **shape == Shape::new(meta, shape.failed_on.clone()));
         same_shape
             && self.queues.name(list.queue) == Some(&meta.queue)
             && self.tenants.name(list.tenant) == Some(&meta.tenant)
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -41,8 +41,8 @@
     pub(crate) runs: BTreeMap<RunId, Run>,
     pub(crate) runs_of: BTreeMap<TaskRef, Vec<RunId>>,
     pub(crate) gangs: Gangs,
-    /// The runner on which an unfinished task failed last.
-    pub(crate) failed_on: BTreeMap<TaskRef, RunnerIndex>,
+    /// The runners on which an unfinished task failed.
+    pub(crate) failed_on: BTreeMap<TaskRef, BTreeSet<RunnerIndex>>,
     pub(crate) reason_cursor: usize,
     pub(crate) search_holds_after: Monotonic,
 }
--- a/crates/dispatch/src/draw.rs
+++ b/crates/dispatch/src/draw.rs
@@ -19,6 +19,10 @@
 /// after one found none.
 const SEARCH_AGAIN_AFTER: Milliseconds = Milliseconds(100);
 
+/// A task waits this many times the patience for another runner than those it
+/// failed on: a failure costs it more than a wait.
+const ELSEWHERE_FACTOR: u64 = 3;
+
 /// What one runner offers for one pull.
 #[derive(Debug, Clone)]
 struct Offer {
@@ -272,12 +276,16 @@
         }
         let waited = self.tasks.get(&task);
         let waited = waited.map(|entry| now.monotonic.since(entry.waiting_since));
-        if waited.is_none_or(|waited| waited >= self.options.patience) {
-            return true;
-        }
-        if needs.failed_on == Some(offer.runner) {
+        let patience = self.options.patience;
+        let elsewhere = Milliseconds(patience.0.saturating_mul(ELSEWHERE_FACTOR));
+        if waited.is_some_and(|waited| waited < elsewhere)
+            && needs.failed_on.contains(&offer.runner)
+        {
             return false;
         }
+        if waited.is_none_or(|waited| waited >= patience) {
+            return true;
+        }
         match &needs.preferred_rack {
             Some(rack) if *rack != offer.rack => !self.rack_may_serve(rack, needs, offer.pool, now),
             _ => true,
--- a/crates/dispatch/src/health.rs
+++ b/crates/dispatch/src/health.rs
@@ -3,7 +3,7 @@
 //! A runner on which many jobs fail is to blame; a job that fails on many
 //! runners is not the runners' fault and uses up its own allowed failures.
 
-use std::collections::VecDeque;
+use std::collections::{BTreeSet, VecDeque};
 use types::{JobNumber, Milliseconds, Monotonic};
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
@@ -21,17 +21,37 @@
     /// Different jobs with a failed run since the last done one, oldest first.
     failed_jobs: VecDeque<JobNumber>,
     standing: Standing,
+    /// How the newest runs ended, oldest first.
+    recent: VecDeque<Ended>,
 }
 
+/// How a run ended.
+#[derive(Debug, Clone, Copy)]
+struct Ended {
+    at: Monotonic,
+    /// The job, where the run failed.
+    failed: Option<JobNumber>,
+}
+
+/// Ends remembered.
+const RECENT_ENDS: usize = 12;
+/// Ends longer ago say nothing of a runner any more.
+const RECENT_WITHIN: Milliseconds = Milliseconds(3_000);
+/// A runner is suspect when runs of this many jobs failed on it lately, and at
+/// least half of all that ended there.
+const SUSPECT_JOBS: usize = 2;
+
 impl Health {
     /// A run ended done: the runner is trusted again.
-    pub(crate) fn note_done(&mut self) {
+    pub(crate) fn note_done(&mut self, now: Monotonic) {
+        self.remember(now, None);
         self.failed_jobs.clear();
         self.standing = Standing::Trusted;
     }
 
     /// A run of `job` failed. True when the runner should go on probation.
     pub(crate) fn note_failed(&mut self, job: JobNumber, threshold: u32, now: Monotonic) -> bool {
+        self.remember(now, Some(job));
         if self.failed_jobs.contains(&job) {
             return false;
         }
@@ -43,6 +63,25 @@
         self.failed_jobs.len() == threshold && !self.on_probation(now)
     }
 
+    fn remember(&mut self, at: Monotonic, failed: Option<JobNumber>) {
+        self.recent.push_back(Ended { at, failed });
+        if self.recent.len() > RECENT_ENDS {
+            self.recent.pop_front();
+        }
+    }
+
+    /// True while much of what ended on the runner lately has failed: others
+    /// are given work first.
+    pub(crate) fn is_suspect(&self, now: Monotonic) -> bool {
+        let recent = self.recent.iter();
+        let recent: Vec<&Ended> = recent
+            .filter(|ended| now.since(ended.at) <= RECENT_WITHIN)
+            .collect();
+        let failed = recent.iter().filter_map(|ended| ended.failed);
+        let jobs: BTreeSet<JobNumber> = failed.clone().collect();
+        jobs.len() >= SUSPECT_JOBS && failed.count() * 2 >= recent.len()
+    }
+
     /// Puts the runner on probation.
     pub(crate) fn start_probation(&mut self, now: Monotonic, length: Milliseconds) {
         self.standing = Standing::OnProbation {
--- a/crates/dispatch/src/heartbeat.rs
+++ b/crates/dispatch/src/heartbeat.rs
@@ -77,11 +77,11 @@
             return;
         };
         if !failed {
-            self.runners[index].health.note_done();
+            self.runners[index].health.note_done(now);
             return;
         }
         if self.runs_of.contains_key(&task) || self.tasks.contains_key(&task) {
-            self.failed_on.insert(task, index);
+            self.failed_on.entry(task).or_default().insert(index);
         }
         let threshold = self.options.probation_failures;
         let health = &mut self.runners[index].health;
--- a/crates/dispatch/src/place.rs
+++ b/crates/dispatch/src/place.rs
@@ -15,9 +15,18 @@
 /// as part of its pool.
 const FORGET_AFTER: Milliseconds = Milliseconds(600_000);
 
-/// A runner with room: most free slots first, then most processor time, then
+/// A runner with room: sound ones first, then most free slots first, then most processor time, then
 /// by chance.
-type Turn = (u32, u32, u32, RunnerIndex);
+type Turn = (Trust, u32, u32, u32, RunnerIndex);
+
+/// How a runner stands before others with room.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Trust {
+    /// Much has failed on it lately: it comes last.
+    Suspect,
+    /// Nothing speaks against it.
+    Sound,
+}
 
 impl Dispatcher {
     pub(crate) fn place_all(&mut self, now: Now, limit: usize) -> Vec<Decision> {
@@ -33,12 +42,12 @@
         }
         self.place_gangs(now, limit, &mut decisions);
         while decisions.len() < limit {
-            let Some((_, _, _, runner)) = turns.pop() else {
+            let Some((_, _, _, _, runner)) = turns.pop() else {
                 break;
             };
             if let Some(decision) = self.pull(runner, now) {
                 decisions.push(decision);
-                turns.extend(self.turn(runner));
+                turns.extend(self.turn(runner, now));
             }
         }
         self.report_reasons(now, &mut decisions);
@@ -59,18 +68,23 @@
             .filter(|runner| self.pull_refusal(*runner, now).is_none())
             .collect();
         for runner in usable {
-            turns.extend(self.turn(runner));
+            turns.extend(self.turn(runner, now));
         }
     }
 
-    fn turn(&mut self, runner: RunnerIndex) -> Option<Turn> {
+    fn turn(&mut self, runner: RunnerIndex, now: Now) -> Option<Turn> {
         let state = &self.runners[runner];
         let room = state.room();
         let labels = &state.reported.as_ref()?.labels;
         if !self.shapes.may_fit(&room, labels) {
             return None;
         }
-        Some((room.slots, room.cpu_milli, self.random.random(), runner))
+        let trust = match state.health.is_suspect(now.monotonic) {
+            true => Trust::Suspect,
+            false => Trust::Sound,
+        };
+        let draw = self.random.random();
+        Some((trust, room.slots, room.cpu_milli, draw, runner))
     }
 
     fn forget_silent(&mut self, pool: usize, now: Now) {
--- a/crates/dispatch/src/shape.rs
+++ b/crates/dispatch/src/shape.rs
@@ -4,7 +4,7 @@
 //! resources and labels.
 
 use crate::runner::RunnerIndex;
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
 use types::{JobNumber, Labels, RackName, Resources, TaskMeta, TaskRef};
 
@@ -17,8 +17,8 @@
     pub(crate) preferred_rack: Option<RackName>,
     /// Most runs of one step on a runner, and the step.
     pub(crate) spread: Option<Spread>,
-    /// The runner on which the task failed last; another is tried first.
-    pub(crate) failed_on: Option<RunnerIndex>,
+    /// The runners on which the task failed; others are tried first.
+    pub(crate) failed_on: BTreeSet<RunnerIndex>,
 }
 
 /// A bound on the runs of one step that a runner holds at once.
@@ -57,7 +57,7 @@
 impl Shape {
     /// What a published task needs. A gang's members wait apart from other
     /// work, so their shape needs no bound of its own.
-    pub(crate) fn new(meta: &TaskMeta, failed_on: Option<RunnerIndex>) -> Self {
+    pub(crate) fn new(meta: &TaskMeta, failed_on: BTreeSet<RunnerIndex>) -> Self {
         let spread = |max_per_runner| Spread {
             max_per_runner,
             step: StepRef::of(meta.task),
--- a/crates/dispatch/src/task.rs
+++ b/crates/dispatch/src/task.rs
@@ -55,7 +55,8 @@
             return Published::Present;
         }
         let list = self.list_index(&meta.queue, &meta.tenant);
-        let shape = Shape::new(&meta, self.failed_on.get(&meta.task).copied());
+        let failed_on = self.failed_on.get(&meta.task).cloned();
+        let shape = Shape::new(&meta, failed_on.unwrap_or_default());
         let shape = self.shapes.acquire(shape);
         let task = Task {
             list,
