--- /dev/null
+++ b/crates/dispatch/tests/places.rs
@@ -0,0 +1,139 @@
+//! Which of several runners: priority of queues, racks, spreading, and the
+//! runners that a task failed on.
+
+mod support;
+
+use configuration::QueueMode;
+use dispatch::Dispatcher;
+use support::*;
+use types::{JobNumber, RackName, RunnerReport, TaskMeta, TaskRef};
+
+fn in_rack(rack: &str, report: RunnerReport) -> RunnerReport {
+    RunnerReport {
+        rack: RackName::new(rack).unwrap(),
+        ..report
+    }
+}
+
+fn meta_for_rack(job: u64, rack: &str) -> TaskMeta {
+    let mut meta = meta(job, "a", 1);
+    meta.rules.preferred_rack = Some(RackName::new(rack).unwrap());
+    meta
+}
+
+fn place_one(dispatcher: &mut Dispatcher, milliseconds: u64) -> Option<String> {
+    let placed = all_placed(dispatcher.place(at(milliseconds), 1));
+    placed.first().map(|one| one.runner.to_string())
+}
+
+#[test]
+fn work_of_a_more_urgent_queue_goes_first() {
+    let mut document = document(&[("a", 100)]);
+    add_queue(&mut document, "urgent", QueueMode::Active);
+    document.queues.get_mut(&queue("main")).unwrap().priority = 2;
+    let mut dispatcher = dispatcher(&document);
+    for job in 1..=20 {
+        dispatcher.publish(meta(job, "a", 1), at(0));
+    }
+    for job in 21..=25 {
+        let urgent = TaskMeta {
+            queue: queue("urgent"),
+            ..meta(job, "a", 1)
+        };
+        dispatcher.publish(urgent, at(0));
+    }
+    dispatcher.heartbeat(&report("r1", 1, 10, 10), at(0));
+    let placed = all_placed(dispatcher.place(at(0), 10));
+    let jobs: Vec<u64> = placed.iter().map(|one| one.task.job.0).collect();
+    assert_eq!(jobs, [21, 22, 23, 24, 25, 1, 2, 3, 4, 5]);
+}
+
+#[test]
+fn a_task_goes_to_its_rack_although_another_has_more_room() {
+    let mut dispatcher = dispatcher(&document(&[("a", 100)]));
+    dispatcher.heartbeat(&in_rack("x", report("large", 1, 9, 9)), at(0));
+    dispatcher.heartbeat(&in_rack("y", report("small", 1, 1, 1)), at(0));
+    dispatcher.publish(meta_for_rack(1, "y"), at(0));
+    assert_eq!(place_one(&mut dispatcher, 0).as_deref(), Some("small"));
+}
+
+#[test]
+fn a_task_waits_for_its_rack_only_for_a_while() {
+    let mut dispatcher = dispatcher(&document(&[("a", 100)]));
+    dispatcher.heartbeat(&in_rack("x", report("other", 1, 9, 9)), at(0));
+    dispatcher.heartbeat(&in_rack("y", report("full", 1, 1, 1)), at(0));
+    dispatcher.publish(meta_for_rack(1, "y"), at(0));
+    dispatcher.publish(meta_for_rack(2, "y"), at(0));
+    assert_eq!(place_one(&mut dispatcher, 0).as_deref(), Some("full"));
+    assert_eq!(place_one(&mut dispatcher, 200), None);
+    assert_eq!(place_one(&mut dispatcher, 300).as_deref(), Some("other"));
+}
+
+#[test]
+fn a_rack_without_runners_is_not_waited_for() {
+    let mut dispatcher = dispatcher(&document(&[("a", 100)]));
+    dispatcher.heartbeat(&in_rack("x", report("other", 1, 9, 9)), at(0));
+    dispatcher.publish(meta_for_rack(1, "gone"), at(0));
+    assert_eq!(place_one(&mut dispatcher, 0).as_deref(), Some("other"));
+}
+
+#[test]
+fn one_runner_holds_no_more_of_a_step_than_it_may() {
+    let mut dispatcher = dispatcher(&document(&[("a", 100)]));
+    dispatcher.heartbeat(&report("r1", 1, 9, 9), at(0));
+    for index in 0..5 {
+        let mut meta = meta(1, "a", 1);
+        meta.task = TaskRef {
+            job: JobNumber(1),
+            step: 0,
+            task: index,
+        };
+        meta.rules.max_per_runner = Some(2);
+        dispatcher.publish(meta, at(0));
+    }
+    assert_eq!(all_placed(dispatcher.place(at(0), 10)).len(), 2);
+    dispatcher.heartbeat(&report("r2", 1, 9, 9), at(10_000));
+    dispatcher.heartbeat(&report("r1", 2, 9, 9), at(10_000));
+    let placed = all_placed(dispatcher.place(at(10_000), 10));
+    assert!(placed.iter().all(|one| one.runner == runner("r2")));
+    assert_eq!(placed.len(), 2);
+}
+
+#[test]
+fn a_failed_task_is_tried_elsewhere_first() {
+    let mut dispatcher = dispatcher(&document(&[("a", 100)]));
+    dispatcher.heartbeat(&report("large", 1, 9, 9), at(0));
+    dispatcher.heartbeat(&report("small", 1, 1, 1), at(0));
+    dispatcher.publish(meta(1, "a", 1), at(0));
+    let first = all_placed(dispatcher.place(at(0), 1)).remove(0);
+    assert_eq!(first.runner, runner("large"));
+    dispatcher.note_outcome(&first.runner, task(1), true, at(10));
+    dispatcher.reschedule(first.run, meta(1, "a", 1), at(10));
+    assert_eq!(place_one(&mut dispatcher, 20).as_deref(), Some("small"));
+}
+
+#[test]
+fn a_failed_task_goes_back_when_no_other_runner_comes() {
+    let mut dispatcher = dispatcher(&document(&[("a", 100)]));
+    dispatcher.heartbeat(&report("only", 1, 9, 9), at(0));
+    dispatcher.publish(meta(1, "a", 1), at(0));
+    let first = all_placed(dispatcher.place(at(0), 1)).remove(0);
+    dispatcher.note_outcome(&first.runner, task(1), true, at(10));
+    dispatcher.reschedule(first.run, meta(1, "a", 1), at(10));
+    assert_eq!(place_one(&mut dispatcher, 20), None);
+    assert_eq!(place_one(&mut dispatcher, 1_000).as_deref(), Some("only"));
+}
+
+#[test]
+fn a_runner_on_which_much_failed_lately_comes_last_and_is_not_shut_out() {
+    let mut dispatcher = dispatcher(&document(&[("a", 100)]));
+    dispatcher.heartbeat(&report("failing", 1, 9, 9), at(0));
+    dispatcher.heartbeat(&report("sound", 1, 1, 1), at(0));
+    for job in [101, 102] {
+        dispatcher.note_outcome(&runner("failing"), task(job), true, at(0));
+    }
+    dispatcher.publish(meta(1, "a", 1), at(0));
+    dispatcher.publish(meta(2, "a", 1), at(0));
+    assert_eq!(place_one(&mut dispatcher, 0).as_deref(), Some("sound"));
+    assert_eq!(place_one(&mut dispatcher, 0).as_deref(), Some("failing"));
+}
--- a/crates/record/tests/configuration.rs
+++ b/crates/record/tests/configuration.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use configuration::ClusterConfiguration;
+use configuration::{ClusterConfiguration, LeftOutQueues};
 use record::{CommandReply, Record, RecordRefusal};
 use support::*;
 use types::*;
@@ -108,3 +108,48 @@
     let reply = driver.configure(2, empty);
     assert!(matches!(reply, CommandReply::Configured { .. }));
 }
+
+#[test]
+fn versions_may_skip_numbers_when_the_document_names_what_it_replaces() {
+    let mut driver = Driver::new();
+    let replacing = |version: u64| ClusterConfiguration {
+        replaces: Some(ConfigurationVersion(version)),
+        ..document()
+    };
+    let refused = driver.configure(9, document());
+    assert!(matches!(refused, CommandReply::Refused(_)), "{refused:?}");
+    let taken = driver.configure(9, replacing(1));
+    assert!(matches!(taken, CommandReply::Configured { known: false, .. }));
+    let again = driver.configure(9, replacing(1));
+    assert!(matches!(again, CommandReply::Configured { known: true, .. }));
+    for (version, base) in [(12, 1), (9, 9), (8, 9)] {
+        let refused = driver.configure(version, replacing(base));
+        assert!(matches!(refused, CommandReply::Refused(_)), "{version} on {base}");
+    }
+}
+
+#[test]
+fn a_queue_left_out_drains_where_the_document_says_so() {
+    let mut driver = Driver::new();
+    driver.submit(job("j", vec![step("s", 1, &[])]));
+    let mut without = document();
+    without.queues.remove(&queue("q"));
+    without.left_out = LeftOutQueues::Drain;
+    let taken = driver.configure(2, without.clone());
+    assert!(matches!(taken, CommandReply::Configured { known: false, .. }));
+    let again = driver.configure(2, without);
+    assert!(matches!(again, CommandReply::Configured { known: true, .. }));
+    let refused = driver.submit(job("k", vec![step("s", 1, &[])])).reply;
+    assert!(matches!(
+        refused,
+        CommandReply::Refused(RecordRefusal::QueueDraining { .. })
+    ));
+    let run = driver.reserve(task(1, 0, 0)).unwrap();
+    driver.close(run, DONE);
+    assert_eq!(driver.view("j").state, JobState::Done);
+    // Nothing needs it any more, so the next document drops it.
+    let mut without = document();
+    without.queues.remove(&queue("q"));
+    driver.configure(3, without);
+    assert!(!driver.record.configuration().1.queues.contains_key(&queue("q")));
+}
