--- a/crates/record/tests/configuration.rs
+++ b/crates/record/tests/configuration.rs
@@ -119,12 +119,21 @@
     let refused = driver.configure(9, document());
     assert!(matches!(refused, CommandReply::Refused(_)), "{refused:?}");
     let taken = driver.configure(9, replacing(1));
-    assert!(matches!(taken, CommandReply::Configured { known: false, .. }));
+    assert!(matches!(
+        taken,
+        CommandReply::Configured { known: false, .. }
+    ));
     let again = driver.configure(9, replacing(1));
-    assert!(matches!(again, CommandReply::Configured { known: true, .. }));
+    assert!(matches!(
+        again,
+        CommandReply::Configured { known: true, .. }
+    ));
     for (version, base) in [(12, 1), (9, 9), (8, 9)] {
         let refused = driver.configure(version, replacing(base));
-        assert!(matches!(refused, CommandReply::Refused(_)), "{version} on {base}");
+        assert!(
+            matches!(refused, CommandReply::Refused(_)),
+            "{version} on {base}"
+        );
     }
 }
 
@@ -136,9 +145,15 @@
     without.queues.remove(&queue("q"));
     without.left_out = LeftOutQueues::Drain;
     let taken = driver.configure(2, without.clone());
-    assert!(matches!(taken, CommandReply::Configured { known: false, .. }));
+    assert!(matches!(
+        taken,
+        CommandReply::Configured { known: false, .. }
+    ));
     let again = driver.configure(2, without);
-    assert!(matches!(again, CommandReply::Configured { known: true, .. }));
+    assert!(matches!(
+        again,
+        CommandReply::Configured { known: true, .. }
+    ));
     let refused = driver.submit(job("k", vec![step("s", 1, &[])])).reply;
     assert!(matches!(
         refused,
@@ -151,5 +166,12 @@
     let mut without = document();
     without.queues.remove(&queue("q"));
     driver.configure(3, without);
-    assert!(!driver.record.configuration().1.queues.contains_key(&queue("q")));
+    assert!(
+        !driver
+            .record
+            .configuration()
+            .1
+            .queues
+            .contains_key(&queue("q"))
+    );
 }
--- a/crates/record/tests/gangs.rs
+++ b/crates/record/tests/gangs.rs
@@ -60,7 +60,10 @@
 fn a_gang_is_reserved_whole_or_not_at_all() {
     let mut driver = driver_with(gang(3));
     for part in [vec![0], vec![0, 1], vec![0, 1, 1]] {
-        assert_eq!(reserve_all(&mut driver, &part), Err(ReserveRefusal::NotReady));
+        assert_eq!(
+            reserve_all(&mut driver, &part),
+            Err(ReserveRefusal::NotReady)
+        );
     }
     assert!(driver.record.open_runs().is_empty());
     assert_eq!(reserve_all(&mut driver, &[0, 1, 2]).unwrap().len(), 3);
@@ -140,7 +143,10 @@
     let runs = reserve_all(&mut driver, &[0, 1]).unwrap();
     for run in runs {
         let spec = driver.record.run_spec(run).unwrap();
-        assert_eq!((spec.attempt, spec.checkpoint.as_deref()), (2, Some("half")));
+        assert_eq!(
+            (spec.attempt, spec.checkpoint.as_deref()),
+            (2, Some("half"))
+        );
     }
 }
 
@@ -191,7 +197,9 @@
 fn an_open_run_is_found_by_its_name() {
     let mut driver = driver_with(step("s", 2, &[]));
     let run = driver.reserve(task(1, 0, 1)).unwrap();
-    let name = driver.record.run_name(&driver.record.open_run(run).unwrap());
+    let name = driver
+        .record
+        .run_name(&driver.record.open_run(run).unwrap());
     let name = name.unwrap();
     assert_eq!(driver.record.find_open_run(&name), Some(run));
     let later = RunName { attempt: 2, ..name };
