Count licensed seats in the record, and place live work before overnight work

A licence stands in the configuration with a number of seats; a step names the one it needs, and each of its runs takes a seat from its reservation until the record closes it. The record checks each reservation in the order of the log, so no two leaders grant the last seat and a restart counts anew from the open runs; the dispatcher counts the same to ask seldom in vain, and leaves seats to work of more urgent queues in any pool.

The checker's event of a submit carries the licence of each step.

--- a/crates/api/src/configuration.rs
+++ b/crates/api/src/configuration.rs
@@ -3,12 +3,14 @@
 use crate::BodyError;
 use crate::key::KeyBody;
 use configuration::{
-    ClusterConfiguration, ErrorBudget, LeftOutQueues, PoolSettings, QueueSettings, TenantSettings,
-    Timings,
+    ClusterConfiguration, ErrorBudget, LeftOutQueues, LicenceSettings, PoolSettings, QueueSettings,
+    TenantSettings, Timings,
 };
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
-use types::{ConfigurationVersion, Milliseconds, PoolName, QueueName, Resources, TenantId};
+use types::{
+    ConfigurationVersion, LicenceName, Milliseconds, PoolName, QueueName, Resources, TenantId,
+};
 
 /// The whole document, in JSON or TOML.
 #[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
@@ -37,6 +39,9 @@
     /// Tenant contracts.
     #[serde(default)]
     pub tenants: BTreeMap<TenantId, TenantBody>,
+    /// Licences with a number of seats.
+    #[serde(default)]
+    pub licences: BTreeMap<LicenceName, LicenceBody>,
     /// Bearer keys; with none, every request is let in.
     #[serde(default)]
     pub keys: Vec<KeyBody>,
@@ -71,6 +76,28 @@
     }
 }
 
+/// A licence.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct LicenceBody {
+    /// Runs that may take a seat of it at once, over all pools.
+    pub seats: u32,
+}
+
+impl From<LicenceSettings> for LicenceBody {
+    fn from(licence: LicenceSettings) -> Self {
+        Self {
+            seats: licence.seats,
+        }
+    }
+}
+
+impl From<LicenceBody> for LicenceSettings {
+    fn from(body: LicenceBody) -> Self {
+        Self { seats: body.seats }
+    }
+}
+
 /// A pool of runners.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -402,6 +429,7 @@
             pools: convert(self.pools),
             queues: convert(self.queues),
             tenants: convert(self.tenants),
+            licences: convert(self.licences),
             keys,
             timings: self.timings.into(),
             replaces: self.replaces.map(ConfigurationVersion),
@@ -418,6 +446,7 @@
             pools: convert(document.pools),
             queues: convert(document.queues),
             tenants: convert(document.tenants),
+            licences: convert(document.licences),
             keys: document.keys.into_iter().map(KeyBody::from).collect(),
             replaces: document.replaces.map(|version| version.0),
             left_out: document.left_out.into(),
--- a/crates/api/src/decision.rs
+++ b/crates/api/src/decision.rs
@@ -128,6 +128,8 @@
 pub enum Reason {
     /// The tenant's runs hold its ceiling.
     TenantAtCeiling,
+    /// No seat of its licence is free.
+    NoSeat,
     /// The tenant is above its share.
     TenantAboveShare,
     /// No runner has room.
@@ -157,6 +159,7 @@
         match reason {
             NotPlacedReason::TenantAtCeiling => Self::TenantAtCeiling,
             NotPlacedReason::TenantAboveShare => Self::TenantAboveShare,
+            NotPlacedReason::NoSeat => Self::NoSeat,
             NotPlacedReason::NoRoom => Self::NoRoom,
             NotPlacedReason::NoRunnerWithLabels => Self::NoRunnerWithLabels,
             NotPlacedReason::RunnerOnProbation => Self::RunnerOnProbation,
--- a/crates/api/src/job.rs
+++ b/crates/api/src/job.rs
@@ -2,8 +2,8 @@
 
 use serde::{Deserialize, Serialize};
 use types::{
-    JobId, JobSpec, Labels, Milliseconds, QueueName, RackName, Resources, StepName, StepRules,
-    StepSpec, TenantId, WallTime,
+    JobId, JobSpec, Labels, LicenceName, Milliseconds, QueueName, RackName, Resources, StepName,
+    StepRules, StepSpec, TenantId, WallTime,
 };
 
 /// Time limit of a run when the step names none, in milliseconds.
@@ -200,6 +200,9 @@
     /// About how long one run takes, in milliseconds.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub expected_ms: Option<u64>,
+    /// Each run takes a seat of this licence.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub licence: Option<LicenceName>,
 }
 
 fn is_false(value: &bool) -> bool {
@@ -262,6 +265,7 @@
                 same_rack: body.same_rack,
                 endless: body.endless,
                 expected: body.expected_ms.map(Milliseconds),
+                licence: body.licence,
             },
         }
     }
@@ -286,6 +290,7 @@
             same_rack: spec.rules.same_rack,
             endless: spec.rules.endless,
             expected_ms: spec.rules.expected.map(|length| length.0),
+            licence: spec.rules.licence,
         }
     }
 }
--- a/crates/api/src/operator.rs
+++ b/crates/api/src/operator.rs
@@ -2,9 +2,9 @@
 
 use crate::configuration::{CapacityBody, CeilingBody, QueueMode};
 use dispatch::RunnerView;
-use peer::{MemberView, QueueView, TenantView};
+use peer::{LicenceView, MemberView, QueueView, TenantView};
 use serde::{Deserialize, Serialize};
-use types::{Labels, PoolName, QueueName, RackName, RunnerId, TenantId};
+use types::{Labels, LicenceName, PoolName, QueueName, RackName, RunnerId, TenantId};
 
 /// `POST /v1/runners/{runner}/drain`.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -163,6 +163,37 @@
     }
 }
 
+/// Answer to `GET /v1/licences`.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LicencesBody {
+    /// The licences.
+    pub licences: Vec<LicenceViewBody>,
+}
+
+/// A licence and its seats.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LicenceViewBody {
+    /// The licence.
+    pub licence: LicenceName,
+    /// Seats in the whole cluster.
+    pub seats: u32,
+    /// Of those, taken by open runs.
+    pub taken: u32,
+    /// Tasks that wait for room or a seat.
+    pub waiting: u64,
+}
+
+impl From<LicenceView> for LicenceViewBody {
+    fn from(view: LicenceView) -> Self {
+        Self {
+            licence: view.licence,
+            seats: view.seats,
+            taken: view.taken,
+            waiting: view.waiting,
+        }
+    }
+}
+
 /// Answer to `GET /v1/members`.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct MembersBody {
--- a/crates/api/src/route.rs
+++ b/crates/api/src/route.rs
@@ -24,6 +24,8 @@
 pub const RUNNER_LOST: &str = "/v1/runners/{runner}/lost";
 /// `GET` lists queues.
 pub const QUEUES: &str = "/v1/queues";
+/// `GET` lists licences.
+pub const LICENCES: &str = "/v1/licences";
 /// `GET` lists tenants.
 pub const TENANTS: &str = "/v1/tenants";
 /// `GET` lists members.
--- a/crates/api/tests/documentation.rs
+++ b/crates/api/tests/documentation.rs
@@ -3,7 +3,8 @@
 use api::refusal::Code;
 use api::route;
 
-const PATHS: [&str; 15] = [
+const PATHS: [&str; 16] = [
+    route::LICENCES,
     route::JOBS,
     route::JOB,
     route::JOB_CANCEL,
--- a/crates/api/tests/properties.rs
+++ b/crates/api/tests/properties.rs
@@ -157,6 +157,7 @@
                 replaces: None,
                 left_out: Default::default(),
                 source: None,
+                licences: Default::default(),
                 pools,
                 queues,
                 tenants,
--- a/crates/checker/src/check.rs
+++ b/crates/checker/src/check.rs
@@ -12,6 +12,7 @@
 mod repeat;
 mod retry;
 mod rule;
+mod seats;
 mod service;
 mod start_time;
 mod world;
@@ -77,6 +78,8 @@
     StartBeforeTime,
     /// A tenant held more than its ceiling and margin.
     CeilingExceeded,
+    /// More runs took a seat of a licence than it has.
+    SeatsExceeded,
     /// A task was run again past its allowed failures.
     RetriedPastAllowed,
     /// A start after the cancel should have held.
@@ -155,6 +158,7 @@
         Box::new(dependency::StartBeforeDependency),
         Box::new(start_time::StartBeforeTime),
         Box::new(ceiling::CeilingExceeded::default()),
+        Box::new(seats::SeatsExceeded::default()),
         Box::new(retry::RetriedPastAllowed),
         Box::new(cancel::StartAfterCancel),
         Box::new(drain::StartOnDrainingRunner::default()),
--- a/crates/checker/src/check/world.rs
+++ b/crates/checker/src/check/world.rs
@@ -3,7 +3,8 @@
 use crate::{Event, ExpectedStep, Observation, ReadState};
 use std::collections::{BTreeMap, BTreeSet};
 use types::{
-    JobKey, JobState, Milliseconds, Outcome, Resources, RunId, RunnerId, StepName, TenantId,
+    JobKey, JobState, LicenceName, Milliseconds, Outcome, Resources, RunId, RunnerId, StepName,
+    TenantId,
 };
 
 /// A run stopped this much before its time limit may still have been stopped
@@ -205,6 +206,23 @@
             .fold(held, |held, run| held.minus(&run.resources))
     }
 
+    /// Runs that take a seat of a licence, but those whose machines stand still.
+    pub(super) fn seats_taken(&self, licence: &LicenceName) -> usize {
+        let open = self.open_by_runner.iter();
+        open.filter(|(runner, _)| !self.frozen.contains(*runner))
+            .flat_map(|(_, runs)| runs)
+            .filter_map(|run| self.run(*run))
+            .filter(|run| self.licence_of(&run.job, &run.task.0) == Some(licence))
+            .count()
+    }
+
+    /// The licence that a step of a job needs.
+    pub(super) fn licence_of(&self, job: &JobKey, step: &StepName) -> Option<&LicenceName> {
+        let steps = &self.jobs.get(job)?.steps;
+        let step = steps.iter().find(|expected| expected.name == *step)?;
+        step.licence.as_ref()
+    }
+
     /// True when any run is going on any runner.
     pub(super) fn has_open_runs(&self) -> bool {
         !self.open_by_runner.is_empty()
--- a/crates/checker/src/event.rs
+++ b/crates/checker/src/event.rs
@@ -3,7 +3,7 @@
 
 use serde::{Deserialize, Serialize};
 use types::{
-    ConfigurationVersion, JobKey, JobState, Milliseconds, Outcome, RunId, RunnerId,
+    ConfigurationVersion, JobKey, JobState, LicenceName, Milliseconds, Outcome, RunId, RunnerId,
     RunnerIncarnation, StepName, Term,
 };
 
@@ -201,6 +201,13 @@
         /// Its ceiling.
         ceiling: types::Resources,
     },
+    /// A licence has so many seats in every configuration from now on.
+    SeatsInForce {
+        /// The licence.
+        licence: LicenceName,
+        /// Its seats.
+        seats: u32,
+    },
     /// A fault was caused, or ended.
     Fault {
         /// The fault, for people.
@@ -230,6 +237,9 @@
     /// not known, any stopped run may.
     #[serde(default)]
     pub time_limit: Option<Milliseconds>,
+    /// The licence of which each run takes a seat.
+    #[serde(default)]
+    pub licence: Option<LicenceName>,
 }
 
 /// What a caller was told of a job.
--- a/crates/checker/tests/starts.rs
+++ b/crates/checker/tests/starts.rs
@@ -269,3 +269,31 @@
     assert_clean(vec![delivered(10, 1), delivered(11, 2)]);
     assert_found(vec![delivered(10, 1), delivered(900, 1)], &[DoubleStart]);
 }
+
+#[test]
+fn no_more_runs_than_seats_of_a_licence_go_at_once() {
+    let licence = LicenceName::new("finishing").unwrap();
+    let mut licensed = expected("only");
+    licensed.licence = Some(licence.clone());
+    let base = |seats| {
+        let mut events = vec![(
+            0,
+            Event::SeatsInForce {
+                licence: licence.clone(),
+                seats,
+            },
+        )];
+        for number in 1..=2 {
+            events.push((5, sent(number, &[licensed.clone()])));
+            events.push((10, started(number, number, number, "only")));
+        }
+        events
+    };
+    assert_clean(base(2));
+    assert_found(base(1), &[SeatsExceeded]);
+    let mut frozen = base(2);
+    frozen.push((20, Event::RunnerFrozen { runner: runner(1) }));
+    frozen.push((25, sent(3, &[licensed.clone()])));
+    frozen.push((30, started(3, 3, 3, "only")));
+    assert_clean(frozen);
+}
--- a/crates/configuration/src/document.rs
+++ b/crates/configuration/src/document.rs
@@ -3,7 +3,9 @@
 use crate::Key;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
-use types::{ConfigurationVersion, Milliseconds, PoolName, QueueName, Resources, TenantId};
+use types::{
+    ConfigurationVersion, LicenceName, Milliseconds, PoolName, QueueName, Resources, TenantId,
+};
 
 /// The whole cluster configuration under one version.
 #[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
@@ -14,6 +16,8 @@
     pub queues: BTreeMap<QueueName, QueueSettings>,
     /// Tenant contracts.
     pub tenants: BTreeMap<TenantId, TenantSettings>,
+    /// Licences, each with a number of seats in the whole cluster.
+    pub licences: BTreeMap<LicenceName, LicenceSettings>,
     /// Bearer keys of callers, operators and runners, as hashes.
     pub keys: Vec<Key>,
     /// Leases and waits that hold in the whole cluster.
@@ -41,6 +45,13 @@
     Drain,
 }
 
+/// A licence: so many runs that need it may go at once, over all pools.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LicenceSettings {
+    /// Seats; with none, work that needs one waits.
+    pub seats: u32,
+}
+
 /// A pool of runners.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PoolSettings {
--- a/crates/configuration/src/lib.rs
+++ b/crates/configuration/src/lib.rs
@@ -12,8 +12,8 @@
 
 pub use authenticate::{authenticate, requires_keys};
 pub use document::{
-    ClusterConfiguration, ErrorBudget, LeftOutQueues, PoolSettings, QueueMode, QueueSettings,
-    TenantSettings, Timings,
+    ClusterConfiguration, ErrorBudget, LeftOutQueues, LicenceSettings, PoolSettings, QueueMode,
+    QueueSettings, TenantSettings, Timings,
 };
 pub use key::{Key, KeyHash, KeyRole};
 pub use validate::{ConfigurationProblem, validate};
--- a/crates/coordinator/src/reads.rs
+++ b/crates/coordinator/src/reads.rs
@@ -6,7 +6,9 @@
 use crate::leader::Leader;
 use crate::requests::not_found;
 use dispatch::NotPlacedReason;
-use peer::{JobFilter, MemberView, Operation, OperationReply, QueueView, Refusal, TenantView};
+use peer::{
+    JobFilter, LicenceView, MemberView, Operation, OperationReply, QueueView, Refusal, TenantView,
+};
 use record::Record;
 use std::collections::BTreeMap;
 use types::{
@@ -56,6 +58,7 @@
             Operation::ListRunners => Ok(OperationReply::Runners(self.dispatcher.runners(now))),
             Operation::ListQueues => Ok(OperationReply::Queues(self.list_queues(record))),
             Operation::ListTenants => Ok(OperationReply::Tenants(self.list_tenants(record))),
+            Operation::ListLicences => Ok(OperationReply::Licences(self.list_licences(record))),
             Operation::Decisions { after, limit } => {
                 let entries = self.decisions.after(after, limit as usize);
                 Ok(OperationReply::Decisions(entries))
@@ -125,6 +128,18 @@
             .collect()
     }
 
+    fn list_licences(&self, record: &Record) -> Vec<LicenceView> {
+        let licences = record.configuration().1.licences.iter();
+        licences
+            .map(|(licence, settings)| LicenceView {
+                licence: licence.clone(),
+                seats: settings.seats,
+                taken: record.seats_taken(licence),
+                waiting: self.dispatcher.seats_of(licence).1 as u64,
+            })
+            .collect()
+    }
+
     fn list_tenants(&self, record: &Record) -> Vec<TenantView> {
         let counts: BTreeMap<TenantId, Counts> = self.count(record, |tenant, _| tenant.clone());
         let document = record.configuration().1;
--- a/crates/coordinator/tests/common/document.rs
+++ b/crates/coordinator/tests/common/document.rs
@@ -56,6 +56,7 @@
         replaces: None,
         left_out: configuration::LeftOutQueues::Refuse,
         source: None,
+        licences: Default::default(),
         pools: BTreeMap::from([(pool, settings)]),
         queues: BTreeMap::from([(QueueName::new("queue").unwrap(), queue)]),
         tenants: BTreeMap::from([(tenant(), contract)]),
--- a/crates/cypressdrum/src/client/arguments.rs
+++ b/crates/cypressdrum/src/client/arguments.rs
@@ -88,6 +88,15 @@
         #[command(subcommand)]
         command: ListCommand,
     },
+    /// Licences.
+    Licence {
+        /// How to reach a gateway.
+        #[command(flatten)]
+        connection: Connection,
+        /// What to do.
+        #[command(subcommand)]
+        command: ListCommand,
+    },
     /// Tenants.
     Tenant {
         /// How to reach a gateway.
@@ -147,6 +156,8 @@
     Explain(JobArguments),
     /// List queues.
     Queues,
+    /// List licences.
+    Licences,
     /// List tenants.
     Tenants,
     /// Runners.
@@ -184,6 +195,7 @@
                 arguments,
             } => (connection, ClientCommand::Explain(arguments)),
             Self::Queue { connection, .. } => (connection, ClientCommand::Queues),
+            Self::Licence { connection, .. } => (connection, ClientCommand::Licences),
             Self::Tenant { connection, .. } => (connection, ClientCommand::Tenants),
             Self::Runner {
                 connection,
--- a/crates/cypressdrum/src/client/mod.rs
+++ b/crates/cypressdrum/src/client/mod.rs
@@ -60,6 +60,7 @@
         ClientCommand::Cancel(arguments) => jobs::cancel(&context, arguments).await,
         ClientCommand::Explain(arguments) => jobs::explain(&context, arguments).await,
         ClientCommand::Queues => operator::queues(&context).await,
+        ClientCommand::Licences => operator::licences(&context).await,
         ClientCommand::Tenants => operator::tenants(&context).await,
         ClientCommand::Runner(command) => operator::runner(&context, command).await,
         ClientCommand::Members => operator::members(&context).await,
--- a/crates/cypressdrum/src/client/operator.rs
+++ b/crates/cypressdrum/src/client/operator.rs
@@ -6,7 +6,8 @@
 use crate::client::{ClientError, Context};
 use crate::output::{Show, print};
 use api::operator::{
-    AcceptedBody, DrainBody, MembersBody, QueuesBody, RunnersBody, RunsLostBody, TenantsBody,
+    AcceptedBody, DrainBody, LicencesBody, MembersBody, QueuesBody, RunnersBody, RunsLostBody,
+    TenantsBody,
 };
 use api::route;
 use reqwest::Method;
@@ -18,6 +19,11 @@
     show::<QueuesBody>(context, route::QUEUES).await
 }
 
+/// Lists licences.
+pub async fn licences(context: &Context) -> Result<Exit, ClientError> {
+    show::<LicencesBody>(context, route::LICENCES).await
+}
+
 /// Lists tenants.
 pub async fn tenants(context: &Context) -> Result<Exit, ClientError> {
     show::<TenantsBody>(context, route::TENANTS).await
--- a/crates/cypressdrum/src/client/show.rs
+++ b/crates/cypressdrum/src/client/show.rs
@@ -5,7 +5,7 @@
 use api::configuration::{CapacityBody, CeilingBody};
 use api::decision::{DecisionLine, EventBody};
 use api::operator::{
-    AcceptedBody, MembersBody, QueuesBody, RunnersBody, RunsLostBody, TenantsBody,
+    AcceptedBody, LicencesBody, MembersBody, QueuesBody, RunnersBody, RunsLostBody, TenantsBody,
 };
 use api::version::{ConfigurationStatusBody, ConfiguredBody};
 use api::view::{ExplainedBody, JobViewBody, JobsBody, SubmittedBody};
@@ -159,6 +159,21 @@
     }
 }
 
+impl Show for LicencesBody {
+    fn table(&self) -> String {
+        let mut table = Table::new(&["LICENCE", "SEATS", "TAKEN", "WAITING"]);
+        for licence in &self.licences {
+            table.row([
+                licence.licence.to_string(),
+                licence.seats.to_string(),
+                licence.taken.to_string(),
+                licence.waiting.to_string(),
+            ]);
+        }
+        table.render()
+    }
+}
+
 impl Show for TenantsBody {
     fn table(&self) -> String {
         let mut table = Table::new(&[
--- a/crates/dispatch/src/configure.rs
+++ b/crates/dispatch/src/configure.rs
@@ -16,6 +16,7 @@
         for name in document.tenants.keys() {
             self.tenant_index(name);
         }
+        self.seats.configure(&document.licences);
         self.take_queues(document);
         self.take_tenants(document);
     }
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -5,6 +5,7 @@
 use crate::queue::{ListIndex, Pool, Queue, Tenant, TenantList};
 use crate::run::Run;
 use crate::runner::{Runner, RunnerIndex};
+use crate::seats::Seats;
 use crate::shape::ShapeTable;
 use crate::table::Table;
 use crate::task::Task;
@@ -41,6 +42,7 @@
     pub(crate) runs: BTreeMap<RunId, Run>,
     pub(crate) runs_of: BTreeMap<TaskRef, Vec<RunId>>,
     pub(crate) gangs: Gangs,
+    pub(crate) seats: Seats,
     /// The runners on which an unfinished task failed.
     pub(crate) failed_on: BTreeMap<TaskRef, BTreeSet<RunnerIndex>>,
     pub(crate) reason_cursor: usize,
@@ -67,6 +69,7 @@
             runs: BTreeMap::new(),
             runs_of: BTreeMap::new(),
             gangs: Gangs::default(),
+            seats: Seats::default(),
             failed_on: BTreeMap::new(),
             reason_cursor: 0,
             search_holds_after: Monotonic::default(),
--- a/crates/dispatch/src/draw.rs
+++ b/crates/dispatch/src/draw.rs
@@ -12,7 +12,8 @@
 use std::collections::BTreeSet;
 use std::sync::Arc;
 use types::{
-    Labels, Milliseconds, Now, RackName, Reservation, Resources, RunId, RunnerIncarnation, TaskRef,
+    Labels, LicenceName, Milliseconds, Now, RackName, Reservation, Resources, RunId,
+    RunnerIncarnation, TaskRef,
 };
 
 /// How long pulls do without a search for a runner that could be kept free,
@@ -105,8 +106,10 @@
     }
 
     fn choose_held(&self, task: TaskRef, offer: &Offer) -> Option<Choice> {
-        let needs = self.shapes.get(self.tasks.get(&task)?.shape)?;
-        needs.resources.fits_in(&offer.room).then_some(Choice {
+        let entry = self.tasks.get(&task)?;
+        let needs = self.shapes.get(entry.shape)?;
+        let has_seat = self.has_seats(needs, self.lists[entry.list].queue, 1);
+        (has_seat && needs.resources.fits_in(&offer.room)).then_some(Choice {
             task,
             runnable_tenants: self.runnable_count(offer.pool, Kind::Ordinary),
         })
@@ -251,7 +254,10 @@
                 continue;
             }
             finding.above_ceiling = false;
-            if !needs.matches(&offer.labels) || !self.suits(task, needs, offer, now) {
+            if !needs.matches(&offer.labels)
+                || !self.suits(task, needs, offer, now)
+                || !self.has_seats(needs, list.queue, 1)
+            {
                 continue;
             }
             if needs.resources.fits_in(&offer.room) {
@@ -321,6 +327,7 @@
         let fits = |shape: ShapeIndex| {
             self.shapes.get(shape).is_some_and(|needs| {
                 tenant.allows(&needs.resources)
+                    && self.has_seats(needs, list.queue, 1)
                     && needs.matches(&offer.labels)
                     && needs.resources.fits_in(&offer.room)
             })
@@ -360,7 +367,8 @@
         let entry = self.tasks.get(&choice.task)?;
         let list = &self.lists[entry.list];
         let (queue, tenant) = (list.queue, list.tenant);
-        let resources = self.shapes.get(entry.shape)?.resources;
+        let shape = self.shapes.get(entry.shape)?;
+        let (resources, licence) = (shape.resources, shape.licence.clone());
         let reservation = Reservation {
             run: self.next_run(),
             task: choice.task,
@@ -373,7 +381,7 @@
         if shadow {
             self.stand(choice.task, Standing::Shadowed);
         } else {
-            self.bind(choice.task, run, resources, tenant, offer);
+            self.bind(choice.task, run, resources, licence, tenant, offer);
         }
         Some(Decision {
             at: now.wall,
@@ -408,6 +416,7 @@
         task: TaskRef,
         id: RunId,
         resources: Resources,
+        licence: Option<LicenceName>,
         tenant: usize,
         offer: &Offer,
     ) {
@@ -418,6 +427,7 @@
             runner: offer.runner,
             incarnation: offer.incarnation,
             resources,
+            licence,
         };
         self.open_run(id, run);
         if let Some(holder) = self.holder_of(task, offer.pool) {
--- a/crates/dispatch/src/explain.rs
+++ b/crates/dispatch/src/explain.rs
@@ -38,6 +38,9 @@
         if !self.tenants[list.tenant].allows(&needs.resources) {
             return Some(NotPlacedReason::TenantAtCeiling);
         }
+        if !self.has_seats(needs, list.queue, 1) {
+            return Some(NotPlacedReason::NoSeat);
+        }
         self.reason_of_runners(task, entry, needs, pool, now)
             .or_else(|| self.reason_of_share(list, pool))
     }
--- a/crates/dispatch/src/gang.rs
+++ b/crates/dispatch/src/gang.rs
@@ -131,6 +131,9 @@
         if !self.tenants[list.tenant].allows(&needs.resources.times(gang.size)) {
             return Vec::new();
         }
+        if !self.has_seats(&needs, list.queue, gang.size) {
+            return Vec::new();
+        }
         let same_rack = entry.rules.same_rack;
         let waited = now.monotonic.since(entry.waiting_since);
         let candidates = self.gang_candidates(step, &needs, pool, now);
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -22,6 +22,7 @@
 mod queue;
 mod run;
 mod runner;
+mod seats;
 mod shape;
 mod table;
 mod task;
--- a/crates/dispatch/src/run.rs
+++ b/crates/dispatch/src/run.rs
@@ -2,7 +2,7 @@
 
 use crate::Dispatcher;
 use crate::runner::RunnerIndex;
-use types::{OpenRun, Resources, RunId, RunnerIncarnation, TaskRef};
+use types::{LicenceName, OpenRun, Resources, RunId, RunnerIncarnation, TaskRef};
 
 /// An open run (source: an entry of the running set).
 #[derive(Debug, Clone)]
@@ -13,6 +13,7 @@
     pub(crate) runner: RunnerIndex,
     pub(crate) incarnation: RunnerIncarnation,
     pub(crate) resources: Resources,
+    pub(crate) licence: Option<LicenceName>,
 }
 
 impl Dispatcher {
@@ -40,6 +41,7 @@
             runner: self.runner_index(&open.runner),
             incarnation: open.incarnation,
             resources: open.resources,
+            licence: open.licence,
         };
         self.open_run(open.run, run);
     }
@@ -54,6 +56,9 @@
         }
         self.runners[run.runner].bind(id, run.incarnation, run.resources);
         self.runs_of.entry(run.task).or_default().push(id);
+        if let Some(licence) = &run.licence {
+            self.seats.take(licence);
+        }
         let (tenant, task) = (run.tenant, run.task);
         self.runs.insert(id, run);
         self.bind_if_full(task);
@@ -73,6 +78,9 @@
                 tenant.held_in.remove(&pool);
             }
         }
+        if let Some(licence) = &run.licence {
+            self.seats.give_back(licence);
+        }
         self.runners[run.runner].unbind(id);
         if let Some(runs) = self.runs_of.get_mut(&run.task) {
             runs.retain(|other| *other != id);
--- a/crates/dispatch/src/shape.rs
+++ b/crates/dispatch/src/shape.rs
@@ -6,7 +6,7 @@
 use crate::runner::RunnerIndex;
 use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
-use types::{JobNumber, Labels, RackName, Resources, TaskMeta, TaskRef};
+use types::{JobNumber, Labels, LicenceName, RackName, Resources, TaskMeta, TaskRef};
 
 /// What a run of a task holds and which labels its runner must carry.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
@@ -17,6 +17,8 @@
     pub(crate) preferred_rack: Option<RackName>,
     /// Most runs of one step on a runner, and the step.
     pub(crate) spread: Option<Spread>,
+    /// The licence of which a run takes a seat.
+    pub(crate) licence: Option<LicenceName>,
     /// The runners on which the task failed; others are tried first.
     pub(crate) failed_on: BTreeSet<RunnerIndex>,
 }
@@ -66,6 +68,7 @@
             resources: meta.resources,
             labels: meta.labels.clone(),
             preferred_rack: meta.rules.preferred_rack.clone(),
+            licence: meta.rules.licence.clone(),
             spread: meta.rules.max_per_runner.map(spread),
             failed_on,
         }
--- a/crates/dispatch/src/task.rs
+++ b/crates/dispatch/src/task.rs
@@ -47,6 +47,11 @@
     }
 }
 
+/// True for a task that would start if it had room and a seat.
+fn is_waiting(standing: Standing) -> bool {
+    matches!(standing, Standing::Pending | Standing::Gathered)
+}
+
 impl Dispatcher {
     pub(crate) fn add_task(&mut self, meta: TaskMeta, now: Now) -> Published {
         let open_runs = self.runs_of.get(&meta.task).map_or(0, Vec::len);
@@ -119,6 +124,8 @@
         let order = entry.order(task);
         let (index, shape, not_before) = (entry.list, entry.shape, entry.not_before);
         let size = entry.step_tasks;
+        let licence = entry.rules.licence.clone();
+        let waited = is_waiting(entry.standing);
         let old = std::mem::replace(&mut entry.standing, standing);
         let list = &mut self.lists[index];
         match old {
@@ -138,6 +145,14 @@
             Standing::Bound => {}
         }
         list.above_ceiling = false;
+        if let Some(licence) = licence {
+            let queue = self.lists[index].queue;
+            match (waited, is_waiting(standing)) {
+                (false, true) => self.seats.wait(&licence, queue),
+                (true, false) => self.seats.wait_no_more(&licence, queue),
+                _ => {}
+            }
+        }
         self.refresh_list(index);
     }
 
--- a/crates/dispatch/tests/steps.rs
+++ b/crates/dispatch/tests/steps.rs
@@ -38,6 +38,7 @@
     let open = OpenRun {
         attempt: 1,
         expected: None,
+        licence: None,
         run,
         task: task(1),
         tenant: tenant("a"),
@@ -188,6 +189,7 @@
     dispatcher.adopt_run(OpenRun {
         attempt: 1,
         expected: None,
+        licence: None,
         run: RunId {
             term: Term(3),
             sequence,
--- a/crates/gateway/src/shell/http.rs
+++ b/crates/gateway/src/shell/http.rs
@@ -87,6 +87,7 @@
         .route(route::RUNNER_LOST, post(operator::declare_runner_lost))
         .route(route::QUEUES, get(operator::queues))
         .route(route::TENANTS, get(operator::tenants))
+        .route(route::LICENCES, get(operator::licences))
         .route(route::MEMBERS, get(operator::members))
         .route(route::DECISIONS, get(decisions::decisions))
         .fallback(unknown_path)
@@ -122,6 +123,7 @@
         Operation::ListRunners => "list_runners",
         Operation::ListQueues => "list_queues",
         Operation::ListTenants => "list_tenants",
+        Operation::ListLicences => "list_licences",
         Operation::ListMembers => "list_members",
         Operation::Decisions { .. } => "decisions",
     }
--- a/crates/gateway/src/shell/http/operator.rs
+++ b/crates/gateway/src/shell/http/operator.rs
@@ -6,8 +6,9 @@
 use api::BodyError;
 use api::configuration::ConfigurationBody;
 use api::operator::{
-    AcceptedBody, DrainBody, MemberViewBody, MembersBody, QueueViewBody, QueuesBody,
-    RunnerViewBody, RunnersBody, RunsLostBody, TenantViewBody, TenantsBody,
+    AcceptedBody, DrainBody, LicenceViewBody, LicencesBody, MemberViewBody, MembersBody,
+    QueueViewBody, QueuesBody, RunnerViewBody, RunnersBody, RunsLostBody, TenantViewBody,
+    TenantsBody,
 };
 use api::version::{ConfigurationStatusBody, ConfigurationViewBody, ConfiguredBody};
 use axum::Json;
@@ -138,6 +139,19 @@
     Ok(Json(QueuesBody { queues }))
 }
 
+/// `GET /v1/licences`.
+pub async fn licences(
+    State(server): State<Server>,
+    asker: Asker,
+) -> Result<Json<LicencesBody>, Failure> {
+    let reply = server.ask(&asker, Operation::ListLicences).await?;
+    let OperationReply::Licences(licences) = reply else {
+        return Err(unexpected());
+    };
+    let licences = licences.into_iter().map(LicenceViewBody::from).collect();
+    Ok(Json(LicencesBody { licences }))
+}
+
 /// `GET /v1/tenants`.
 pub async fn tenants(
     State(server): State<Server>,
--- a/crates/lab/src/callers/client.rs
+++ b/crates/lab/src/callers/client.rs
@@ -195,6 +195,7 @@
 
 fn expected_steps(job: &JobSpec) -> Vec<ExpectedStep> {
     let steps = job.steps.iter().map(|step| ExpectedStep {
+        licence: step.rules.licence.clone(),
         name: step.name.clone(),
         after: step.after.clone(),
         tasks: step.tasks,
--- a/crates/lab/src/capacity/plan.rs
+++ b/crates/lab/src/capacity/plan.rs
@@ -105,6 +105,7 @@
             replaces: None,
             left_out: configuration::LeftOutQueues::Refuse,
             source: None,
+            licences: Default::default(),
             pools: [(pool, settings)].into(),
             queues: [(QueueName::new(QUEUE)?, queue)].into(),
             tenants,
--- a/crates/lab/src/setup.rs
+++ b/crates/lab/src/setup.rs
@@ -87,10 +87,14 @@
         OPERATOR,
         Event::ConfigurationAcknowledged { version, digest },
     );
-    for (tenant, settings) in document.tenants {
-        let ceiling = settings.ceiling;
+    for (tenant, settings) in &document.tenants {
+        let (tenant, ceiling) = (tenant.clone(), settings.ceiling);
         history.record(OPERATOR, Event::CeilingInForce { tenant, ceiling });
     }
+    for (licence, settings) in &document.licences {
+        let (licence, seats) = (licence.clone(), settings.seats);
+        history.record(OPERATOR, Event::SeatsInForce { licence, seats });
+    }
     Ok(())
 }
 
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -18,7 +18,7 @@
 };
 pub use relay::Relay;
 pub use request::{
-    DecisionEntry, DecisionEvent, JobFilter, MemberView, Operation, OperationReply, QueueView,
-    Refusal, RefusalCode, Reply, Request, RequestId, TenantView,
+    DecisionEntry, DecisionEvent, JobFilter, LicenceView, MemberView, Operation, OperationReply,
+    QueueView, Refusal, RefusalCode, Reply, Request, RequestId, TenantView,
 };
 pub use transport::{ClusterKey, PROTOCOL_VERSION, Transport, TransportError, TransportOptions};
--- a/crates/peer/src/request.rs
+++ b/crates/peer/src/request.rs
@@ -5,8 +5,9 @@
 use record::CancelSelector;
 use serde::{Deserialize, Serialize};
 use types::{
-    Address, ConfigurationVersion, JobKey, JobNumber, JobSpec, JobState, JobView, Milliseconds,
-    PoolName, QueueName, Resources, RunClose, RunId, RunnerId, TaskRef, TenantId, Term, WallTime,
+    Address, ConfigurationVersion, JobKey, JobNumber, JobSpec, JobState, JobView, LicenceName,
+    Milliseconds, PoolName, QueueName, Resources, RunClose, RunId, RunnerId, TaskRef, TenantId,
+    Term, WallTime,
 };
 
 /// A request's number, unique within one gateway process.
@@ -73,6 +74,8 @@
     ListQueues,
     /// All tenants with their counts.
     ListTenants,
+    /// All licences with their seats.
+    ListLicences,
     /// All members.
     ListMembers,
     /// Decisions after this number, at most `limit`.
@@ -170,6 +173,8 @@
     Queues(Vec<QueueView>),
     /// Tenants.
     Tenants(Vec<TenantView>),
+    /// Licences.
+    Licences(Vec<LicenceView>),
     /// Members.
     Members(Vec<MemberView>),
     /// Decisions.
@@ -216,6 +221,19 @@
     pub budget_exceeded: bool,
 }
 
+/// A licence and its seats.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LicenceView {
+    /// The licence.
+    pub licence: LicenceName,
+    /// Seats in the whole cluster.
+    pub seats: u32,
+    /// Of those, taken by open runs, by the record's own count.
+    pub taken: u32,
+    /// Tasks that wait for room or a seat.
+    pub waiting: u64,
+}
+
 /// A member.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct MemberView {
--- a/crates/record/src/command.rs
+++ b/crates/record/src/command.rs
@@ -251,6 +251,9 @@
     /// The tenant would exceed its ceiling.
     #[error("the tenant is at its ceiling")]
     TenantAtCeiling,
+    /// No seat of the licence is free.
+    #[error("no seat of the licence is free")]
+    NoSeat,
 }
 
 /// A change of state that the leader acts on.
--- a/crates/record/src/state/indexes.rs
+++ b/crates/record/src/state/indexes.rs
@@ -3,7 +3,9 @@
 use super::holdings::Holdings;
 use super::job::Job;
 use std::collections::{BTreeMap, BTreeSet};
-use types::{JobKey, JobNumber, OpenRun, QueueName, RunId, TaskRef, TenantId, WallTime};
+use types::{
+    JobKey, JobNumber, LicenceName, OpenRun, QueueName, RunId, TaskRef, TenantId, WallTime,
+};
 
 /// Ways into the state; see the fields.
 #[derive(Debug, Clone, PartialEq, Eq, Default)]
@@ -28,6 +30,8 @@
     pub runs_of_task: BTreeSet<(TaskRef, RunId)>,
     /// What each tenant's open runs hold.
     pub holdings: BTreeMap<TenantId, Holdings>,
+    /// Seats that open runs take.
+    pub seats: BTreeMap<LicenceName, u32>,
 }
 
 impl Indexes {
@@ -112,12 +116,23 @@
         self.runs_of_task.insert((run.task, run.run));
         let held = self.holdings.entry(run.tenant.clone()).or_default();
         *held = held.plus(run.resources);
+        if let Some(licence) = &run.licence {
+            *self.seats.entry(licence.clone()).or_default() += 1;
+        }
     }
 
     /// Takes a closed run out and remembers it.
     pub fn close_run(&mut self, run: &OpenRun) {
         self.runs_of_task.remove(&(run.task, run.run));
         self.closed_runs.insert(run.run);
+        if let Some(licence) = &run.licence
+            && let Some(taken) = self.seats.get_mut(licence)
+        {
+            *taken = taken.saturating_sub(1);
+            if *taken == 0 {
+                self.seats.remove(licence);
+            }
+        }
         if let Some(held) = self.holdings.get_mut(&run.tenant) {
             *held = held.minus(run.resources);
             if *held == Holdings::default() {
--- a/crates/record/src/state/queries.rs
+++ b/crates/record/src/state/queries.rs
@@ -5,8 +5,9 @@
 use configuration::ClusterConfiguration;
 use std::ops::Bound;
 use types::{
-    ConfigurationVersion, JobKey, JobNumber, JobSpec, JobState, JobView, OpenRun, QueueName,
-    Resources, RunId, RunName, RunSpec, RunnerId, TaskMeta, TaskRef, TaskState, TenantId, WallTime,
+    ConfigurationVersion, JobKey, JobNumber, JobSpec, JobState, JobView, LicenceName, OpenRun,
+    QueueName, Resources, RunId, RunName, RunSpec, RunnerId, TaskMeta, TaskRef, TaskState,
+    TenantId, WallTime,
 };
 
 /// Where one task of a job stands.
@@ -213,6 +214,11 @@
         held.unwrap_or_default().amount()
     }
 
+    /// Seats of a licence that open runs take.
+    pub fn seats_taken(&self, licence: &LicenceName) -> u32 {
+        self.indexes.seats.get(licence).copied().unwrap_or(0)
+    }
+
     /// Where each task of a job stands, in order of step and position.
     pub fn task_states(&self, key: &JobKey) -> Option<Vec<TaskStanding>> {
         let number = self.job_number(key)?;
--- a/crates/record/src/state/runs.rs
+++ b/crates/record/src/state/runs.rs
@@ -81,8 +81,23 @@
             .iter()
             .fold(held.unwrap_or_default(), |sum, run| sum.plus(run.resources));
         match self.document.tenants.get(&first.tenant) {
-            Some(contract) if wanted.fits_in(contract.ceiling) => Ok(()),
-            _ => Err(ReserveRefusal::TenantAtCeiling),
+            Some(contract) if wanted.fits_in(contract.ceiling) => {}
+            _ => return Err(ReserveRefusal::TenantAtCeiling),
+        }
+        self.check_seats(first, u32::try_from(size).unwrap_or(u32::MAX))
+    }
+
+    /// The count of seats is the record's own: every reservation passes here in
+    /// the order of the log, so no two leaders can grant the last one.
+    fn check_seats(&self, run: &OpenRun, wanted: u32) -> Result<(), ReserveRefusal> {
+        let Some(licence) = &run.licence else {
+            return Ok(());
+        };
+        let settings = self.document.licences.get(licence);
+        let seats = settings.map_or(0, |settings| settings.seats);
+        match self.seats_taken(licence).saturating_add(wanted) <= seats {
+            true => Ok(()),
+            false => Err(ReserveRefusal::NoSeat),
         }
     }
 
@@ -116,12 +131,14 @@
             resources: step.resources,
             time_limit: step.time_limit,
             expected: step.rules.expected,
+            licence: step.rules.licence.clone(),
             reserved_at: at,
             self_stop: reservation.self_stop,
         };
         if !skips {
             self.check_queue_starts(&run)?;
             self.check_ceiling(&run)?;
+            self.check_seats(&run, 1)?;
         }
         Ok(run)
     }
--- a/crates/record/src/state/submission.rs
+++ b/crates/record/src/state/submission.rs
@@ -137,6 +137,11 @@
     let ceiling = tenant.map_or(Resources::ZERO, |tenant| tenant.ceiling);
     for step in &spec.steps {
         let name = &step.name;
+        if let Some(licence) = &step.rules.licence {
+            require(document.licences.contains_key(licence), || {
+                format!("step {name} needs the licence {licence}, which does not exist")
+            })?;
+        }
         require(step.resources.fits_in(&largest), || {
             format!(
                 "a task of step {name} fits on no runner of queue {}",
--- a/crates/simulation/src/world_http.rs
+++ b/crates/simulation/src/world_http.rs
@@ -408,6 +408,13 @@
             };
             self.observe("operator", seen);
         }
+        for (licence, settings) in &document.licences {
+            let seen = Seen::SeatsInForce {
+                licence: licence.clone(),
+                seats: settings.seats,
+            };
+            self.observe("operator", seen);
+        }
     }
 
     fn after_refused_configuration(&mut self, operator: usize, refusal: &Refusal) {
@@ -467,6 +474,7 @@
     spec.steps
         .iter()
         .map(|step| ExpectedStep {
+            licence: step.rules.licence.clone(),
             name: step.name.clone(),
             after: step.after.clone(),
             tasks: step.tasks,
--- a/crates/standin/src/fleet.rs
+++ b/crates/standin/src/fleet.rs
@@ -2,8 +2,8 @@
 
 use crate::workload::Mix;
 use configuration::{
-    ClusterConfiguration, ErrorBudget, LeftOutQueues, PoolSettings, QueueMode, QueueSettings,
-    TenantSettings, Timings,
+    ClusterConfiguration, ErrorBudget, LeftOutQueues, LicenceSettings, PoolSettings, QueueMode,
+    QueueSettings, TenantSettings, Timings,
 };
 use std::fmt::Debug;
 use std::str::FromStr;
@@ -18,6 +18,11 @@
 /// Value of [`ACCELERATOR_LABEL`].
 pub const ACCELERATOR_VALUE: &str = "true";
 
+/// The licence that accelerated work needs.
+pub const ACCELERATED_LICENCE: &str = "accelerated";
+/// Its seats: fewer than there are accelerators, so that they bind.
+pub const ACCELERATED_SEATS: u32 = 6;
+
 const SLOTS: u32 = 8;
 const GPUS: u32 = 8;
 const MEMORY_MIB_PER_CORE: u32 = 4_096;
@@ -97,6 +102,13 @@
         replaces: None,
         left_out: LeftOutQueues::Refuse,
         source: None,
+        licences: [(
+            checked_name(ACCELERATED_LICENCE),
+            LicenceSettings {
+                seats: ACCELERATED_SEATS,
+            },
+        )]
+        .into(),
         pools: [STILLS_POOL, DOCUMENTS_POOL]
             .map(|pool| (checked_name(pool), pool_settings()))
             .into(),
--- a/crates/standin/src/workload.rs
+++ b/crates/standin/src/workload.rs
@@ -2,12 +2,13 @@
 //! configuration they are made for.
 
 use crate::fleet::{
-    ACCELERATOR_LABEL, ACCELERATOR_VALUE, DOCUMENTS_POOL, STILLS_POOL, checked_name,
+    ACCELERATED_LICENCE, ACCELERATOR_LABEL, ACCELERATOR_VALUE, DOCUMENTS_POOL, STILLS_POOL,
+    checked_name,
 };
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use std::ops::RangeInclusive;
-use types::{JobSpec, Labels, Milliseconds, Resources, StepSpec, Urgency};
+use types::{JobSpec, Labels, LicenceName, Milliseconds, Resources, StepRules, StepSpec, Urgency};
 
 pub use crate::fleet::{RunnerTemplate, example_configuration, pool_runners};
 
@@ -252,7 +253,10 @@
             let after = steps.last().map(|before| before.name.clone());
             let duration = self.random.random_range(step.duration_ms.clone());
             steps.push(StepSpec {
-                rules: Default::default(),
+                rules: StepRules {
+                    licence: licence_for(step.resources),
+                    ..StepRules::default()
+                },
                 name: checked_name(step.name),
                 after: after.into_iter().collect(),
                 tasks: self.random.random_range(step.tasks.clone()),
@@ -268,6 +272,11 @@
     }
 }
 
+/// Accelerated work needs a licence of which there are few seats.
+fn licence_for(resources: Resources) -> Option<LicenceName> {
+    (resources.gpus > 0).then(|| checked_name(ACCELERATED_LICENCE))
+}
+
 fn labels_for(resources: Resources) -> Labels {
     if resources.gpus == 0 {
         return Labels::new();
--- a/crates/types/src/id.rs
+++ b/crates/types/src/id.rs
@@ -98,6 +98,10 @@
     /// A runner, named by its own settings and stable over restarts.
     RunnerId
 );
+name_type!(
+    /// A licence of which so many seats may be taken at once.
+    LicenceName
+);
 name_type!(
     /// The rack a runner stands in.
     RackName
--- a/crates/types/src/job.rs
+++ b/crates/types/src/job.rs
@@ -1,7 +1,8 @@
 //! Jobs, steps and tasks: what callers submit and what they are told back.
 
 use crate::{
-    JobId, Labels, Milliseconds, QueueName, RackName, Resources, StepName, TenantId, WallTime,
+    JobId, Labels, LicenceName, Milliseconds, QueueName, RackName, Resources, StepName, TenantId,
+    WallTime,
 };
 use serde::{Deserialize, Serialize};
 
@@ -84,6 +85,9 @@
     pub endless: bool,
     /// About how long one run takes, by its caller.
     pub expected: Option<Milliseconds>,
+    /// Each run takes a seat of this licence, from its reservation until it is
+    /// certain that it is over.
+    pub licence: Option<LicenceName>,
 }
 
 /// Where a job stands.
--- a/crates/types/src/task.rs
+++ b/crates/types/src/task.rs
@@ -1,8 +1,8 @@
 //! What the record tells the dispatcher about tasks and runs.
 
 use crate::{
-    JobNumber, Labels, Milliseconds, QueueName, Resources, RunId, RunnerId, RunnerIncarnation,
-    StepRules, TaskRef, TenantId, Urgency, WallTime,
+    JobNumber, Labels, LicenceName, Milliseconds, QueueName, Resources, RunId, RunnerId,
+    RunnerIncarnation, StepRules, TaskRef, TenantId, Urgency, WallTime,
 };
 use serde::{Deserialize, Serialize};
 
@@ -55,6 +55,8 @@
     pub time_limit: Milliseconds,
     /// About how long it takes, by its caller.
     pub expected: Option<Milliseconds>,
+    /// The licence of which it takes a seat.
+    pub licence: Option<LicenceName>,
     /// When the record took the reservation.
     pub reserved_at: WallTime,
     /// Whether its runner stops it at the end of the run lease, as it said
