End the runs of a runner when another one answers at its place

Cause: after a power loss of all machines about a hundred runs were lost with their runners, and their tasks waited 6.4 s, the run lease and margin, although a new runner was heard on the same machine within half a second.

Change: a report and each reservation say where the runner stands. When a runner is heard there for the first time, runs bound to another one at that place are closed as lost. Endless tasks are not judged by their pace.

--- a/crates/agent/tests/agent/bench.rs
+++ b/crates/agent/tests/agent/bench.rs
@@ -42,6 +42,7 @@
 
 pub fn report(incarnation: u64, sequence: u64) -> RunnerReport {
     RunnerReport {
+        place: None,
         unnamed: Vec::new(),
         runner: runner_id(),
         incarnation: RunnerIncarnation(incarnation),
--- a/crates/api/src/runner/heartbeat.rs
+++ b/crates/api/src/runner/heartbeat.rs
@@ -3,8 +3,8 @@
 use super::{OrdersUrl, RunText, RunnerBodyError, in_field};
 use serde::{Deserialize, Serialize};
 use types::{
-    EndedRun, HeartbeatSequence, HeldRun, Labels, Milliseconds, Outcome, PoolName, RackName,
-    Resources, RunnerId, RunnerIncarnation, RunnerReport,
+    EndedRun, HeartbeatSequence, HeldRun, Labels, Milliseconds, Outcome, PlaceName, PoolName,
+    RackName, Resources, RunnerId, RunnerIncarnation, RunnerReport,
 };
 
 /// Labels of one runner at most.
@@ -24,6 +24,10 @@
     pub pool: String,
     /// Its rack.
     pub rack: String,
+    /// Where it stands, such as the socket it takes orders at. When another
+    /// runner is heard there, this one's runs count as over.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub place: Option<PlaceName>,
     /// Its labels.
     #[serde(default)]
     pub labels: Labels,
@@ -116,6 +120,7 @@
             sequence: report.sequence.0,
             pool: report.pool.to_string(),
             rack: report.rack.to_string(),
+            place: report.place.clone(),
             labels: report.labels.clone(),
             capacity: report.capacity,
             free: report.free,
@@ -135,6 +140,7 @@
         let orders_url = OrdersUrl::new(&self.orders_url)?;
         self.check_bounds()?;
         let report = RunnerReport {
+            place: self.place,
             unnamed: Vec::new(),
             runner,
             incarnation: RunnerIncarnation(self.incarnation),
--- a/crates/coordinator/src/pace.rs
+++ b/crates/coordinator/src/pace.rs
@@ -30,7 +30,7 @@
         let Some(runner) = self.runners.get(&tracked.run.runner) else {
             return false;
         };
-        if tracked.stop {
+        if tracked.stop || record.is_endless(tracked.run.task) {
             return false;
         }
         let expected = tracked.run.expected.unwrap_or(allowed);
--- a/crates/coordinator/src/runners.rs
+++ b/crates/coordinator/src/runners.rs
@@ -177,6 +177,9 @@
                     Some(known) => known.ordered_draining,
                     None => record.draining_runners().contains(&report.runner),
                 };
+                if self.runners.get(&report.runner).is_none() {
+                    self.end_earlier_lives(report);
+                }
                 self.runners.heard(agent, report, draining, now.monotonic);
                 self.dispatcher.heartbeat(report, now);
                 self.placement_due = true;
@@ -186,6 +189,24 @@
         self.confirm(record, agent, report);
     }
 
+    /// A runner heard for the first time stands where another one did: that
+    /// one's life is over, and its runs with it.
+    fn end_earlier_lives(&mut self, report: &RunnerReport) {
+        let Some(place) = &report.place else {
+            return;
+        };
+        let over: Vec<RunId> = self
+            .runs
+            .iter()
+            .filter(|run| run.run.place.as_ref() == Some(place))
+            .filter(|run| run.run.runner != report.runner)
+            .map(|run| run.run.run)
+            .collect();
+        for run in over {
+            self.close(run, RunClose::Lost);
+        }
+    }
+
     /// Compares the runs bound to the runner with what it holds and has ended.
     fn compare_runs(&mut self, record: &Record, report: &RunnerReport, now: Now) {
         let ended: BTreeMap<RunId, &EndedRun> = report
--- a/crates/coordinator/tests/runs.rs
+++ b/crates/coordinator/tests/runs.rs
@@ -6,7 +6,9 @@
 use configuration::Timings;
 use coordinator::Effect;
 use peer::{OrderResult, PeerMessage};
-use types::{JobState, OrderAnswer, Outcome, RefusalReason, RunnerOrder, Term};
+use types::{
+    JobState, OrderAnswer, Outcome, PlaceName, RefusalReason, RunnerId, RunnerOrder, Term,
+};
 
 /// Milliseconds of silence after which a leader gives a runner's runs up.
 fn given_up_after() -> u64 {
@@ -192,6 +194,37 @@
     assert!(world.each_start_is_sent_once());
 }
 
+#[test]
+fn another_runner_at_the_same_place_ends_the_runs_of_the_one_before() {
+    let mut world = with_runner();
+    world.agents[0].place = PlaceName::new("10.0.0.1:80").ok();
+    world.run(500);
+    world.submit("job");
+    world.run(500);
+    assert_eq!(world.agents[0].started.len(), 1);
+    let agent = &mut world.agents[0];
+    agent.runner = RunnerId::new("its-successor").unwrap();
+    agent.held.clear();
+    world.run(1_000);
+    assert_eq!(world.agents[0].started.len(), 2);
+    assert!(world.each_start_is_sent_once());
+}
+
+#[test]
+fn another_runner_at_another_place_ends_nothing() {
+    let mut world = with_runner();
+    world.agents[0].place = PlaceName::new("10.0.0.1:80").ok();
+    world.run(500);
+    world.submit("job");
+    world.run(500);
+    let agent = &mut world.agents[0];
+    agent.runner = RunnerId::new("another").unwrap();
+    agent.place = PlaceName::new("10.0.0.2:80").ok();
+    agent.held.clear();
+    world.run(1_000);
+    assert_eq!(world.agents[0].started.len(), 1);
+}
+
 #[test]
 fn a_new_leader_voids_runs_whose_start_is_not_known_to_have_landed() {
     let mut world = with_runner();
--- a/crates/dispatch/examples/reserve_rate.rs
+++ b/crates/dispatch/examples/reserve_rate.rs
@@ -76,6 +76,7 @@
 
 fn heartbeat(runner: RunnerId) -> Result<RunnerReport, InvalidName> {
     Ok(RunnerReport {
+        place: None,
         unnamed: Vec::new(),
         runner,
         incarnation: RunnerIncarnation(1),
--- a/crates/dispatch/src/draw.rs
+++ b/crates/dispatch/src/draw.rs
@@ -12,7 +12,7 @@
 use std::collections::BTreeSet;
 use std::sync::Arc;
 use types::{
-    Labels, LicenceName, Milliseconds, Now, RackName, Reservation, Resources, RunId,
+    Labels, LicenceName, Milliseconds, Now, PlaceName, RackName, Reservation, Resources, RunId,
     RunnerIncarnation, TaskRef,
 };
 
@@ -35,6 +35,7 @@
     capacity: Resources,
     labels: Arc<Labels>,
     rack: RackName,
+    place: Option<PlaceName>,
 }
 
 /// A task that the pull may take.
@@ -102,6 +103,7 @@
             capacity: last.capacity,
             labels: Arc::clone(&last.labels),
             rack: last.rack.clone(),
+            place: last.place.clone(),
         })
     }
 
@@ -374,6 +376,7 @@
             task: choice.task,
             runner: self.runners.name(offer.runner)?.clone(),
             incarnation: offer.incarnation,
+            place: offer.place.clone(),
             self_stop: offer.self_stop,
         };
         let run = reservation.run;
--- a/crates/dispatch/src/runner.rs
+++ b/crates/dispatch/src/runner.rs
@@ -5,7 +5,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use types::{
-    HeartbeatSequence, Labels, Monotonic, RackName, Resources, RunId, RunnerIncarnation,
+    HeartbeatSequence, Labels, Monotonic, PlaceName, RackName, Resources, RunId, RunnerIncarnation,
     RunnerReport,
 };
 
@@ -19,6 +19,7 @@
     pub(crate) sequence: HeartbeatSequence,
     pub(crate) pool: usize,
     pub(crate) rack: RackName,
+    pub(crate) place: Option<PlaceName>,
     pub(crate) labels: Arc<Labels>,
     pub(crate) capacity: Resources,
     pub(crate) free: Resources,
@@ -59,6 +60,7 @@
             sequence: report.sequence,
             pool,
             rack: report.rack.clone(),
+            place: report.place.clone(),
             labels: Arc::new(report.labels.clone()),
             capacity: report.capacity,
             free: report.free,
--- a/crates/dispatch/tests/seats.rs
+++ b/crates/dispatch/tests/seats.rs
@@ -106,6 +106,7 @@
     let placed = all_placed(first.place(at(0), 10)).remove(0);
     let mut next = dispatcher(&document);
     next.adopt_run(types::OpenRun {
+        place: None,
         run: placed.run,
         task: placed.task,
         attempt: 1,
--- a/crates/dispatch/tests/steps.rs
+++ b/crates/dispatch/tests/steps.rs
@@ -36,6 +36,7 @@
         sequence: 9,
     };
     let open = OpenRun {
+        place: None,
         attempt: 1,
         expected: None,
         licence: None,
@@ -187,6 +188,7 @@
     dispatcher.heartbeat(&report("r1", 1, 8, 8), at(0));
     let sequence = 41;
     dispatcher.adopt_run(OpenRun {
+        place: None,
         attempt: 1,
         expected: None,
         licence: None,
--- a/crates/dispatch/tests/support/mod.rs
+++ b/crates/dispatch/tests/support/mod.rs
@@ -102,6 +102,7 @@
 
 pub fn report(name: &str, sequence: u64, capacity: u32, free: u32) -> RunnerReport {
     RunnerReport {
+        place: None,
         unnamed: Vec::new(),
         runner: runner(name),
         incarnation: RunnerIncarnation(1),
--- a/crates/record/src/state/runs.rs
+++ b/crates/record/src/state/runs.rs
@@ -46,6 +46,13 @@
         job.is_some_and(|job| job.is_gang(task.step))
     }
 
+    /// True when the task is to run until its job is cancelled.
+    pub fn is_endless(&self, task: TaskRef) -> bool {
+        let job = self.jobs.get(&task.job);
+        job.and_then(|job| job.task(task))
+            .is_some_and(|(step, _, _)| step.rules.endless)
+    }
+
     /// The runs of one reservation, or of a whole gang: all or none.
     fn check_group(
         &self,
@@ -121,6 +128,7 @@
             return Err(ReserveRefusal::RunnerDraining);
         }
         let run = OpenRun {
+            place: reservation.place.clone(),
             run: reservation.run,
             task,
             attempt: u32::from(job.next_attempt(task)),
@@ -314,11 +322,7 @@
     /// True for an end that finishes its task. No end finishes a task of an
     /// endless step.
     fn is_done_end(&self, task: TaskRef, close: &RunClose) -> bool {
-        let job = self.jobs.get(&task.job);
-        let endless = job
-            .and_then(|job| job.task(task))
-            .is_some_and(|(step, _, _)| step.rules.endless);
-        !endless && *close == RunClose::Ended(Outcome::Done)
+        !self.is_endless(task) && *close == RunClose::Ended(Outcome::Done)
     }
 
     fn failure_reason(&self, at: TaskRef, close: &RunClose) -> Option<String> {
--- a/crates/record/tests/gangs.rs
+++ b/crates/record/tests/gangs.rs
@@ -25,6 +25,7 @@
         .map(|member| {
             driver.last_run += 1;
             Reservation {
+                place: None,
                 run: run_id(driver.last_run),
                 task: task(1, 0, *member),
                 runner: runner("runner"),
--- a/crates/record/tests/properties/world.rs
+++ b/crates/record/tests/properties/world.rs
@@ -228,6 +228,7 @@
 
     fn reserve(&mut self, run: RunId, task: TaskRef, on: &str) -> CommandReply {
         let reservation = Reservation {
+            place: None,
             run,
             task,
             runner: runner(on),
--- a/crates/record/tests/seats.rs
+++ b/crates/record/tests/seats.rs
@@ -93,6 +93,7 @@
     driver.submit(job("j", vec![gang]));
     let reservations: Vec<_> = (0..3)
         .map(|member| types::Reservation {
+            place: None,
             run: run_id(u64::from(member) + 1),
             task: task(1, 0, member),
             runner: runner("runner"),
--- a/crates/record/tests/support/mod.rs
+++ b/crates/record/tests/support/mod.rs
@@ -175,6 +175,7 @@
         on: &str,
     ) -> Result<RunId, ReserveRefusal> {
         let reservation = Reservation {
+            place: None,
             run,
             task,
             runner: runner(on),
--- a/crates/standin/src/runner.rs
+++ b/crates/standin/src/runner.rs
@@ -110,6 +110,7 @@
         self.tombstones.forget_before(self.heartbeats.oldest());
         let options = &self.options;
         RunnerReport {
+            place: None,
             unnamed: Vec::new(),
             runner: options.runner.clone(),
             incarnation: options.incarnation,
--- a/crates/types/src/id.rs
+++ b/crates/types/src/id.rs
@@ -98,6 +98,11 @@
     /// A runner, named by its own settings and stable over restarts.
     RunnerId
 );
+name_type!(
+    /// Where a runner stands, such as the socket it takes calls at: one life of
+    /// one runner at a time.
+    PlaceName
+);
 name_type!(
     /// A licence of which so many seats may be taken at once.
     LicenceName
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -17,8 +17,8 @@
 pub use error::InvalidName;
 pub use id::{
     ClusterId, ConfigurationVersion, HeartbeatSequence, JobId, JobKey, JobNumber, KeyId,
-    LicenceName, LogIndex, NodeId, OrderSequence, PoolName, QueueName, RackName, RunId, RunnerId,
-    RunnerIncarnation, StepName, TaskRef, TenantId, Term, ZoneName,
+    LicenceName, LogIndex, NodeId, OrderSequence, PlaceName, PoolName, QueueName, RackName, RunId,
+    RunnerId, RunnerIncarnation, StepName, TaskRef, TenantId, Term, ZoneName,
 };
 pub use job::{JobSpec, JobState, JobView, StepRules, StepSpec, StepView, TaskState, Urgency};
 pub use resources::{Labels, Resources};
--- a/crates/types/src/runner.rs
+++ b/crates/types/src/runner.rs
@@ -7,8 +7,8 @@
 //! land after the leader has given the run up.
 
 use crate::{
-    EndedRun, HeartbeatSequence, HeldRun, Labels, Milliseconds, OrderSequence, PoolName, RackName,
-    Resources, RunId, RunName, RunSpec, RunnerId, RunnerIncarnation, Term, UnnamedRun,
+    EndedRun, HeartbeatSequence, HeldRun, Labels, Milliseconds, OrderSequence, PlaceName, PoolName,
+    RackName, Resources, RunId, RunName, RunSpec, RunnerId, RunnerIncarnation, Term, UnnamedRun,
 };
 use serde::{Deserialize, Serialize};
 
@@ -21,6 +21,9 @@
     pub incarnation: RunnerIncarnation,
     /// Place among the heartbeats of this life.
     pub sequence: HeartbeatSequence,
+    /// Where it stands, if that is known: when another runner answers there,
+    /// this one's life is over and nothing of it goes on.
+    pub place: Option<PlaceName>,
     /// Pool it serves.
     pub pool: PoolName,
     /// Its rack.
--- a/crates/types/src/task.rs
+++ b/crates/types/src/task.rs
@@ -1,7 +1,7 @@
 //! What the record tells the dispatcher about tasks and runs.
 
 use crate::{
-    JobNumber, Labels, LicenceName, Milliseconds, QueueName, Resources, RunId, RunnerId,
+    JobNumber, Labels, LicenceName, Milliseconds, PlaceName, QueueName, Resources, RunId, RunnerId,
     RunnerIncarnation, StepRules, TaskRef, TenantId, Urgency, WallTime,
 };
 use serde::{Deserialize, Serialize};
@@ -49,6 +49,8 @@
     pub runner: RunnerId,
     /// The life of the runner it is bound to.
     pub incarnation: RunnerIncarnation,
+    /// Where that runner stands, if that is known.
+    pub place: Option<PlaceName>,
     /// What it holds.
     pub resources: Resources,
     /// Its time limit.
@@ -75,6 +77,8 @@
     pub runner: RunnerId,
     /// The life of the runner whose room was seen.
     pub incarnation: RunnerIncarnation,
+    /// Where that runner stands, if that is known.
+    pub place: Option<PlaceName>,
     /// Whether that runner stops its own runs at the end of the run lease.
     pub self_stop: bool,
 }
