--- a/crates/cypressdrum/src/daemon/options.rs
+++ b/crates/cypressdrum/src/daemon/options.rs
@@ -51,6 +51,7 @@
             probation: Milliseconds(dispatcher.probation_ms),
             silent_after: Milliseconds(dispatcher.silent_after_ms),
             patience: Milliseconds(dispatcher.patience_ms),
+            urgent_reserve_percent: dispatcher.urgent_reserve_percent,
         },
         session_lease: Milliseconds(timings.session_lease_ms),
         replace_voter_after: Milliseconds(timings.replace_voter_after_ms),
--- a/crates/dispatch/src/draw.rs
+++ b/crates/dispatch/src/draw.rs
@@ -38,6 +38,23 @@
     place: Option<PlaceName>,
 }
 
+/// What of a runner stays free for work of more urgent queues.
+#[derive(Debug, Clone, Copy)]
+struct Reserve(Resources);
+
+impl Reserve {
+    /// True when the task fits beside the reserve. One that never could, since
+    /// it needs nearly the whole runner, need not leave it.
+    fn admits(&self, needs: &Shape, offer: &Offer) -> bool {
+        let beside = offer.capacity.minus(&self.0);
+        let room = match needs.resources.fits_in(&beside) {
+            true => offer.room.minus(&self.0),
+            false => offer.room,
+        };
+        needs.resources.fits_in(&room)
+    }
+}
+
 /// A task that the pull may take.
 #[derive(Debug, Clone, Copy)]
 struct Choice {
@@ -240,10 +257,23 @@
         tenant.is_above_share(pool, &self.pools[pool].capacity)
     }
 
+    /// What of the runner is left free by work of a queue, for more urgent ones.
+    fn reserve_beside(&self, queue: usize, offer: &Offer) -> Reserve {
+        let priority = self.queues[queue].priority;
+        let mut queues = self.pools[offer.pool].queues.iter();
+        let has_more_urgent = queues.any(|other| self.queues[*other].priority < priority);
+        let percent = match has_more_urgent {
+            true => self.options.urgent_reserve_percent,
+            false => 0,
+        };
+        Reserve(offer.capacity.part(percent))
+    }
+
     fn look_for_task(&self, index: ListIndex, offer: &Offer, now: Now) -> Finding {
         let list = &self.lists[index];
         let tenant = &self.tenants[list.tenant];
         let in_shadow = self.queues[list.queue].mode == QueueMode::Shadow;
+        let reserve = self.reserve_beside(list.queue, offer);
         let mut finding = Finding {
             above_ceiling: true,
             ..Finding::default()
@@ -262,7 +292,7 @@
             {
                 continue;
             }
-            if needs.resources.fits_in(&offer.room) {
+            if reserve.admits(needs, offer) {
                 finding.startable = Some(task);
                 break;
             }
--- a/crates/dispatch/src/options.rs
+++ b/crates/dispatch/src/options.rs
@@ -18,6 +18,9 @@
     pub probation: Milliseconds,
     /// A runner silent for this long gets no pulls.
     pub silent_after: Milliseconds,
+    /// Part of each runner, in percent, that work leaves free for work of more
+    /// urgent queues of its pool.
+    pub urgent_reserve_percent: u32,
     /// A task waits this long for the rack, or for another runner than the one
     /// it failed on, while those have no room; then any runner serves.
     pub patience: Milliseconds,
@@ -32,6 +35,7 @@
             probation: Milliseconds(10_000),
             silent_after: Milliseconds(1_500),
             patience: Milliseconds(300),
+            urgent_reserve_percent: 0,
         }
     }
 }
--- a/crates/dispatch/tests/places.rs
+++ b/crates/dispatch/tests/places.rs
@@ -137,3 +137,60 @@
     assert_eq!(place_one(&mut dispatcher, 0).as_deref(), Some("sound"));
     assert_eq!(place_one(&mut dispatcher, 0).as_deref(), Some("failing"));
 }
+
+fn cores(cpu_milli: u32) -> types::Resources {
+    types::Resources {
+        slots: 1,
+        cpu_milli,
+        ..types::Resources::ZERO
+    }
+}
+
+/// A runner of 1000 thousandths; `main` leaves a fifth to `urgent`.
+fn with_reserve() -> Dispatcher {
+    let mut document = document(&[("a", 100)]);
+    for contract in document.tenants.values_mut() {
+        contract.ceiling = types::Resources::UNLIMITED;
+    }
+    add_queue(&mut document, "urgent", QueueMode::Active);
+    document.queues.get_mut(&queue("main")).unwrap().priority = 1;
+    let options = dispatch::DispatcherOptions {
+        urgent_reserve_percent: 20,
+        ..Default::default()
+    };
+    let mut dispatcher = Dispatcher::new(options, types::Term(3), 7);
+    dispatcher.configure(&document);
+    let mut report = report("r1", 1, 50, 50);
+    report.capacity.cpu_milli = 1_000;
+    report.free.cpu_milli = 1_000;
+    dispatcher.heartbeat(&report, at(0));
+    dispatcher
+}
+
+fn needing(job: u64, name: &str, cpu_milli: u32) -> TaskMeta {
+    TaskMeta {
+        queue: queue(name),
+        resources: cores(cpu_milli),
+        ..meta(job, "a", 1)
+    }
+}
+
+#[test]
+fn work_leaves_a_part_of_each_runner_to_more_urgent_queues() {
+    let mut dispatcher = with_reserve();
+    for job in 1..=10 {
+        dispatcher.publish(needing(job, "main", 100), at(0));
+    }
+    assert_eq!(all_placed(dispatcher.place(at(0), 20)).len(), 8);
+    for job in 11..=14 {
+        dispatcher.publish(needing(job, "urgent", 100), at(10));
+    }
+    assert_eq!(all_placed(dispatcher.place(at(10), 20)).len(), 2);
+}
+
+#[test]
+fn a_task_that_needs_nearly_a_whole_runner_need_not_leave_the_part() {
+    let mut dispatcher = with_reserve();
+    dispatcher.publish(needing(1, "main", 900), at(0));
+    assert_eq!(all_placed(dispatcher.place(at(0), 20)).len(), 1);
+}
--- a/crates/settings/src/coordinator.rs
+++ b/crates/settings/src/coordinator.rs
@@ -169,6 +169,9 @@
     /// A task waits this long for its rack, or for another runner than the one
     /// it failed on. Default 300.
     pub patience_ms: u64,
+    /// Part of each runner, in percent, that work leaves free for more urgent
+    /// queues of its pool. Default 0.
+    pub urgent_reserve_percent: u32,
     /// A run whose progress stands still for this long is stopped and placed
     /// again. Without the key, and by default, it is left alone.
     pub stalled_after_ms: Option<u64>,
@@ -182,6 +185,7 @@
             probation_failures: reader.ranged("dispatcher.probation_failures", 8, 1..=100_000),
             probation_ms: reader.ranged("dispatcher.probation_ms", 10_000, 0..=86_400_000),
             silent_after_ms: reader.ranged("dispatcher.silent_after_ms", 1_500, 100..=60_000),
+            urgent_reserve_percent: reader.ranged("dispatcher.urgent_reserve_percent", 0, 0..=90),
             patience_ms: reader.ranged("dispatcher.patience_ms", 300, 0..=60_000),
             stalled_after_ms: match reader.ranged("dispatcher.stalled_after_ms", 0, 0..=3_600_000) {
                 0 => None,
--- a/crates/types/src/resources.rs
+++ b/crates/types/src/resources.rs
@@ -75,6 +75,17 @@
         }
     }
 
+    /// This part of it, in percent; slots and accelerators are not divided.
+    pub fn part(&self, percent: u32) -> Self {
+        let part = |amount: u32| (u64::from(amount) * u64::from(percent.min(100)) / 100) as u32;
+        Self {
+            slots: 0,
+            cpu_milli: part(self.cpu_milli),
+            memory_mib: part(self.memory_mib),
+            gpus: 0,
+        }
+    }
+
     /// How often this amount fits into `room`.
     pub fn count_in(&self, room: &Self) -> usize {
         let fits = |need: u32, room: u32| room.checked_div(need).unwrap_or(u32::MAX);
