Hold a spread step to its limit on the held path too, and in the record

Cause: a runner kept free for a starving task (choose_held, most_suitable_runner) and a copy were chosen without looking at max_per_runner; only the ordinary draw looked at it.

Ruled out: a stale view in a new leader (the same leader granted all three); a run ended late (all three were open and running).

Change: one test, may_hold_more, on every path that picks a runner; the record counts the open runs of the step on the runner and refuses a reservation past the limit, so that no scheduler core can cause it again.

Tests: dispatch/tests/places.rs, record/tests/runs.rs.

--- a/crates/dispatch/src/draw.rs
+++ b/crates/dispatch/src/draw.rs
@@ -107,7 +107,8 @@
         let entry = self.tasks.get(&task)?;
         let needs = self.shapes.get(entry.shape)?;
         let has_seat = self.has_seats(needs, self.lists[entry.list].queue, 1);
-        (has_seat && needs.resources.fits_in(&offer.room)).then_some(Choice {
+        let may_start = has_seat && self.may_hold_more(needs, offer.runner);
+        (may_start && needs.resources.fits_in(&offer.room)).then_some(Choice {
             task,
             runnable_tenants: self.runnable_count(offer.pool, Kind::Ordinary),
         })
@@ -279,6 +280,7 @@
                 tenant.allows(&needs.resources)
                     && self.has_seats(needs, list.queue, 1)
                     && needs.matches(&offer.labels)
+                    && self.may_hold_more(needs, offer.runner)
                     && needs.resources.fits_in(&offer.room)
             })
         };
--- a/crates/dispatch/src/hold.rs
+++ b/crates/dispatch/src/hold.rs
@@ -154,6 +154,7 @@
         runners
             .filter(suitable)
             .filter(|runner| self.pull_refusal(*runner, now).is_none())
+            .filter(|runner| self.may_hold_more(needs, *runner))
             .min_by_key(|runner| lack(&needs.resources, &self.runners[*runner]))
     }
 }
--- a/crates/dispatch/src/suits.rs
+++ b/crates/dispatch/src/suits.rs
@@ -44,9 +44,7 @@
     /// True when the task should go to this very runner: its step is not held
     /// there as often as it may be, and it has no better place to wait for.
     pub(crate) fn suits(&self, task: TaskRef, needs: &Shape, offer: &Offer, now: Now) -> bool {
-        if let Some(spread) = needs.spread
-            && self.runs_of_step_on(spread.step, offer.runner) >= spread.max_per_runner as usize
-        {
+        if !self.may_hold_more(needs, offer.runner) {
             return false;
         }
         let waited = self.tasks.get(&task);
@@ -67,6 +65,13 @@
         }
     }
 
+    /// True while the runner holds fewer runs of the task's step than it may.
+    pub(crate) fn may_hold_more(&self, needs: &Shape, runner: RunnerIndex) -> bool {
+        needs.spread.is_none_or(|spread| {
+            self.runs_of_step_on(spread.step, runner) < spread.max_per_runner as usize
+        })
+    }
+
     /// True when a runner of the rack could hold the task, now or as soon as
     /// something on it ends.
     fn rack_may_serve(&self, rack: &RackName, needs: &Shape, pool: usize, now: Now) -> bool {
--- a/crates/dispatch/tests/places.rs
+++ b/crates/dispatch/tests/places.rs
@@ -194,3 +194,23 @@
     dispatcher.publish(needing(1, "main", 900), at(0));
     assert_eq!(all_placed(dispatcher.place(at(0), 20)).len(), 1);
 }
+
+#[test]
+fn a_runner_kept_free_for_a_large_task_holds_no_more_of_its_step_than_it_may() {
+    let mut dispatcher = dispatcher(&document(&[("a", 100)]));
+    for index in 0..3 {
+        let mut meta = meta(1, "a", 4);
+        meta.task.task = index;
+        meta.rules.max_per_runner = Some(1);
+        dispatcher.publish(meta, at(0));
+    }
+    // Smaller work beside it, so that what waits long counts as starving.
+    dispatcher.publish(meta(2, "a", 1), at(0));
+    for tick in 0..300_u64 {
+        let now = at(tick * 100);
+        dispatcher.heartbeat(&report("only", tick + 1, 16, 16), now);
+        let placed = all_placed(dispatcher.place(now, 10));
+        let of_step = placed.iter().filter(|one| one.task.job == JobNumber(1));
+        assert!(of_step.count() <= usize::from(tick == 0), "at tick {tick}");
+    }
+}
--- a/crates/record/src/command.rs
+++ b/crates/record/src/command.rs
@@ -251,6 +251,9 @@
     /// The tenant would exceed its ceiling.
     #[error("the tenant is at its ceiling")]
     TenantAtCeiling,
+    /// The runner holds as many runs of the step as it may.
+    #[error("the runner holds as many runs of the step as it may")]
+    RunnerHoldsEnough,
     /// No seat of the licence is free.
     #[error("no seat of the licence is free")]
     NoSeat,
--- a/crates/record/src/state/indexes.rs
+++ b/crates/record/src/state/indexes.rs
@@ -7,6 +7,12 @@
     JobKey, JobNumber, LicenceName, OpenRun, QueueName, RunId, TaskRef, TenantId, WallTime,
 };
 
+/// No run has a lower identifier.
+const FIRST_RUN: RunId = RunId {
+    term: types::Term(0),
+    sequence: 0,
+};
+
 /// Ways into the state; see the fields.
 #[derive(Debug, Clone, PartialEq, Eq, Default)]
 pub(crate) struct Indexes {
@@ -143,16 +149,20 @@
 
     /// Open runs of one task.
     pub fn runs_of(&self, task: TaskRef) -> impl Iterator<Item = RunId> + '_ {
-        let first = RunId {
-            term: types::Term(0),
-            sequence: 0,
-        };
         let last = RunId {
             term: types::Term(u64::MAX),
             sequence: u64::MAX,
         };
         self.runs_of_task
-            .range((task, first)..=(task, last))
+            .range((task, FIRST_RUN)..=(task, last))
+            .map(|(_, run)| *run)
+    }
+
+    /// Open runs of all tasks of the step that a task belongs to.
+    pub fn runs_of_step(&self, task: TaskRef) -> impl Iterator<Item = RunId> + '_ {
+        let first = TaskRef { task: 0, ..task };
+        let runs = self.runs_of_task.range((first, FIRST_RUN)..);
+        runs.take_while(move |(other, _)| (other.job, other.step) == (task.job, task.step))
             .map(|(_, run)| *run)
     }
 
--- a/crates/record/src/state/runs.rs
+++ b/crates/record/src/state/runs.rs
@@ -94,6 +94,23 @@
         self.check_seats(first, u32::try_from(size).unwrap_or(u32::MAX))
     }
 
+    /// One runner holds no more runs of a step than the step allows.
+    fn check_spread(&self, run: &OpenRun, most: Option<u32>) -> Result<(), ReserveRefusal> {
+        let Some(most) = most else {
+            return Ok(());
+        };
+        let there = self
+            .indexes
+            .runs_of_step(run.task)
+            .filter_map(|open| self.open_runs.get(&open))
+            .filter(|open| open.runner == run.runner)
+            .count();
+        match there < most as usize {
+            true => Ok(()),
+            false => Err(ReserveRefusal::RunnerHoldsEnough),
+        }
+    }
+
     /// The count of seats is the record's own: every reservation passes here in
     /// the order of the log, so no two leaders can grant the last one.
     fn check_seats(&self, run: &OpenRun, wanted: u32) -> Result<(), ReserveRefusal> {
@@ -147,6 +164,7 @@
             self.check_queue_starts(&run)?;
             self.check_ceiling(&run)?;
             self.check_seats(&run, 1)?;
+            self.check_spread(&run, step.rules.max_per_runner)?;
         }
         Ok(run)
     }
--- a/crates/record/tests/runs.rs
+++ b/crates/record/tests/runs.rs
@@ -288,3 +288,17 @@
     driver.close(run, DONE);
     assert!(driver.record.run_spec(run).is_none());
 }
+
+#[test]
+fn one_runner_holds_no_more_runs_of_a_step_than_the_step_allows() {
+    let mut spread = step("s", 3, &[]);
+    spread.rules.max_per_runner = Some(1);
+    let mut driver = Driver::new();
+    driver.submit(job("j", vec![spread]));
+    let first = driver.reserve_as(run_id(1), task(1, 0, 0), "r1").unwrap();
+    let refused = driver.reserve_as(run_id(2), task(1, 0, 1), "r1");
+    assert_eq!(refused, Err(ReserveRefusal::RunnerHoldsEnough));
+    driver.reserve_as(run_id(3), task(1, 0, 1), "r2").unwrap();
+    driver.close(first, DONE);
+    driver.reserve_as(run_id(4), task(1, 0, 2), "r1").unwrap();
+}
