--- a/crates/standin/src/fleet.rs
+++ b/crates/standin/src/fleet.rs
@@ -20,8 +20,9 @@
 
 /// The licence that accelerated work needs.
 pub const ACCELERATED_LICENCE: &str = "accelerated";
-/// Its seats: fewer than there are accelerators, so that they bind.
-pub const ACCELERATED_SEATS: u32 = 6;
+/// Its seats: fewer than there are accelerators, so that they bind at times,
+/// but more than both mixes take on average (11.5), so that no backlog grows.
+pub const ACCELERATED_SEATS: u32 = 14;
 
 const SLOTS: u32 = 8;
 const GPUS: u32 = 8;
--- a/crates/standin/tests/workload.rs
+++ b/crates/standin/tests/workload.rs
@@ -2,6 +2,7 @@
 
 use api::configuration::ConfigurationBody;
 use record::{Command, CommandReply, Record};
+use standin::fleet::ACCELERATED_SEATS;
 use standin::workload::{Mix, Workload, example_configuration, pool_runners};
 use std::collections::BTreeSet;
 use types::{ConfigurationVersion, JobSpec, Resources, Urgency, WallTime};
@@ -67,6 +68,30 @@
     }
 }
 
+/// Seats that a mix holds on average.
+fn mean_seats(mix: Mix) -> f64 {
+    let jobs = draw(mix, 1);
+    let steps = jobs.iter().flat_map(|job| &job.steps);
+    let licensed = steps.filter(|step| step.rules.licence.is_some());
+    let milliseconds: u64 = licensed
+        .map(|step| u64::from(step.tasks) * duration_ms(&step.payload))
+        .sum();
+    let mean_seconds = milliseconds as f64 / 1_000.0 / DRAWS as f64;
+    mean_seconds * Workload::new(mix, "trial", 1).jobs_per_second()
+}
+
+#[test]
+fn the_mean_load_leaves_seats_free_yet_they_bind_at_times() {
+    let seats = f64::from(ACCELERATED_SEATS);
+    let held: f64 = MIXES.into_iter().map(mean_seats).sum();
+    let used = held / seats;
+    assert!((0.7..0.9).contains(&used), "{held:.1} of {seats} seats");
+
+    let runners = MIXES.into_iter().flat_map(pool_runners);
+    let accelerators: u32 = runners.map(|runner| runner.capacity.gpus).sum();
+    assert!(ACCELERATED_SEATS < accelerators);
+}
+
 #[test]
 fn the_fleet_has_the_sizes_asked_for() {
     for (mix, runners) in MIXES.into_iter().zip([5, 6]) {
