--- a/crates/checker/src/check.rs
+++ b/crates/checker/src/check.rs
@@ -15,6 +15,7 @@
 mod seats;
 mod service;
 mod start_time;
+mod started;
 mod world;
 
 use crate::{Event, Observation, ReadState};
@@ -174,7 +175,8 @@
     match &observation.event {
         Event::RunStarted { .. } => {
             report.started_runs += 1;
-            let repeated = repeat::repeats_unreported(observation, world);
+            let start = started::Started::of(observation);
+            let repeated = start.is_some_and(|start| start.repeats_unreported(world));
             report.repeated_unreported += u64::from(repeated);
         }
         Event::SubmitAcknowledged { job } => {
--- a/crates/checker/src/check/repeat.rs
+++ b/crates/checker/src/check/repeat.rs
@@ -1,6 +1,7 @@
 //! A run starts once, a task runs once at a time and never after it is done.
 
 use super::rule::{Findings, Rule};
+use super::started::Started;
 use super::world::World;
 use super::{Limits, ViolationKind};
 use crate::{Event, Observation};
@@ -111,26 +112,19 @@
 }
 
 fn check_started(observation: &Observation, world: &World, findings: &mut Findings) {
-    let Event::RunStarted {
-        run,
-        job,
-        step,
-        task,
-        ..
-    } = &observation.event
-    else {
+    let Some(start) = Started::of(observation) else {
         return;
     };
-    let Some(facts) = world.task(job, step, *task) else {
+    let Some(facts) = start.facts(world) else {
         return;
     };
-    let others = facts.open.iter().filter(|open| *open != run);
+    let others = facts.open.iter().filter(|open| **open != start.run);
     let going = others
         .filter_map(|open| world.run(*open))
         .filter(|open| !world.is_frozen(&open.runner))
         .count();
-    if going >= copies(world, observation) as usize {
-        let detail = format!("run {run} of {job} {step}.{task} began beside {going} more");
+    if going >= start.copies(world) as usize {
+        let detail = format!("{start} began beside {going} more");
         findings.add(ViolationKind::OverlappingRuns, observation.at, detail);
     }
 }
@@ -152,54 +146,16 @@
         limits: &Limits,
         findings: &mut Findings,
     ) {
-        let Event::RunStarted {
-            run,
-            job,
-            step,
-            task,
-            ..
-        } = &observation.event
-        else {
+        let Some(start) = Started::of(observation) else {
             return;
         };
-        let facts = world.task(job, step, *task);
-        let Some(done_at) = facts.and_then(|facts| facts.done_at) else {
+        let done_at = start.facts(world).and_then(|facts| facts.done_at);
+        let Some(done_at) = done_at else {
             return;
         };
-        if repeats_unreported(observation, world) {
-            return;
-        }
-        // A further copy may be on its way until the end has been reported,
-        // which a fault may delay.
-        let calm_since = world.calm_since(done_at);
-        let is_too_late =
-            calm_since.is_some_and(|calm| observation.at > calm + limits.cancel_after);
-        if copies(world, observation) == 1 || is_too_late {
-            let detail = format!("run {run} of {job} {step}.{task} began, done since {done_at}");
+        if !start.repeats_unreported(world) && start.is_too_late(done_at, world, limits) {
+            let detail = format!("{start} began, done since {done_at}");
             findings.add(ViolationKind::RepeatedTask, observation.at, detail);
         }
     }
 }
-
-/// True for a start of a task whose done end may be unreported.
-pub(super) fn repeats_unreported(observation: &Observation, world: &World) -> bool {
-    let Event::RunStarted {
-        job, step, task, ..
-    } = &observation.event
-    else {
-        return false;
-    };
-    world
-        .task(job, step, *task)
-        .and_then(|facts| facts.done_run)
-        .is_some_and(|done| world.may_be_unreported(done, observation.at))
-}
-
-/// Copies allowed of the task that a run belongs to: the most that any submit
-/// of its job asked for.
-pub(super) fn copies(world: &World, observation: &Observation) -> u32 {
-    let Event::RunStarted { job, step, .. } = &observation.event else {
-        return 1;
-    };
-    world.job(job).map_or(1, |facts| facts.most_copies(step))
-}
--- a/crates/checker/src/check/retry.rs
+++ b/crates/checker/src/check/retry.rs
@@ -1,10 +1,10 @@
 //! No task runs again past its allowed failures.
 
-use super::repeat::copies;
 use super::rule::{Findings, Rule};
+use super::started::Started;
 use super::world::World;
 use super::{Limits, ViolationKind};
-use crate::{Event, Observation};
+use crate::Observation;
 
 #[derive(Debug)]
 pub(super) struct RetriedPastAllowed;
@@ -17,30 +17,17 @@
         limits: &Limits,
         findings: &mut Findings,
     ) {
-        let Event::RunStarted {
-            run,
-            job,
-            step,
-            task,
-            ..
-        } = &observation.event
-        else {
+        let Some(start) = Started::of(observation) else {
             return;
         };
-        let expected = world.job(job).and_then(|facts| facts.step(step));
-        let Some((expected, facts)) = expected.zip(world.task(job, step, *task)) else {
+        let expected = world.job(start.job).and_then(|job| job.step(start.step));
+        let Some((expected, facts)) = expected.zip(start.facts(world)) else {
             return;
         };
-        if facts.failures <= expected.allowed_failures {
-            return;
-        }
-        // A further copy may be on its way while the failure is reported.
-        let calm_since = world.calm_since(facts.last_failure_at);
-        let is_too_late =
-            calm_since.is_some_and(|calm| observation.at > calm + limits.cancel_after);
-        if copies(world, observation) == 1 || is_too_late {
+        let is_allowed = facts.failures <= expected.allowed_failures;
+        if !is_allowed && start.is_too_late(facts.last_failure_at, world, limits) {
             let detail = format!(
-                "run {run} of {job} {step}.{task} began after {} failed runs, {} allowed",
+                "{start} began after {} failed runs, {} allowed",
                 facts.failures, expected.allowed_failures
             );
             findings.add(ViolationKind::RetriedPastAllowed, observation.at, detail);
