--- a/crates/simulation/src/lib.rs
+++ b/crates/simulation/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod shrink;
 pub mod world;
 mod world_http;
+mod world_operator;
 mod world_runner;
 
 pub use campaign::{Campaign, SeedResult, Summary, run_campaign, run_plan};
--- a/crates/simulation/src/world_http.rs
+++ b/crates/simulation/src/world_http.rs
@@ -1,9 +1,8 @@
-//! The world's callers and operators, and their HTTP requests to gateways.
+//! The world's HTTP requests to gateways, and the callers who send most of them.
 
 use crate::caller::{CALLER_TIMEOUT_MS, Waiting};
 use crate::event::Event;
 use crate::network::Micros;
-use crate::operator::{OPERATOR_INTERVAL_MS, OPERATOR_TIMEOUT_MS, digest};
 use crate::process::{Input, ProcessIndex};
 use crate::world::World;
 use checker::event::ExpectedStep;
@@ -15,8 +14,6 @@
 use standin::caller::{CallerAction, CallerAnswer};
 use types::{JobKey, JobSpec, Milliseconds};
 
-/// Time between two reads of the configuration at all gateways.
-const READ_MICROS: Micros = 400_000;
 /// Payload of a task that fails each time.
 const FAILING_PAYLOAD: &str = r#"{"duration_ms":80,"fail":true}"#;
 /// Delay between a caller and a gateway.
@@ -61,7 +58,7 @@
 
     /// Sends an HTTP request to a gateway; a dead or cut-off gateway says
     /// nothing, and the sender gives up after its timeout.
-    fn request(
+    pub(crate) fn request(
         &mut self,
         gateway: usize,
         timeout_ms: u64,
@@ -323,151 +320,6 @@
             }
         }
     }
-
-    fn operator_acts(&mut self, operator: usize) {
-        self.schedule_in(OPERATOR_INTERVAL_MS * 1_000, Event::OperatorTimer(operator));
-        self.operator_sends(operator);
-    }
-
-    /// Sends the operator's open order, or its next one.
-    fn operator_sends(&mut self, operator: usize) {
-        if self.operators[operator].waiting {
-            return;
-        }
-        self.operators[operator].choose_order();
-        let gateway = self.operators[operator].gateway;
-        let Some((version, document)) = self.operators[operator].open_order.clone() else {
-            return;
-        };
-        let name = self.operators[operator].name.clone();
-        let seen = Seen::ConfigurationSent {
-            version,
-            digest: digest(&document),
-        };
-        self.observe(name, seen);
-        if !self.operators[operator].sends_invalid {
-            self.note_sent_ceilings(&document);
-        }
-        self.operators[operator].waiting = true;
-        let waiting = Waiting::Configure { operator };
-        let operation = Operation::PutConfiguration { version, document };
-        self.request(gateway, OPERATOR_TIMEOUT_MS, waiting, operation);
-    }
-
-    fn configure_answered(&mut self, operator: usize, answer: Answer) {
-        self.operators[operator].waiting = false;
-        let Some((version, document)) = self.operators[operator].open_order.clone() else {
-            return;
-        };
-        let name = self.operators[operator].name.clone();
-        match answer {
-            Ok(_) => {
-                self.operators[operator].open_order = None;
-                self.operators[operator].known = version;
-                let digest = digest(&document);
-                self.observe(name, Seen::ConfigurationAcknowledged { version, digest });
-                // An acknowledgement may come after that of a newer version.
-                if version > self.newest_acknowledged {
-                    self.newest_acknowledged = version;
-                    self.note_ceilings(&document);
-                }
-                if self.operators[operator].sends_invalid {
-                    let problem = format!("invalid configuration {version} was acknowledged");
-                    self.broken.push(problem);
-                }
-                self.operators[operator].document = document;
-                self.operator_sends(operator);
-            }
-            Err(refusal) => {
-                let seen = Seen::ConfigurationRefused {
-                    version,
-                    digest: digest(&document),
-                    code: refusal_code(&refusal),
-                };
-                self.observe(name, seen);
-                self.after_refused_configuration(operator, &refusal);
-            }
-        }
-    }
-
-    fn note_sent_ceilings(&mut self, document: &configuration::ClusterConfiguration) {
-        for (tenant, settings) in &document.tenants {
-            let seen = Seen::CeilingSent {
-                tenant: tenant.clone(),
-                ceiling: settings.ceiling,
-            };
-            self.observe("operator", seen);
-        }
-    }
-
-    fn note_ceilings(&mut self, document: &configuration::ClusterConfiguration) {
-        for (tenant, settings) in &document.tenants {
-            let seen = Seen::CeilingInForce {
-                tenant: tenant.clone(),
-                ceiling: settings.ceiling,
-            };
-            self.observe("operator", seen);
-        }
-        for (licence, settings) in &document.licences {
-            let seen = Seen::SeatsInForce {
-                licence: licence.clone(),
-                seats: settings.seats,
-            };
-            self.observe("operator", seen);
-        }
-    }
-
-    fn after_refused_configuration(&mut self, operator: usize, refusal: &Refusal) {
-        match refusal.code {
-            RefusalCode::Conflict | RefusalCode::Invalid => {
-                self.operators[operator].open_order = None;
-                self.operators[operator].waiting = true;
-                let gateway = self.operators[operator].gateway;
-                let waiting = Waiting::ReadVersion { operator };
-                self.request(
-                    gateway,
-                    OPERATOR_TIMEOUT_MS,
-                    waiting,
-                    Operation::GetConfiguration,
-                );
-            }
-            _ => self.operators[operator].gateway += 1,
-        }
-    }
-
-    fn version_read(&mut self, operator: usize, answer: Answer) {
-        let host = &mut self.operators[operator];
-        host.waiting = false;
-        if let Ok(OperationReply::Configuration { version, document }) = answer {
-            host.known = version;
-            host.document = document;
-        }
-    }
-
-    fn read_configurations(&mut self) {
-        self.schedule_in(READ_MICROS, Event::ReadConfigurations);
-        for gateway in 0..self.gateways.len() {
-            let process = self.gateways[gateway];
-            let machine = self.processes[process.0].machine;
-            let waiting = Waiting::ReadConfiguration {
-                daemon: self.machines[machine.0].name.clone(),
-                asked_at: self.now,
-            };
-            self.request(gateway, 1_000, waiting, Operation::GetConfiguration);
-        }
-    }
-
-    fn configuration_read(&mut self, daemon: String, asked_at: Micros, answer: Answer) {
-        if let Ok(OperationReply::Configuration { version, document }) = answer {
-            let seen = Seen::ConfigurationRead {
-                daemon: daemon.clone(),
-                asked_at: Milliseconds(asked_at / 1_000),
-                version,
-                digest: digest(&document),
-            };
-            self.observe(daemon, seen);
-        }
-    }
 }
 
 fn expected_steps(spec: &JobSpec) -> Vec<ExpectedStep> {
@@ -485,7 +337,8 @@
         .collect()
 }
 
-fn refusal_code(refusal: &Refusal) -> String {
+/// How a refusal is called in the history.
+pub(crate) fn refusal_code(refusal: &Refusal) -> String {
     format!("{:?}", refusal.code).to_lowercase()
 }
 
