Simulate gangs, and check that they run whole

No simulated workload had a gang, so campaigns said nothing about them. Three jobs in 120 now make gangs of their steps with several tasks; one of these has a member that fails each time (payload field fail_task of the stand-in runner). The checker learns that one done end is the end of a gang, that failures of its members add up, and a new rule, GangApart: no member goes on for more than 3 s without the others, where no fault delays orders. Planted fault: the mutation keep_rest_of_gang leaves the others running; the checker finds it.

--- a/crates/checker/src/check.rs
+++ b/crates/checker/src/check.rs
@@ -7,6 +7,7 @@
 mod drain;
 mod end;
 mod facts;
+mod gang;
 mod lost;
 mod order;
 mod reopened;
@@ -82,6 +83,8 @@
     CeilingExceeded,
     /// More runs took a seat of a licence than it has.
     SeatsExceeded,
+    /// A member of a gang went on while another one had not started.
+    GangApart,
     /// A task was run again past its allowed failures.
     RetriedPastAllowed,
     /// A start after the cancel should have held.
@@ -165,6 +168,7 @@
         Box::new(ceiling::CeilingExceeded::default()),
         Box::new(seats::SeatsExceeded::default()),
         Box::new(retry::RetriedPastAllowed),
+        Box::new(gang::GangApart::default()),
         Box::new(cancel::StartAfterCancel),
         Box::new(drain::StartOnDrainingRunner::default()),
         Box::new(configuration::ConfigurationLate::default()),
--- a/crates/checker/src/check/world.rs
+++ b/crates/checker/src/check/world.rs
@@ -186,6 +186,7 @@
         let key = (step.clone(), *task);
         let task = self.job_mut(job).tasks.entry(key.clone()).or_default();
         task.open.insert(*run);
+        task.changed_at = observation.at;
         let held = self.held.entry(job.tenant.clone()).or_default();
         *held = held.plus(resources);
         let open = self.open_by_runner.entry(runner.clone()).or_default();
@@ -247,6 +248,7 @@
         let limit = facts.step(&run.task.0).and_then(|step| step.time_limit);
         let task = facts.tasks.entry(run.task.clone()).or_default();
         task.open.remove(&id);
+        task.changed_at = at;
         match outcome {
             Outcome::Done if task.done_at.is_none() => {
                 task.done_at = Some(at);
--- a/crates/checker/src/event.rs
+++ b/crates/checker/src/event.rs
@@ -237,6 +237,10 @@
     /// not known, any stopped run may.
     #[serde(default)]
     pub time_limit: Option<Milliseconds>,
+    /// True when its tasks start together, all or none, and one done end is
+    /// the end of all.
+    #[serde(default)]
+    pub gang: bool,
     /// The licence of which each run takes a seat.
     #[serde(default)]
     pub licence: Option<LicenceName>,
--- a/crates/checker/tests/support/mod.rs
+++ b/crates/checker/tests/support/mod.rs
@@ -37,6 +37,7 @@
 /// A step of one task without copies, failures or dependencies.
 pub fn expected(name: &str) -> ExpectedStep {
     ExpectedStep {
+        gang: false,
         licence: None,
         name: step(name),
         after: Vec::new(),
--- a/crates/lab/src/callers/client.rs
+++ b/crates/lab/src/callers/client.rs
@@ -195,6 +195,7 @@
 
 fn expected_steps(job: &JobSpec) -> Vec<ExpectedStep> {
     let steps = job.steps.iter().map(|step| ExpectedStep {
+        gang: step.rules.gang,
         licence: step.rules.licence.clone(),
         name: step.name.clone(),
         after: step.after.clone(),
--- a/crates/record/src/mutation.rs
+++ b/crates/record/src/mutation.rs
@@ -12,4 +12,6 @@
     SkipReservationCheck,
     /// Failed runs do not use up the allowance of their task.
     ForgetFailures,
+    /// The end of one member does not end the rest of its gang.
+    KeepRestOfGang,
 }
--- a/crates/record/src/state/runs.rs
+++ b/crates/record/src/state/runs.rs
@@ -288,7 +288,9 @@
             let others = members.into_iter().filter(|member| *member != task);
             let ready = others.filter_map(|member| job.startable_meta(member));
             changes.extend(ready.map(Change::TaskReady));
-        } else if *close != RunClose::Ended(Outcome::Done) {
+        } else if *close != RunClose::Ended(Outcome::Done)
+            && self.mutation != Some(Mutation::KeepRestOfGang)
+        {
             changes.push(Change::RunsUseless(open));
         }
     }
--- a/crates/simulation/src/world_http.rs
+++ b/crates/simulation/src/world_http.rs
@@ -16,6 +16,10 @@
 
 /// Payload of a task that fails each time.
 const FAILING_PAYLOAD: &str = r#"{"duration_ms":80,"fail":true}"#;
+/// Payload of a gang's tasks: long enough to see that all of them are going.
+const GANG_PAYLOAD: &str = r#"{"duration_ms":5000}"#;
+/// Payload of a gang one of whose members fails each time.
+const FAILING_GANG_PAYLOAD: &str = r#"{"duration_ms":5000,"fail_task":1}"#;
 /// Delay between a caller and a gateway.
 const OUTSIDE_MICROS: (Micros, Micros) = (400, 1_500);
 
@@ -116,8 +120,8 @@
         }
     }
 
-    /// One job in a hundred and twenty can never succeed, and two allow two
-    /// copies of each task.
+    /// One job in a hundred and twenty can never succeed, two allow two copies
+    /// of each task, and the steps of three are gangs where they can be.
     fn sometimes_unusual(&mut self, spec: &mut JobSpec) {
         match self.random.random_range(0..120) {
             0 => {
@@ -131,6 +135,8 @@
                     step.max_copies = 2;
                 }
             }
+            3..=4 => make_gangs(spec, GANG_PAYLOAD),
+            5 => make_gangs(spec, FAILING_GANG_PAYLOAD),
             _ => {}
         }
     }
@@ -322,10 +328,18 @@
     }
 }
 
+fn make_gangs(spec: &mut JobSpec, payload: &str) {
+    for step in spec.steps.iter_mut().filter(|step| step.tasks > 1) {
+        step.payload = payload.to_owned();
+        step.rules.gang = true;
+    }
+}
+
 fn expected_steps(spec: &JobSpec) -> Vec<ExpectedStep> {
     spec.steps
         .iter()
         .map(|step| ExpectedStep {
+            gang: step.rules.gang,
             licence: step.rules.licence.clone(),
             name: step.name.clone(),
             after: step.after.clone(),
--- a/crates/simulation/tests/mutations.rs
+++ b/crates/simulation/tests/mutations.rs
@@ -152,6 +152,15 @@
     );
 }
 
+#[test]
+fn without_stopping_the_rest_of_a_gang_the_checker_finds_it_apart() {
+    assert_needed(
+        plan!("keep_rest_of_gang"),
+        Mutation::KeepRestOfGang,
+        ViolationKind::GangApart,
+    );
+}
+
 #[test]
 fn without_one_job_for_each_identifier_the_checker_finds_overlapping_runs() {
     assert_needed(
--- a/crates/standin/src/runner.rs
+++ b/crates/standin/src/runner.rs
@@ -59,7 +59,8 @@
 }
 
 /// A stand-in runner. The payload of a run is JSON with `duration_ms` and,
-/// where wanted, `fail: true`.
+/// where wanted, `fail: true`, or `fail_task` with the position of one task
+/// that fails.
 ///
 /// Every entry point looks at the run lease first, so that a runner that was
 /// frozen ends what it held before it takes or says anything.
--- a/crates/standin/src/runner/work.rs
+++ b/crates/standin/src/runner/work.rs
@@ -10,12 +10,17 @@
 /// Draws are in thousandths.
 const PER_THOUSAND: u32 = 1_000;
 
+/// A run of the task that a payload names as the failing one takes so long.
+const FAIL_TASK_AFTER_MS: u64 = 200;
+
 /// What a stand-in runner reads in a payload; other fields are left alone.
 #[derive(Debug, Deserialize)]
 #[serde(default)]
 struct Payload {
     duration_ms: u64,
     fail: bool,
+    /// Position of the task that fails soon, while the others of its step go on.
+    fail_task: Option<u32>,
 }
 
 impl Default for Payload {
@@ -23,6 +28,7 @@
         Self {
             duration_ms: DEFAULT_DURATION_MS,
             fail: false,
+            fail_task: None,
         }
     }
 }
@@ -87,6 +93,10 @@
     };
     let mut duration = payload.duration_ms;
     let mut fails = payload.fail;
+    if payload.fail_task == Some(run.task) {
+        duration = duration.min(FAIL_TASK_AFTER_MS);
+        fails = true;
+    }
     match behaviour {
         Behaviour::Healthy => {}
         Behaviour::Failing { per_thousand } => {
--- a/crates/standin/tests/runner/work.rs
+++ b/crates/standin/tests/runner/work.rs
@@ -28,6 +28,15 @@
     assert_eq!(ends(&mut runner(), ""), Some((100, Outcome::Done)));
 }
 
+#[test]
+fn the_task_that_a_payload_names_fails_soon() {
+    let payload = |task: u32| format!(r#"{{"duration_ms": 5000, "fail_task": {task}}}"#);
+    let failed = ends(&mut runner(), &payload(0));
+    assert!(matches!(failed, Some((200, Outcome::Failed(_)))));
+    let other = ends(&mut runner(), &payload(1));
+    assert_eq!(other, Some((5_000, Outcome::Done)));
+}
+
 #[test]
 fn an_unreadable_payload_fails_at_once() {
     let ended = ends(&mut runner(), "{nonsense");
