--- a/crates/simulation/src/operator.rs
+++ b/crates/simulation/src/operator.rs
@@ -11,8 +11,9 @@
 
 /// One in this many documents changes a ceiling.
 const CEILING_EVERY: u32 = 3;
-/// Least slots and accelerators of a changed ceiling: every task still fits.
-const LEAST_SLOTS: u32 = 6;
+/// Least slots of a changed ceiling: every task and gang still fits.
+pub const LEAST_SLOTS: u32 = 6;
+/// Least accelerators of a changed ceiling: every task still fits.
 const LEAST_GPUS: u32 = 2;
 /// Ceilings go up and down in strides within a range.
 const SLOTS_STEP: u32 = 11;
