Dial again soon what was silent, and at once what is heard of

Cause: after a power loss of all machines the daemons that came up first dialled coordinators that were not up yet. The first wait is 250 ms now and doubles to a second, and a daemon that has just connected here is dialled at once.

Ruled out: refused connections; they were dialled again after 20 ms before.

Tests: peer/tests/dial, both red without the change (917 and 744 ms).

--- a/crates/peer/src/transport/connection.rs
+++ b/crates/peer/src/transport/connection.rs
@@ -9,8 +9,11 @@
 use tokio::time::timeout;
 use types::Milliseconds;
 
-/// Longest wait for a connection; a cut link answers nothing.
-pub(super) const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// Longest wait for a connection at the first dial; a cut link or a machine
+/// that is not up yet answers nothing, and what was sent to it is lost.
+pub(super) const FIRST_CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+/// The wait doubles with each dial up to this, for links that take long.
+pub(super) const LAST_CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 /// Longest handshake, at both ends.
 pub(super) const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(2);
 /// Longest wait for room to write.
@@ -24,13 +27,14 @@
 /// The listening end gives up later, when the dialling end must be gone.
 pub(super) const ABANDONED_TIMEOUT: Duration = Duration::from_secs(90);
 
-/// Connects from the listener's IP and proves both ends.
+/// Connects from the listener's IP within `patience`, and proves both ends.
 pub(super) async fn dial(
     context: &Context,
     to: SocketAddr,
+    patience: Duration,
 ) -> Result<(TcpStream, Proven), HandshakeError> {
     let connecting = connect(context.options.listen, to);
-    let mut stream = within(CONNECT_TIMEOUT, connecting).await??;
+    let mut stream = within(patience, connecting).await??;
     let shaking = handshake::dialled(&mut stream, &context.key, &context.own);
     let proven = within(HANDSHAKE_TIMEOUT, shaking).await??;
     Ok((stream, proven))
--- a/crates/peer/src/transport/incoming.rs
+++ b/crates/peer/src/transport/incoming.rs
@@ -4,6 +4,7 @@
 use super::connection::{ABANDONED_TIMEOUT, ACKNOWLEDGE_INTERVAL, WRITE_TIMEOUT, accept, within};
 use super::frame::{Channel, FrameError};
 use super::handshake::{HandshakeError, Proven};
+use super::outgoing::Destinations;
 use super::traffic::count_received;
 use super::{Context, stopped};
 use crate::Envelope;
@@ -22,11 +23,21 @@
 /// Pause after the system refused to accept, such as for want of descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
 
+/// What all connections that are taken share.
+#[derive(Debug, Clone)]
+pub(super) struct Listening {
+    /// Keys, limits and the own address.
+    pub context: Arc<Context>,
+    /// Told of every daemon that connects.
+    pub destinations: Arc<Destinations>,
+    /// Takes what arrives.
+    pub inbox: mpsc::Sender<Envelope>,
+}
+
 /// Accepts connections until the transport ends.
 pub(super) async fn listen(
     listener: TcpListener,
-    context: Arc<Context>,
-    inbox: mpsc::Sender<Envelope>,
+    listening: Listening,
     mut stop: watch::Receiver<bool>,
 ) {
     let unproven = Arc::new(Semaphore::new(MAX_UNPROVEN));
@@ -47,7 +58,7 @@
             tracing::warn!(%from, "closed: too many connections are unproven");
             continue;
         };
-        let serving = serve(stream, from, context.clone(), inbox.clone(), permit);
+        let serving = serve(stream, from, listening.clone(), permit);
         let mut stop = stop.clone();
         tokio::spawn(async move {
             tokio::select! {
@@ -61,11 +72,11 @@
 async fn serve(
     mut stream: TcpStream,
     from: SocketAddr,
-    context: Arc<Context>,
-    inbox: mpsc::Sender<Envelope>,
+    listening: Listening,
     permit: OwnedSemaphorePermit,
 ) {
-    let proven = match accept(&context, &mut stream).await {
+    let context = &listening.context;
+    let proven = match accept(context, &mut stream).await {
         Ok(proven) => proven,
         Err(error) => return log_refusal(from, &error),
     };
@@ -75,12 +86,13 @@
         client_frames,
         server_frames,
     } = proven;
+    listening.destinations.heard_from(peer.socket);
     let (reader, writer) = stream.into_split();
     let max_bytes = context.options.max_frame_bytes;
     let taken = AtomicU64::new(0);
     let mut incoming = Incoming {
         peer: &peer,
-        inbox: &inbox,
+        inbox: &listening.inbox,
         taken: &taken,
     };
     let reader = tokio::io::BufReader::new(reader);
--- a/crates/peer/src/transport/mod.rs
+++ b/crates/peer/src/transport/mod.rs
@@ -17,7 +17,7 @@
 pub use key::ClusterKey;
 
 use crate::{Envelope, PeerMessage};
-use outgoing::Outgoing;
+use outgoing::{Destinations, Outgoing};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use thiserror::Error;
@@ -91,9 +91,15 @@
         let context = Arc::new(Context { options, key, own });
         let (inbox, received) = mpsc::channel(INBOX_LENGTH);
         let (stop, stopped) = watch::channel(false);
-        tokio::spawn(incoming::listen(listener, context.clone(), inbox, stopped));
+        let destinations = Arc::<Destinations>::default();
+        let listening = incoming::Listening {
+            context: context.clone(),
+            destinations: destinations.clone(),
+            inbox,
+        };
+        tokio::spawn(incoming::listen(listener, listening, stopped));
         let transport = Self {
-            outgoing: Outgoing::new(context.clone()),
+            outgoing: Outgoing::new(context.clone(), destinations),
             context,
             stop: Arc::new(stop),
         };
--- a/crates/peer/src/transport/outgoing.rs
+++ b/crates/peer/src/transport/outgoing.rs
@@ -1,10 +1,11 @@
 //! The dialling end: a queue and a task for each destination.
 
 use super::connection::{
-    ACKNOWLEDGE_INTERVAL, ACKNOWLEDGE_TIMEOUT, IDLE_TIMEOUT, WRITE_TIMEOUT, dial, within,
+    ACKNOWLEDGE_INTERVAL, ACKNOWLEDGE_TIMEOUT, FIRST_CONNECT_TIMEOUT, IDLE_TIMEOUT,
+    LAST_CONNECT_TIMEOUT, WRITE_TIMEOUT, dial, within,
 };
 use super::frame::{Channel, FrameError, OVERHEAD_BYTES};
-use super::handshake::Proven;
+use super::handshake::{HandshakeError, Proven};
 use super::queue::{Queue, count_dropped};
 use super::traffic::count_sent;
 use super::{Context, stopped};
@@ -38,8 +39,9 @@
     destinations: Arc<Destinations>,
 }
 
+/// What is dialled, or has been lately.
 #[derive(Debug, Default)]
-struct Destinations {
+pub(super) struct Destinations {
     queues: Mutex<BTreeMap<SocketAddr, Arc<Queue>>>,
 }
 
@@ -48,6 +50,14 @@
         self.queues.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Notes that the daemon at a socket has just connected here: it is up, and
+    /// the link is whole.
+    pub fn heard_from(&self, socket: SocketAddr) {
+        if let Some(queue) = self.lock().get(&socket) {
+            queue.note_reachable();
+        }
+    }
+
     /// Forgets a destination that has nothing waiting; false if it has. A
     /// message is queued under the same lock, so none is lost between.
     fn retire(&self, to: SocketAddr, queue: &Queue) -> bool {
@@ -61,12 +71,12 @@
 }
 
 impl Outgoing {
-    /// No destination yet. Must be called inside the runtime.
-    pub fn new(context: Arc<Context>) -> Self {
+    /// Must be called inside the runtime.
+    pub fn new(context: Arc<Context>, destinations: Arc<Destinations>) -> Self {
         Self {
             context,
             runtime: Handle::current(),
-            destinations: Arc::default(),
+            destinations,
         }
     }
 
@@ -140,9 +150,10 @@
     /// Dials until it works, or until nothing waits any more.
     async fn connect(&self) -> Option<(TcpStream, Proven)> {
         let mut backoff = MIN_BACKOFF;
+        let mut patience = FIRST_CONNECT_TIMEOUT;
         let mut failures = 0u64;
         while !self.queue.is_empty() {
-            match dial(&self.context, self.to).await {
+            match self.dial_or_hear(patience).await {
                 Ok(connection) => return Some(connection),
                 Err(error) if failures == 0 => {
                     tracing::warn!(to = %self.to, %error, "cannot reach a peer, trying on");
@@ -150,12 +161,28 @@
                 Err(error) => tracing::debug!(to = %self.to, %error, failures, "not reached"),
             }
             failures += 1;
-            sleep(jittered(backoff)).await;
+            tokio::select! {
+                () = sleep(jittered(backoff)) => {}
+                () = self.queue.reachable() => {}
+            }
             backoff = (backoff * 2).min(MAX_BACKOFF);
+            patience = (patience * 2).min(LAST_CONNECT_TIMEOUT);
         }
         None
     }
 
+    /// Dials, and dials anew when the other end is heard of meanwhile: what
+    /// was sent to it before it was up is lost.
+    async fn dial_or_hear(
+        &self,
+        patience: Duration,
+    ) -> Result<(TcpStream, Proven), HandshakeError> {
+        tokio::select! {
+            dialled = dial(&self.context, self.to, patience) => dialled,
+            () = self.queue.reachable() => dial(&self.context, self.to, patience).await,
+        }
+    }
+
     async fn carry(&self, stream: TcpStream, proven: Proven) -> Ended {
         let (reader, writer) = stream.into_split();
         let acknowledged = AtomicU64::new(0);
--- a/crates/peer/src/transport/queue.rs
+++ b/crates/peer/src/transport/queue.rs
@@ -22,6 +22,7 @@
     length: usize,
     waiting: Mutex<VecDeque<Waiting>>,
     added: Notify,
+    reachable: Notify,
 }
 
 impl Queue {
@@ -31,6 +32,7 @@
             length: length.max(1),
             waiting: Mutex::default(),
             added: Notify::new(),
+            reachable: Notify::new(),
         }
     }
 
@@ -61,6 +63,16 @@
         }
     }
 
+    /// Notes that the destination has just been heard of.
+    pub fn note_reachable(&self) {
+        self.reachable.notify_one();
+    }
+
+    /// Waits until the destination is heard of.
+    pub async fn reachable(&self) {
+        self.reachable.notified().await;
+    }
+
     /// Takes the oldest message that may still be sent.
     pub fn pop(&self) -> Option<PeerMessage> {
         let mut waiting = self.lock();
