--- /dev/null
+++ b/crates/api/src/configuration/resources.rs
@@ -0,0 +1,107 @@
+//! Pools of runners, and what runners and tenants have of each resource.
+
+use configuration::PoolSettings;
+use serde::{Deserialize, Serialize};
+use types::Resources;
+
+/// A pool of runners.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct PoolBody {
+    /// The largest runner the pool is built from.
+    pub largest_runner: CapacityBody,
+}
+
+/// All a runner has.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct CapacityBody {
+    /// Places for tasks.
+    pub slots: u32,
+    /// Processor time in thousandths of a core.
+    pub cpu_milli: u32,
+    /// Memory in MiB.
+    pub memory_mib: u32,
+    /// Whole accelerators.
+    #[serde(default)]
+    pub gpus: u32,
+}
+
+impl From<Resources> for CapacityBody {
+    fn from(resources: Resources) -> Self {
+        Self {
+            slots: resources.slots,
+            cpu_milli: resources.cpu_milli,
+            memory_mib: resources.memory_mib,
+            gpus: resources.gpus,
+        }
+    }
+}
+
+impl From<CapacityBody> for Resources {
+    fn from(body: CapacityBody) -> Self {
+        Self {
+            slots: body.slots,
+            cpu_milli: body.cpu_milli,
+            memory_mib: body.memory_mib,
+            gpus: body.gpus,
+        }
+    }
+}
+
+/// What a tenant may hold over all runners; an absent kind has no ceiling.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct CeilingBody {
+    /// Places for tasks.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub slots: Option<u32>,
+    /// Processor time in thousandths of a core.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub cpu_milli: Option<u32>,
+    /// Memory in MiB.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub memory_mib: Option<u32>,
+    /// Whole accelerators.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub gpus: Option<u32>,
+}
+
+impl From<Resources> for CeilingBody {
+    fn from(ceiling: Resources) -> Self {
+        let limited = |amount: u32| (amount != u32::MAX).then_some(amount);
+        Self {
+            slots: limited(ceiling.slots),
+            cpu_milli: limited(ceiling.cpu_milli),
+            memory_mib: limited(ceiling.memory_mib),
+            gpus: limited(ceiling.gpus),
+        }
+    }
+}
+
+impl From<CeilingBody> for Resources {
+    fn from(body: CeilingBody) -> Self {
+        Self {
+            slots: body.slots.unwrap_or(u32::MAX),
+            cpu_milli: body.cpu_milli.unwrap_or(u32::MAX),
+            memory_mib: body.memory_mib.unwrap_or(u32::MAX),
+            gpus: body.gpus.unwrap_or(u32::MAX),
+        }
+    }
+}
+
+impl From<PoolSettings> for PoolBody {
+    fn from(pool: PoolSettings) -> Self {
+        Self {
+            largest_runner: pool.largest_runner.into(),
+        }
+    }
+}
+
+impl From<PoolBody> for PoolSettings {
+    fn from(body: PoolBody) -> Self {
+        Self {
+            largest_runner: body.largest_runner.into(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/api/src/configuration/tenant.rs
@@ -0,0 +1,97 @@
+//! Tenant contracts.
+
+use super::CeilingBody;
+use configuration::{ErrorBudget, TenantSettings};
+use serde::{Deserialize, Serialize};
+use types::Milliseconds;
+
+/// A tenant contract.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct TenantBody {
+    /// Fair share of each pool, in percent.
+    pub share_percent: u32,
+    /// Resource ceiling over all runners.
+    #[serde(default)]
+    pub most: CeilingBody,
+    /// What lateness and failure the contract allows.
+    #[serde(default)]
+    pub error_budget: ErrorBudgetBody,
+    /// Submits taken a second, averaged.
+    #[serde(default = "default_submits")]
+    pub submits_per_second: u32,
+    /// Submits taken at once above the average.
+    #[serde(default = "default_burst")]
+    pub submit_burst: u32,
+    /// Unfinished jobs it may have.
+    #[serde(default = "default_tenant_jobs")]
+    pub max_unfinished_jobs: u64,
+}
+
+fn default_submits() -> u32 {
+    100
+}
+
+fn default_burst() -> u32 {
+    200
+}
+
+fn default_tenant_jobs() -> u64 {
+    10_000
+}
+
+/// What lateness and failure a contract allows.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct ErrorBudgetBody {
+    /// A job that waits longer than this for its first run is late.
+    pub late_after_ms: u64,
+    /// Late jobs allowed in a thousand.
+    pub late_per_thousand: u32,
+    /// Failed jobs allowed in a thousand.
+    pub failed_per_thousand: u32,
+}
+
+impl Default for ErrorBudgetBody {
+    fn default() -> Self {
+        Self {
+            late_after_ms: 60_000,
+            late_per_thousand: 10,
+            failed_per_thousand: 10,
+        }
+    }
+}
+
+impl From<TenantSettings> for TenantBody {
+    fn from(tenant: TenantSettings) -> Self {
+        Self {
+            share_percent: tenant.share_percent,
+            most: tenant.ceiling.into(),
+            error_budget: ErrorBudgetBody {
+                late_after_ms: tenant.error_budget.late_after.0,
+                late_per_thousand: tenant.error_budget.late_per_thousand,
+                failed_per_thousand: tenant.error_budget.failed_per_thousand,
+            },
+            submits_per_second: tenant.submits_per_second,
+            submit_burst: tenant.submit_burst,
+            max_unfinished_jobs: tenant.max_unfinished_jobs,
+        }
+    }
+}
+
+impl From<TenantBody> for TenantSettings {
+    fn from(body: TenantBody) -> Self {
+        Self {
+            share_percent: body.share_percent,
+            ceiling: body.most.into(),
+            error_budget: ErrorBudget {
+                late_after: Milliseconds(body.error_budget.late_after_ms),
+                late_per_thousand: body.error_budget.late_per_thousand,
+                failed_per_thousand: body.error_budget.failed_per_thousand,
+            },
+            submits_per_second: body.submits_per_second,
+            submit_burst: body.submit_burst,
+            max_unfinished_jobs: body.max_unfinished_jobs,
+        }
+    }
+}
