Judge shares by the runners that are there

Cause: a runner that died counted in its pool's capacity until it was forgotten after ten minutes, so shares were judged by machines that were gone. It counts for 30 s now unless runs are bound to it; operators still see it for ten minutes with its silence.

Test: a_runner_that_is_gone_does_not_raise_the_shares, red without the change.

--- a/crates/dispatch/src/heartbeat.rs
+++ b/crates/dispatch/src/heartbeat.rs
@@ -44,8 +44,9 @@
         let pool = self.pool_index(&report.pool);
         let before = self.runners[runner].reported.as_ref();
         let before = before.map(|last| (last.pool, last.capacity));
+        let was_present = self.runners[runner].present(now.monotonic).is_some();
         self.runners[runner].take_report(report, pool, now.monotonic);
-        if before == Some((pool, report.capacity)) {
+        if was_present && before == Some((pool, report.capacity)) {
             return;
         }
         if let Some((old_pool, _)) = before
@@ -53,16 +54,18 @@
         {
             self.release_hold(runner);
             self.pools[old_pool].runners.remove(&runner);
-            self.sum_capacity(old_pool);
+            self.sum_capacity(old_pool, now.monotonic);
         }
         self.pools[pool].runners.insert(runner);
-        self.sum_capacity(pool);
+        self.sum_capacity(pool, now.monotonic);
     }
 
-    pub(crate) fn sum_capacity(&mut self, pool: usize) {
+    /// Counts what a pool has, by which shares are judged: its runners that
+    /// were heard lately or that runs are bound to.
+    pub(crate) fn sum_capacity(&mut self, pool: usize, now: Monotonic) {
         let runners = self.pools[pool].runners.iter();
-        let reported = runners.filter_map(|runner| self.runners[*runner].reported.as_ref());
-        let capacity = reported.fold(Resources::ZERO, |sum, last| sum.plus(&last.capacity));
+        let present = runners.filter_map(|runner| self.runners[*runner].present(now));
+        let capacity = present.fold(Resources::ZERO, |sum, last| sum.plus(&last.capacity));
         self.pools[pool].capacity = capacity;
     }
 
--- a/crates/dispatch/src/place.rs
+++ b/crates/dispatch/src/place.rs
@@ -11,8 +11,8 @@
 /// have their turn in the next calls.
 const RUNNERS_LOOKED_AT: usize = 4_096;
 
-/// A runner silent for this long with nothing bound to it no longer counts
-/// as part of its pool.
+/// A runner silent for this long with nothing bound to it is forgotten; until
+/// then operators see how long it has been silent.
 const FORGET_AFTER: Milliseconds = Milliseconds(600_000);
 
 /// A runner with room: sound ones first, then most free slots first, then most processor time, then
@@ -97,15 +97,12 @@
                     && silence.is_none_or(|heard| now.monotonic.since(heard) >= FORGET_AFTER)
             })
             .collect();
-        if gone.is_empty() {
-            return;
-        }
         for runner in gone {
             self.release_hold(runner);
             self.runners[runner].reported = None;
             self.pools[pool].runners.remove(&runner);
         }
-        self.sum_capacity(pool);
+        self.sum_capacity(pool, now.monotonic);
     }
 
     // Each list in its turn: is a task starving, has its reason changed.
--- a/crates/dispatch/src/runner.rs
+++ b/crates/dispatch/src/runner.rs
@@ -5,13 +5,17 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use types::{
-    HeartbeatSequence, Labels, Monotonic, PlaceName, RackName, Resources, RunId, RunnerIncarnation,
-    RunnerReport,
+    HeartbeatSequence, Labels, Milliseconds, Monotonic, PlaceName, RackName, Resources, RunId,
+    RunnerIncarnation, RunnerReport,
 };
 
 /// Index of a runner in the dispatcher.
 pub(crate) type RunnerIndex = usize;
 
+/// A runner silent for this long with nothing bound to it no longer counts in
+/// its pool's capacity. Longer than a run lease and than most restarts.
+const COUNTED_FOR: Milliseconds = Milliseconds(30_000);
+
 /// What the last heartbeat said.
 #[derive(Debug, Clone)]
 pub(crate) struct Reported {
@@ -113,6 +117,14 @@
         }
     }
 
+    /// What it last said, unless it may be gone for good: silent for long and
+    /// with nothing bound to it.
+    pub(crate) fn present(&self, now: Monotonic) -> Option<&Reported> {
+        let last = self.reported.as_ref()?;
+        let is_present = self.open_runs() > 0 || now.since(last.heard_at) < COUNTED_FOR;
+        is_present.then_some(last)
+    }
+
     /// Open runs, those of earlier lives among them.
     pub(crate) fn open_runs(&self) -> usize {
         self.bound.len()
--- a/crates/dispatch/tests/fairness.rs
+++ b/crates/dispatch/tests/fairness.rs
@@ -3,7 +3,7 @@
 mod support;
 
 use configuration::QueueMode;
-use dispatch::{DecisionKind, NotPlacedReason};
+use dispatch::{DecisionKind, Dispatcher, NotPlacedReason};
 use support::*;
 
 #[test]
@@ -104,6 +104,39 @@
     assert_eq!(next, [11, 12, 13, 5]);
 }
 
+#[test]
+fn a_runner_that_is_gone_does_not_raise_the_shares() {
+    let mut document = document(&[("a", 100), ("b", 100)]);
+    for name in ["a", "b"] {
+        let half = contract(50, slots(100));
+        document.tenants.insert(tenant(name), half);
+    }
+    let mut dispatcher = dispatcher(&document);
+    dispatcher.heartbeat(&report("gone", 1, 8, 8), at(0));
+    dispatcher.heartbeat(&report("r1", 1, 8, 8), at(0));
+    let heard_at = |dispatcher: &mut Dispatcher, milliseconds| {
+        dispatcher.heartbeat(&report("r1", milliseconds, 8, 8), at(milliseconds));
+        dispatcher.place(at(milliseconds), 0);
+    };
+    heard_at(&mut dispatcher, 29_999);
+    for job in 1..=5 {
+        dispatcher.publish(meta(job, "a", 1), at(29_999));
+    }
+    assert_eq!(all_placed(dispatcher.place(at(29_999), 10)).len(), 5);
+    dispatcher.publish(meta(6, "a", 1), at(29_999));
+    dispatcher.publish(meta(11, "b", 1), at(29_999));
+
+    // Tenant a holds 5 slots: half of both runners is 8, and half of one 4.
+    assert_eq!(dispatcher.explain(task(6), at(29_999)), None);
+    heard_at(&mut dispatcher, 30_000);
+    assert_eq!(
+        dispatcher.explain(task(6), at(30_000)),
+        Some(NotPlacedReason::TenantAboveShare)
+    );
+    dispatcher.heartbeat(&report("gone", 2, 8, 0), at(30_001));
+    assert_eq!(dispatcher.explain(task(6), at(30_001)), None);
+}
+
 #[test]
 fn a_shadow_queue_decides_each_task_once_and_binds_nothing() {
     let mut document = document(&[("a", 100)]);
