--- a/crates/record/src/command.rs
+++ b/crates/record/src/command.rs
@@ -36,7 +36,7 @@
     },
     /// Close runs. A run that is closed already, or unknown, stays as it is;
     /// but the late end of a run given up as lost settles its task, if that is
-    /// unfinished and has not started again.
+    /// unfinished.
     CloseRuns {
         /// The runs.
         runs: Vec<ClosedRun>,
