--- a/crates/settings/tests/loading.rs
+++ b/crates/settings/tests/loading.rs
@@ -5,6 +5,7 @@
     SettingsError, Source, load,
 };
 use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicU64, Ordering};
 
 const SECRET: &str = "0123456789abcdef0123456789abcdef";
 
@@ -206,9 +207,16 @@
     assert!(Override::parse("--set", "=a").is_err());
 }
 
+static EXAMPLES_LOADED: AtomicU64 = AtomicU64::new(0);
+
 fn example<S: RoleSettings>(name: &str) -> S {
     let examples = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../examples/settings");
-    let key = write(&folder("examples").join(format!("{name}.key")), SECRET);
+    // Tests that run at once load the same example: each has its own key file.
+    let call = EXAMPLES_LOADED.fetch_add(1, Ordering::Relaxed);
+    let key = write(
+        &folder("examples").join(format!("{name}-{call}.key")),
+        SECRET,
+    );
     let flag = Override::text(
         "--cluster-key-file",
         "cluster_key_file",
