Hear what keeps daemons in office first, take what is there in one step, refuse early

Cause: a leader that is behind answered hellos and leases late, for they waited in one queue of 1,024 with submits and questions; all sessions timed out, all asked again, and so it stayed. Each message was a step of its own, and each step of a slow leader ended in a placement: what came in faster than one message a placement was lost for good. On the way back from a power loss 300 daemons dial at once, and of those beyond 64 each was closed and dialled again (hundreds of lines of the log within a second).

Change: three lanes for what has arrived: office (elections, entries, sessions, configuration), work (heartbeats, orders, answers), requests. The core takes up to 64 inputs that are there together in one step, so placement, entries and messages to followers are made once for all of them. A request that waited 300 ms is refused with a time to come back, unless an earlier sending of it waits for the log; one that finds no place is dropped and sent again by its gateway, and does not hold up its connection. 1,024 connections may be unproven.

--- a/crates/agent/src/shell/driver.rs
+++ b/crates/agent/src/shell/driver.rs
@@ -7,7 +7,7 @@
 use crate::{Agent, Effect, Input};
 use admin::Readiness;
 use api::runner::OrdersUrl;
-use peer::{Envelope, Transport};
+use peer::Transport;
 use std::collections::BTreeMap;
 use std::time::Duration;
 use tokio::sync::{mpsc, watch};
@@ -54,7 +54,7 @@
     pub async fn run(
         mut self,
         mut questions: mpsc::Receiver<Question>,
-        mut arriving: mpsc::Receiver<Envelope>,
+        mut arriving: peer::Inbox,
         stop: watch::Receiver<bool>,
         grace: Duration,
     ) {
@@ -71,7 +71,7 @@
     async fn drive(
         &mut self,
         questions: &mut mpsc::Receiver<Question>,
-        arriving: &mut mpsc::Receiver<Envelope>,
+        arriving: &mut peer::Inbox,
         until: impl Future<Output = ()>,
     ) {
         tokio::pin!(until);
--- a/crates/agent/tests/shell/bench.rs
+++ b/crates/agent/tests/shell/bench.rs
@@ -7,7 +7,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::net::TcpListener;
-use tokio::sync::{mpsc, watch};
+use tokio::sync::watch;
 use tokio::task::JoinHandle;
 use types::{
     Address, ClusterId, ConfigurationVersion, JobId, JobKey, KeyId, Labels, Milliseconds, NodeId,
@@ -48,7 +48,7 @@
 
 pub struct Leader {
     transport: Transport,
-    arriving: mpsc::Receiver<Envelope>,
+    arriving: peer::Inbox,
     document: ClusterConfiguration,
     version: ConfigurationVersion,
 }
--- a/crates/coordinator/src/core.rs
+++ b/crates/coordinator/src/core.rs
@@ -98,6 +98,9 @@
     Tick,
     /// A message arrived.
     Peer(Envelope),
+    /// A request arrived so long ago that it is refused rather than answered
+    /// late: this process is behind, and would be further behind for it.
+    Overdue(Envelope),
     /// [`Effect::Persist`] of this number is synced.
     Persisted {
         /// Its number.
@@ -189,26 +192,48 @@
     /// Takes one input and appends what is to be done. The caller reads the
     /// clock just before; after a freeze the core sees the jump first.
     pub fn handle(&mut self, now: Now, input: Input, effects: &mut Vec<Effect>) {
+        self.handle_all(now, std::iter::once(input), effects);
+    }
+
+    /// Takes inputs that are there together. What they lead to (placement,
+    /// entries of the log, messages to followers) is done once for all of them,
+    /// so a core that is behind catches up.
+    pub fn handle_all(
+        &mut self,
+        now: Now,
+        inputs: impl IntoIterator<Item = Input>,
+        effects: &mut Vec<Effect>,
+    ) {
         self.last_input = now;
         if self.stopped {
             return;
         }
-        if self.fault.is_some() {
-            self.handle_faulted(&input, effects);
-            return;
-        }
-        if let Some(replica) = &mut self.replica {
+        if let Some(replica) = self.replica.as_mut().filter(|_| self.fault.is_none()) {
             replica.node.tick(now.monotonic);
         }
-        self.follow_leadership(now, effects);
+        if self.fault.is_none() {
+            self.follow_leadership(now, effects);
+        }
+        for input in inputs {
+            match self.fault {
+                None => self.take(now, input, effects),
+                Some(_) => self.handle_faulted(&input, effects),
+            }
+        }
+        if self.fault.is_none() {
+            self.advance(now, effects);
+        }
+    }
+
+    fn take(&mut self, now: Now, input: Input, effects: &mut Vec<Effect>) {
         match input {
             Input::Tick => {}
             Input::Peer(envelope) => self.receive(now, envelope, effects),
+            Input::Overdue(envelope) => self.refuse_overdue(now, envelope, effects),
             Input::Persisted { number } => self.persisted(now, number, effects),
             Input::IdentitySaved => self.identity_saved(now, effects),
             Input::Stop => self.begin_stop(now),
         }
-        self.advance(now, effects);
     }
 
     /// When it wants [`Input::Tick`] next, on the monotonic clock.
@@ -274,7 +299,7 @@
         self.finish_stop(now, effects);
     }
 
-    fn receive(&mut self, now: Now, envelope: Envelope, effects: &mut Vec<Effect>) {
+    pub(crate) fn receive(&mut self, now: Now, envelope: Envelope, effects: &mut Vec<Effect>) {
         let Some(envelope) = self.open_relay(envelope, effects) else {
             return;
         };
@@ -284,10 +309,7 @@
         if envelope.via.is_none() {
             self.directory.heard(&envelope.from, now.monotonic);
         }
-        let sender = Sender {
-            address: envelope.from,
-            via: envelope.via,
-        };
+        let sender = Sender::of(&envelope);
         match envelope.body {
             PeerMessage::Discover => self.answer_discover(now, &sender, effects),
             PeerMessage::Members(members) => self.members_received(now, &sender, members),
@@ -315,7 +337,11 @@
 
     /// Opens a relay meant for this process; passes one on that comes from its
     /// origin.
-    fn open_relay(&self, envelope: Envelope, effects: &mut Vec<Effect>) -> Option<Envelope> {
+    pub(crate) fn open_relay(
+        &self,
+        envelope: Envelope,
+        effects: &mut Vec<Effect>,
+    ) -> Option<Envelope> {
         match route::open(&self.own, envelope) {
             Opened::Own(envelope) => Some(envelope),
             Opened::Forward(to, message) => {
@@ -337,6 +363,14 @@
 }
 
 impl Sender {
+    /// The sender of an opened message.
+    pub(crate) fn of(envelope: &Envelope) -> Self {
+        Self {
+            address: envelope.from.clone(),
+            via: envelope.via,
+        }
+    }
+
     /// Addresses an answer, by the same member the message came by.
     pub(crate) fn answer(&self, own: &Address, message: PeerMessage) -> (SocketAddr, PeerMessage) {
         match self.via {
--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -19,6 +19,7 @@
 mod leader;
 mod leadership;
 mod lifecycle;
+mod load;
 mod membership;
 mod orders;
 mod pace;
--- /dev/null
+++ b/crates/coordinator/src/load.rs
@@ -0,0 +1,69 @@
+//! How far the coordinator's loop is behind, told by metrics and, when it is
+//! far behind, by its log: whose messages wait, how long, and what takes the
+//! time.
+
+use peer::{Arrival, Inbox, Lane};
+use std::time::{Duration, Instant};
+use types::Milliseconds;
+
+/// The log says that the loop is behind when something waited this long.
+const BEHIND: Milliseconds = Milliseconds(250);
+/// Shortest time between two such lines.
+const LINE_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Figures of the loop since the last line of the log.
+#[derive(Debug)]
+pub(crate) struct Load {
+    longest_wait: Milliseconds,
+    longest_step: Duration,
+    steps: u32,
+    inputs: u32,
+    line_at: Instant,
+}
+
+impl Load {
+    /// A loop that has done nothing yet.
+    pub(crate) fn new() -> Self {
+        Self {
+            longest_wait: Milliseconds(0),
+            longest_step: Duration::ZERO,
+            steps: 0,
+            inputs: 0,
+            line_at: Instant::now(),
+        }
+    }
+
+    /// Notes a message that is taken now.
+    pub(crate) fn taken(&mut self, arrival: &Arrival, waited: Milliseconds) {
+        metrics::histogram!("cypressdrum_inbox_wait_seconds", "lane" => arrival.lane.name())
+            .record(waited.0 as f64 / 1_000.0);
+        self.longest_wait = self.longest_wait.max(waited);
+    }
+
+    /// Notes a step of the core with so many inputs.
+    pub(crate) fn stepped(&mut self, inputs: usize, took: Duration, inbox: &Inbox) {
+        metrics::histogram!("cypressdrum_step_seconds").record(took.as_secs_f64());
+        self.longest_step = self.longest_step.max(took);
+        self.steps += 1;
+        self.inputs += u32::try_from(inputs).unwrap_or(u32::MAX);
+        if self.line_at.elapsed() >= LINE_INTERVAL {
+            self.tell(inbox);
+        }
+    }
+
+    fn tell(&mut self, inbox: &Inbox) {
+        if self.longest_wait >= BEHIND {
+            tracing::warn!(
+                longest_wait = %self.longest_wait,
+                longest_step_ms = self.longest_step.as_millis() as u64,
+                steps = self.steps,
+                inputs = self.inputs,
+                office = inbox.waiting(Lane::Office),
+                work = inbox.waiting(Lane::Work),
+                requests = inbox.waiting(Lane::Requests),
+                "the loop is behind"
+            );
+        }
+        *self = Self::new();
+    }
+}
--- a/crates/coordinator/src/requests.rs
+++ b/crates/coordinator/src/requests.rs
@@ -5,7 +5,10 @@
 use crate::leader::{Leader, Waiting};
 use crate::waiting::WaitingRequest;
 use configuration::{ClusterConfiguration, validate};
-use peer::{MemberView, Operation, OperationReply, Refusal, RefusalCode, Request};
+use peer::{
+    Envelope, MemberView, Operation, OperationReply, PeerMessage, Refusal, RefusalCode, Request,
+    RequestId,
+};
 use record::{ClosedRun, Command, CommandReply, Record, RecordRefusal};
 use types::{
     ConfigurationVersion, JobKey, JobSpec, Milliseconds, Now, RunClose, RunnerId, TenantId,
@@ -13,7 +16,7 @@
 
 /// When to come back while there is no leader under its lease.
 const RETRY_UNAVAILABLE: Milliseconds = Milliseconds(1_000);
-/// When to come back while too many requests wait for the log.
+/// When to come back while the leader has too much to do.
 const RETRY_OVERLOADED: Milliseconds = Milliseconds(500);
 
 impl Coordinator {
@@ -42,7 +45,43 @@
     }
 }
 
+impl Coordinator {
+    /// Refuses a request that waited too long for this process. Any other
+    /// message is taken as it is.
+    pub(crate) fn refuse_overdue(
+        &mut self,
+        now: Now,
+        envelope: Envelope,
+        effects: &mut Vec<Effect>,
+    ) {
+        let Some(envelope) = self.open_relay(envelope, effects) else {
+            return;
+        };
+        let PeerMessage::Request(request) = &envelope.body else {
+            return self.receive(now, envelope, effects);
+        };
+        let id = request.id;
+        let sender = Sender::of(&envelope);
+        if !self.is_serving(now) {
+            return self.point_to_leader(now, &sender, effects);
+        }
+        if let Some(leader) = &mut self.leader {
+            leader.refuse_overdue(&sender, id);
+        }
+    }
+}
+
 impl Leader {
+    /// One whose earlier sending waits for the log will have its answer.
+    fn refuse_overdue(&mut self, sender: &Sender, id: RequestId) {
+        if self.requests.waits(sender, id) {
+            return;
+        }
+        metrics::counter!("cypressdrum_requests_overdue_total").increment(1);
+        let refusal = refusal_overloaded("the leader is behind");
+        self.reply(sender, id, Err(refusal));
+    }
+
     fn request(
         &mut self,
         record: &Record,
@@ -85,12 +124,9 @@
     fn propose_request(&mut self, command: Command, waiting: WaitingRequest) -> Answer {
         if self.requests.len() >= self.options.max_waiting_requests {
             metrics::counter!("cypressdrum_requests_refused_total").increment(1);
-            return Some(Err(Refusal {
-                code: RefusalCode::Overloaded,
-                message: "too many requests wait for the log".to_owned(),
-                retry_after: Some(RETRY_OVERLOADED),
-                problems: Vec::new(),
-            }));
+            return Some(Err(refusal_overloaded(
+                "too many requests wait for the log",
+            )));
         }
         let key = self.requests.insert(waiting);
         self.propose(command, Waiting::Request(key));
@@ -263,6 +299,16 @@
     }
 }
 
+/// The refusal of a leader that has too much to do.
+fn refusal_overloaded(message: &str) -> Refusal {
+    Refusal {
+        code: RefusalCode::Overloaded,
+        message: message.to_owned(),
+        retry_after: Some(RETRY_OVERLOADED),
+        problems: Vec::new(),
+    }
+}
+
 /// The refusal of a process that may not act as the leader now.
 pub(crate) fn refusal_unavailable() -> Refusal {
     Refusal {
--- a/crates/coordinator/src/shell.rs
+++ b/crates/coordinator/src/shell.rs
@@ -6,15 +6,16 @@
 //! ends the process: nothing may be promised after it.
 
 use crate::disk::{DiskJob, DiskThread};
+use crate::load::Load;
 use crate::{Coordinator, CoordinatorOptions, Effect, Input};
 use admin::Readiness;
-use peer::{Envelope, PeerMessage, Transport, clock};
+use peer::{Arrival, Inbox, Lane, PeerMessage, Transport, clock};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use storage::{Opened, RealDisk, StorageError, Store};
 use thiserror::Error;
-use tokio::sync::{mpsc, watch};
+use tokio::sync::watch;
 use tokio::task::JoinHandle;
 use types::{Milliseconds, NodeId, Now};
 
@@ -22,6 +23,13 @@
 /// frozen in between, and what it held may no longer be true.
 const OLDEST_SEND: Milliseconds = Milliseconds(250);
 
+/// Inputs that share one step of the core at most: what they lead to waits for the
+/// last of them.
+const STEP_INPUTS: usize = 64;
+/// A request that waited this long for the core is refused, not answered late.
+/// Gateways send again soon after, and each sending would come to wait longer.
+const LONGEST_REQUEST_WAIT: Milliseconds = Milliseconds(300);
+
 /// What the shell needs beyond the core's settings.
 #[derive(Debug, Clone)]
 pub struct ShellOptions {
@@ -96,6 +104,7 @@
         stop,
         grace: Duration::from_millis(options.grace.0),
         stopped: false,
+        load: Load::new(),
     };
     let result = shell.serve().await;
     shell.transport.shutdown().await;
@@ -139,12 +148,13 @@
 struct Shell {
     core: Coordinator,
     transport: Transport,
-    incoming: mpsc::Receiver<Envelope>,
+    incoming: Inbox,
     disk: DiskThread,
     readiness: Readiness,
     stop: watch::Receiver<bool>,
     grace: Duration,
     stopped: bool,
+    load: Load,
 }
 
 impl Shell {
@@ -164,8 +174,8 @@
                     Input::Stop
                 }
                 () = sleep_until(deadline), if deadline.is_some() => return Ok(()),
-                envelope = self.incoming.recv() => match envelope {
-                    Some(envelope) => Input::Peer(envelope),
+                arrival = self.incoming.arrival() => match arrival {
+                    Some(arrival) => self.arrived(arrival),
                     None => return Ok(()),
                 },
                 () = tokio::time::sleep(until_wakeup) => Input::Tick,
@@ -175,18 +185,39 @@
         Ok(())
     }
 
+    /// A message as the core takes it.
+    fn arrived(&mut self, arrival: Arrival) -> Input {
+        let waited = arrival.waited();
+        self.load.taken(&arrival, waited);
+        let overdue = arrival.lane == Lane::Requests && waited > LONGEST_REQUEST_WAIT;
+        match overdue {
+            true => Input::Overdue(arrival.envelope),
+            false => Input::Peer(arrival.envelope),
+        }
+    }
+
     fn until_wakeup(&self) -> Duration {
         let now = clock::now().monotonic;
         Duration::from_millis(self.core.next_wakeup().since(now).0)
     }
 
+    /// Gives the core an input, and with it what else has arrived.
     fn handle(&mut self, input: Input) {
+        let begun = Instant::now();
+        let mut inputs = vec![input];
+        while inputs.len() < STEP_INPUTS
+            && let Some(arrival) = self.incoming.try_arrival()
+        {
+            inputs.push(self.arrived(arrival));
+        }
+        let count = inputs.len();
         let now = clock::now();
         let mut effects = Vec::new();
-        self.core.handle(now, input, &mut effects);
+        self.core.handle_all(now, inputs, &mut effects);
         for effect in effects {
             self.carry_out(now, effect);
         }
+        self.load.stepped(count, begun.elapsed(), &self.incoming);
     }
 
     fn carry_out(&mut self, decided: Now, effect: Effect) {
--- a/crates/coordinator/src/waiting.rs
+++ b/crates/coordinator/src/waiting.rs
@@ -58,6 +58,15 @@
         true
     }
 
+    /// True while an earlier sending of the request waits.
+    pub(crate) fn waits(&self, sender: &Sender, id: RequestId) -> bool {
+        let key = RequestKey {
+            gateway: sender.address.node,
+            id,
+        };
+        self.requests.contains_key(&key)
+    }
+
     /// Takes one out to answer it; none when its caller was answered already
     /// or has given up.
     pub(crate) fn take(&mut self, key: RequestKey) -> Option<WaitingRequest> {
--- a/crates/coordinator/tests/common/asking.rs
+++ b/crates/coordinator/tests/common/asking.rs
@@ -41,6 +41,44 @@
         self.post(GATEWAY_PORT, gateway(), by, relay);
     }
 
+    /// Hands the leader a request that has waited too long for it.
+    pub fn tell_overdue(&mut self, operation: Operation) -> u64 {
+        self.next_request += 1;
+        self.tell_overdue_again(operation)
+    }
+
+    /// The same under the number of the newest request.
+    pub fn tell_overdue_again(&mut self, operation: Operation) -> u64 {
+        let leader = self.leader().expect("no leader to ask");
+        let envelope = Envelope {
+            from: gateway(),
+            via: None,
+            body: numbered_request(self.next_request, operation),
+        };
+        self.input(leader, Input::Overdue(envelope));
+        self.next_request
+    }
+
+    /// What the leader does at once when requests are there together.
+    pub fn effects_of_all(&mut self, operations: Vec<Operation>) -> Vec<coordinator::Effect> {
+        let leader = self.leader().expect("no leader to ask");
+        let mut inputs = Vec::new();
+        for operation in operations {
+            self.next_request += 1;
+            inputs.push(Input::Peer(Envelope {
+                from: gateway(),
+                via: None,
+                body: numbered_request(self.next_request, operation),
+            }));
+        }
+        let now = self.clock();
+        let mut effects = Vec::new();
+        let core = self.servers[leader].core.as_mut();
+        core.expect("it leads")
+            .handle_all(now, inputs, &mut effects);
+        effects
+    }
+
     pub fn put_configuration(
         &mut self,
         version: u64,
--- a/crates/coordinator/tests/common/mod.rs
+++ b/crates/coordinator/tests/common/mod.rs
@@ -43,6 +43,8 @@
     pub replies: BTreeMap<u64, Result<OperationReply, Refusal>>,
     /// Every message sent, with the port of its sender.
     pub sent: Vec<(u16, PeerMessage)>,
+    /// Indexes of the snapshots that coordinators wrote.
+    pub snapshots: Vec<types::LogIndex>,
     /// Ports whose messages are lost, both ways.
     pub cut: BTreeSet<u16>,
     pub options: CoordinatorOptions,
@@ -66,6 +68,7 @@
             agents: Vec::new(),
             replies: BTreeMap::new(),
             sent: Vec::new(),
+            snapshots: Vec::new(),
             cut: BTreeSet::new(),
             options: options(seeds),
             loss_per_thousand: 0,
@@ -315,6 +318,8 @@
                 None
             }
             Effect::Persist { number, batch } => {
+                let snapshot = batch.snapshot.as_ref();
+                self.snapshots.extend(snapshot.map(|one| one.meta.index));
                 let server = &mut self.servers[server];
                 if server.disk_held {
                     server.held_syncs.push(number);
--- a/crates/coordinator/tests/shell.rs
+++ b/crates/coordinator/tests/shell.rs
@@ -7,13 +7,13 @@
 use consensus::Options;
 use coordinator::{CoordinatorError, CoordinatorOptions, ShellOptions};
 use peer::{
-    ClusterKey, Envelope, Operation, OperationReply, PeerMessage, Reply, Request, RequestId,
-    Transport, TransportOptions,
+    ClusterKey, Operation, OperationReply, PeerMessage, Reply, Request, RequestId, Transport,
+    TransportOptions,
 };
 use std::net::{SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::time::Duration;
-use tokio::sync::{mpsc, watch};
+use tokio::sync::watch;
 use tokio::task::JoinHandle;
 use types::{Address, ConfigurationVersion, Milliseconds, NodeId, Role, ZoneName};
 
@@ -104,7 +104,7 @@
 
 struct Client {
     transport: Transport,
-    inbox: mpsc::Receiver<Envelope>,
+    inbox: peer::Inbox,
     next: u64,
 }
 
--- a/crates/gateway/src/shell/driver.rs
+++ b/crates/gateway/src/shell/driver.rs
@@ -5,11 +5,11 @@
 use crate::{Effect, Gateway, Input, TicketId};
 use admin::Readiness;
 use configuration::ClusterConfiguration;
-use peer::{Envelope, Transport};
+use peer::Transport;
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::sync::{mpsc, oneshot, watch};
+use tokio::sync::{oneshot, watch};
 use tokio::time::Instant;
 use types::ConfigurationVersion;
 
@@ -61,7 +61,7 @@
     pub async fn run(
         mut self,
         mut inbox: Inbox,
-        mut arriving: mpsc::Receiver<Envelope>,
+        mut arriving: peer::Inbox,
         mut stop: watch::Receiver<bool>,
         grace: Duration,
     ) {
--- a/crates/gateway/tests/http/fixture.rs
+++ b/crates/gateway/tests/http/fixture.rs
@@ -3,8 +3,8 @@
 use configuration::ClusterConfiguration;
 use gateway::shell::{GatewayError, ShellOptions, run_on};
 use peer::{
-    ClusterKey, Envelope, Operation, OperationReply, PeerMessage, Refusal, RefusalCode, Reply,
-    SessionLease, Transport, TransportOptions,
+    ClusterKey, Operation, OperationReply, PeerMessage, Refusal, RefusalCode, Reply, SessionLease,
+    Transport, TransportOptions,
 };
 use reqwest::header::{HeaderMap, HeaderValue};
 use reqwest::{Method, RequestBuilder, Response};
@@ -12,7 +12,7 @@
 use std::net::{Ipv4Addr, SocketAddr};
 use std::time::Duration;
 use tokio::net::TcpListener;
-use tokio::sync::{mpsc, watch};
+use tokio::sync::watch;
 use tokio::task::JoinHandle;
 use types::{Address, ClusterId, ConfigurationVersion, Milliseconds, NodeId, Role, Term};
 
@@ -183,7 +183,7 @@
     }
 }
 
-async fn lead(mut leader: Leader, transport: Transport, mut arriving: mpsc::Receiver<Envelope>) {
+async fn lead(mut leader: Leader, transport: Transport, mut arriving: peer::Inbox) {
     while let Some(envelope) = arriving.recv().await {
         let answers = leader.receive(transport.own(), envelope.body);
         for answer in answers {
--- a/crates/lab/src/capacity/hollow.rs
+++ b/crates/lab/src/capacity/hollow.rs
@@ -13,7 +13,6 @@
 use standin::runner::{Behaviour, Runner, RunnerEvent, RunnerInstruction, RunnerOptions};
 use std::net::SocketAddr;
 use std::time::Duration;
-use tokio::sync::mpsc;
 use tokio::task::JoinSet;
 use types::{
     Address, Labels, Milliseconds, Monotonic, NodeId, Now, OrderAnswer, OrderKind, PoolName,
@@ -93,7 +92,7 @@
         plan: &HollowPlan,
         addresses: &Addresses,
         place: usize,
-    ) -> Result<(Self, mpsc::Receiver<Envelope>), LabError> {
+    ) -> Result<(Self, peer::Inbox), LabError> {
         let name = format!("hollow-{place}");
         let wrong = |problem: String| LabError::Runner {
             runner: name.clone(),
@@ -131,7 +130,7 @@
         Ok((worker, arriving))
     }
 
-    async fn run(mut self, mut arriving: mpsc::Receiver<Envelope>) {
+    async fn run(mut self, mut arriving: peer::Inbox) {
         loop {
             self.advance(peer::clock::now());
             let pause = self.pause();
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -21,4 +21,5 @@
     DecisionEntry, DecisionEvent, JobFilter, LicenceView, MemberView, Operation, OperationReply,
     QueueView, Refusal, RefusalCode, Reply, Request, RequestId, TenantView,
 };
+pub use transport::inbox::{Arrival, Inbox, Lane};
 pub use transport::{ClusterKey, PROTOCOL_VERSION, Transport, TransportError, TransportOptions};
--- a/crates/peer/src/transport/handshake.rs
+++ b/crates/peer/src/transport/handshake.rs
@@ -22,7 +22,7 @@
 
 /// Version of handshake, frames and messages. Daemons of different versions
 /// don't talk.
-pub const PROTOCOL_VERSION: u32 = 2;
+pub const PROTOCOL_VERSION: u32 = 3;
 
 const MAGIC: [u8; 4] = *b"CYPD";
 const NONCE_BYTES: usize = 32;
--- a/crates/peer/src/transport/incoming.rs
+++ b/crates/peer/src/transport/incoming.rs
@@ -4,6 +4,7 @@
 use super::connection::{ABANDONED_TIMEOUT, ACKNOWLEDGE_INTERVAL, WRITE_TIMEOUT, accept, within};
 use super::frame::{Channel, FrameError};
 use super::handshake::{HandshakeError, Proven};
+use super::inbox::Arriving;
 use super::outgoing::Destinations;
 use super::traffic::count_received;
 use super::{Context, stopped};
@@ -15,11 +16,13 @@
 use tokio::io::{AsyncRead, AsyncWriteExt};
 use tokio::net::tcp::OwnedWriteHalf;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{OwnedSemaphorePermit, Semaphore, mpsc, watch};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore, watch};
 use types::Address;
 
-/// Connections that have not proved themselves yet; more are closed at once.
-const MAX_UNPROVEN: usize = 64;
+/// Connections that have not proved themselves yet; more are closed at once. After
+/// a power loss, and when a leader changes, a whole fleet dials at once; what is
+/// closed dials again and costs more than its proof.
+const MAX_UNPROVEN: usize = 1_024;
 /// Pause after the system refused to accept, such as for want of descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
 
@@ -31,7 +34,7 @@
     /// Told of every daemon that connects.
     pub destinations: Arc<Destinations>,
     /// Takes what arrives.
-    pub inbox: mpsc::Sender<Envelope>,
+    pub arriving: Arriving,
 }
 
 /// Accepts connections until the transport ends.
@@ -92,7 +95,7 @@
     let taken = AtomicU64::new(0);
     let mut incoming = Incoming {
         peer: &peer,
-        inbox: &listening.inbox,
+        arriving: &listening.arriving,
         taken: &taken,
     };
     let reader = tokio::io::BufReader::new(reader);
@@ -116,7 +119,7 @@
 /// The frames of one connection.
 struct Incoming<'a> {
     peer: &'a Address,
-    inbox: &'a mpsc::Sender<Envelope>,
+    arriving: &'a Arriving,
     taken: &'a AtomicU64,
 }
 
@@ -156,8 +159,7 @@
             via: None,
             body,
         };
-        // An error means that the daemon listens no more, and is about to end.
-        let _ = self.inbox.send(envelope).await;
+        self.arriving.put(envelope).await;
     }
 }
 
--- a/crates/peer/src/transport/mod.rs
+++ b/crates/peer/src/transport/mod.rs
@@ -7,6 +7,7 @@
 mod connection;
 mod frame;
 mod handshake;
+pub mod inbox;
 mod incoming;
 mod key;
 mod outgoing;
@@ -16,18 +17,16 @@
 pub use handshake::PROTOCOL_VERSION;
 pub use key::ClusterKey;
 
-use crate::{Envelope, PeerMessage};
+use crate::PeerMessage;
+use inbox::Inbox;
 use outgoing::{Destinations, Outgoing};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use thiserror::Error;
 use tokio::net::TcpListener;
-use tokio::sync::{mpsc, watch};
+use tokio::sync::watch;
 use types::Address;
 
-/// Envelopes held for the daemon's core; when it lags, senders wait.
-const INBOX_LENGTH: usize = 1024;
-
 /// Where to listen and how much to hold.
 #[derive(Debug, Clone)]
 pub struct TransportOptions {
@@ -79,7 +78,7 @@
         options: TransportOptions,
         key: ClusterKey,
         own: Address,
-    ) -> Result<(Self, mpsc::Receiver<Envelope>), TransportError> {
+    ) -> Result<(Self, Inbox), TransportError> {
         let listen = options.listen;
         let refused = |source| TransportError::Listen { listen, source };
         let listener = TcpListener::bind(listen).await.map_err(refused)?;
@@ -89,13 +88,13 @@
             own.socket.set_port(bound.port());
         }
         let context = Arc::new(Context { options, key, own });
-        let (inbox, received) = mpsc::channel(INBOX_LENGTH);
+        let (arriving, inbox) = inbox::inbox();
         let (stop, stopped) = watch::channel(false);
         let destinations = Arc::<Destinations>::default();
         let listening = incoming::Listening {
             context: context.clone(),
             destinations: destinations.clone(),
-            inbox,
+            arriving,
         };
         tokio::spawn(incoming::listen(listener, listening, stopped));
         let transport = Self {
@@ -103,7 +102,7 @@
             context,
             stop: Arc::new(stop),
         };
-        Ok((transport, received))
+        Ok((transport, inbox))
     }
 
     /// The daemon's own address, as others know it.
--- a/crates/peer/tests/common/mod.rs
+++ b/crates/peer/tests/common/mod.rs
@@ -19,7 +19,7 @@
 
 pub struct Daemon {
     pub transport: Transport,
-    pub inbox: mpsc::Receiver<Envelope>,
+    pub inbox: peer::Inbox,
 }
 
 impl Daemon {
--- a/crates/peer/tests/strangers.rs
+++ b/crates/peer/tests/strangers.rs
@@ -63,7 +63,7 @@
     let recorded = proxy.ended().await;
     let handshake = hello_bytes(&recorded.bytes) + PROOF_BYTES;
     assert_eq!(recorded.bytes.len(), handshake);
-    assert!(stranger.inbox.try_recv().is_err());
+    assert!(stranger.inbox.try_arrival().is_none());
 }
 
 #[tokio::test]
