Let a lapse of the lease cost no more than the lapse

Change: clocks of silence stand still while the lease does not hold. Requests whose entries are in the log wait through a lapse, and are answered at once when the office is left.

Tests: coordinator/tests/runs (a lease that lapses now and then; members write apart), coordinator/tests/requests (waiting through a lapse; leaving the office). The first fails without its mechanism (run); so does the third.

--- a/crates/coordinator/src/leader.rs
+++ b/crates/coordinator/src/leader.rs
@@ -15,6 +15,7 @@
 use crate::decisions::DecisionLog;
 use crate::membership::Joiners;
 use crate::placement::RefusedRun;
+use crate::requests::refusal_unavailable;
 use crate::runners::Runners;
 use crate::runs::Runs;
 use crate::sessions::Sessions;
@@ -72,9 +73,11 @@
     pub(crate) options: CoordinatorOptions,
     /// Whether the lease held when it was last looked at.
     pub(crate) serving: bool,
-    /// When it began to hold. Silence of runners counts from here at the
-    /// earliest.
-    pub(crate) serving_since: Monotonic,
+    /// When it was last seen to hold.
+    served_at: Monotonic,
+    /// Silence of runners counts from here at the earliest: the election, and
+    /// later by as long as the lease did not hold since.
+    pub(crate) silence_from: Monotonic,
     pub(crate) elected_at: Monotonic,
     pub(crate) timings: Timings,
     pub(crate) dispatcher: Dispatcher,
@@ -146,7 +149,8 @@
         let runs = adopt(record, &mut dispatcher, now.monotonic);
         Self {
             serving: true,
-            serving_since: now.monotonic,
+            served_at: now.monotonic,
+            silence_from: now.monotonic,
             elected_at: now.monotonic,
             timings: record.configuration().1.timings.clone(),
             dispatcher,
@@ -233,24 +237,52 @@
     }
 
     /// The lease lapsed: what was collected must not leave, and starts that
-    /// were not sent never will be.
+    /// were not sent never will be. Requests whose entries are in the log wait
+    /// on: the lease may hold again, and else they are answered as the office
+    /// is left.
     pub(crate) fn suspend(&mut self) {
         self.serving = false;
         self.to_start.clear();
-        self.proposals.clear();
+        for proposal in std::mem::take(&mut self.proposals) {
+            self.refuse_unproposed(proposal.waiting);
+        }
+        self.keep_replies();
         self.orders.clear();
-        self.messages.clear();
         self.recorded.clear();
         for close in std::mem::take(&mut self.closes) {
             self.runs.close_failed(close.run);
         }
     }
 
-    /// The lease holds again within the term. Clocks of silence start anew:
-    /// what was sent meanwhile may have been lost on the way.
+    /// What was asked for never came into the log.
+    pub(crate) fn refuse_unproposed(&mut self, waiting: Waiting) {
+        if let Waiting::Request(key) = waiting
+            && let Some(request) = self.requests.take(key)
+        {
+            self.reply(&request.sender, request.id, Err(refusal_unavailable()));
+        }
+    }
+
+    /// Drops what only a leader under its lease may say. Answers to requests
+    /// stay true and leave when the lease holds again.
+    pub(crate) fn keep_replies(&mut self) {
+        self.messages.retain(|(_, message)| is_reply(message));
+    }
+
+    /// The lease holds at this moment.
+    pub(crate) fn note_served(&mut self, now: Monotonic) {
+        self.served_at = now;
+    }
+
+    /// The lease holds again within the term. Nothing was taken from runners
+    /// meanwhile, so clocks of silence stood still; if they began anew, a leader
+    /// whose lease lapses now and then would never give a lost run up.
     pub(crate) fn resume(&mut self, now: Monotonic) {
+        let lapse = now.since(self.served_at);
         self.serving = true;
-        self.serving_since = now;
+        self.served_at = now;
+        self.silence_from = self.silence_from + lapse;
+        self.runners.stand_still(lapse, now);
         self.placement_due = true;
     }
 
@@ -262,6 +294,14 @@
     }
 }
 
+fn is_reply(message: &PeerMessage) -> bool {
+    match message {
+        PeerMessage::Reply(_) => true,
+        PeerMessage::Relay(relay) => matches!(*relay.body, PeerMessage::Reply(_)),
+        _ => false,
+    }
+}
+
 /// Enters configuration, open runs and operators' words into a new view.
 fn adopt(record: &Record, dispatcher: &mut Dispatcher, now: Monotonic) -> Runs {
     dispatcher.configure(record.configuration().1);
--- a/crates/coordinator/src/leadership.rs
+++ b/crates/coordinator/src/leadership.rs
@@ -4,7 +4,7 @@
 use crate::core::{Effect, Mutation};
 use crate::leader::{Leader, LeaderIdentity, Rebuild, Waiting};
 use crate::replica::AppliedEntry;
-use crate::requests::{refusal_unavailable, refusal_uncertain, reply_of};
+use crate::requests::{refusal_uncertain, reply_of};
 use crate::{Coordinator, placement};
 use consensus::RaftRole;
 use dispatch::Dispatcher;
@@ -42,12 +42,15 @@
         }
         match &mut self.leader {
             Some(leader) if leader.serving && !may_serve => {
-                self.refuse_waiting(effects);
-                if let Some(leader) = &mut self.leader {
-                    leader.suspend();
-                }
+                tracing::warn!(term = %status.term, "the lease lapsed: no quorum answered in time");
+                metrics::counter!("cypressdrum_leases_lapsed_total").increment(1);
+                leader.suspend();
+            }
+            Some(leader) if !leader.serving && may_serve => {
+                tracing::info!(term = %status.term, "holds the lease again");
+                leader.resume(now.monotonic);
             }
-            Some(leader) if !leader.serving && may_serve => leader.resume(now.monotonic),
+            Some(leader) if may_serve => leader.note_served(now.monotonic),
             Some(_) => {}
             None if may_serve => {
                 self.take_office(now);
@@ -173,14 +176,15 @@
         leader.emit_decisions(effects);
         leader.pack_orders();
         leader.confirm_recorded();
-        let messages = std::mem::take(&mut leader.messages);
-        if serving {
-            effects.extend(
-                messages
-                    .into_iter()
-                    .map(|(to, message)| Effect::Send { to, message }),
-            );
+        if !serving {
+            return leader.keep_replies();
         }
+        let messages = std::mem::take(&mut leader.messages);
+        effects.extend(
+            messages
+                .into_iter()
+                .map(|(to, message)| Effect::Send { to, message }),
+        );
     }
 
     /// Tells the leader what the record changed.
@@ -246,11 +250,7 @@
         command: &Command,
         now: Now,
     ) {
-        if let Waiting::Request(key) = waiting
-            && let Some(request) = self.requests.take(key)
-        {
-            self.reply(&request.sender, request.id, Err(refusal_unavailable()));
-        }
+        self.refuse_unproposed(waiting);
         match command {
             Command::CloseRuns { runs, .. } => {
                 for closed in runs {
--- a/crates/coordinator/src/orders.rs
+++ b/crates/coordinator/src/orders.rs
@@ -287,8 +287,8 @@
     fn is_silent(&self, run: &OpenRun, now: Monotonic) -> bool {
         let runner = self.runners.get(&run.runner);
         let stops_itself = run.self_stop && runner.is_none_or(|runner| runner.self_stop);
-        let heard = runner.map_or(self.serving_since, |runner| {
-            runner.heard.max(self.serving_since)
+        let heard = runner.map_or(self.silence_from, |runner| {
+            runner.heard.max(self.silence_from)
         });
         stops_itself && now.since(heard) > self.longest_silence()
     }
--- a/crates/coordinator/src/replica.rs
+++ b/crates/coordinator/src/replica.rs
@@ -50,8 +50,13 @@
 
 impl Replica {
     /// A replica from what the disk held.
+    ///
+    /// Members apply the same entries and would all write their snapshots at
+    /// once, while no quorum syncs anything else. `ahead` entries count as
+    /// applied since the last one, another number for each member.
     pub(crate) fn new(
         cluster: ClusterId,
+        ahead: u64,
         initial: Membership,
         recovered: Recovered,
         node: impl FnOnce(Membership, Recovered) -> Node,
@@ -71,7 +76,7 @@
             node: node(initial, recovered),
             record,
             applied,
-            since_snapshot: 0,
+            since_snapshot: ahead,
             snapshot_under_way: false,
             next_number: 1,
             outstanding: VecDeque::new(),
@@ -224,7 +229,8 @@
         let own = self.own.node;
         let options = self.options.consensus.clone();
         let seed = self.random.random();
-        let replica = Replica::new(cluster, initial, recovered, |initial, recovered| {
+        let ahead = own.0 % self.options.snapshot_every.max(1);
+        let replica = Replica::new(cluster, ahead, initial, recovered, |initial, recovered| {
             Node::new(own, options, initial, recovered, seed, now)
         });
         match replica {
--- a/crates/coordinator/src/runners.rs
+++ b/crates/coordinator/src/runners.rs
@@ -70,6 +70,13 @@
         }
     }
 
+    /// For so long nothing could be heard: silence does not count it.
+    pub(crate) fn stand_still(&mut self, lapse: Milliseconds, now: Monotonic) {
+        for state in self.runners.values_mut() {
+            state.heard = (state.heard + lapse).min(now);
+        }
+    }
+
     fn freshness(&self, report: &RunnerReport) -> Freshness {
         let Some(known) = self.runners.get(&report.runner) else {
             return Freshness::New;
--- a/crates/coordinator/tests/requests.rs
+++ b/crates/coordinator/tests/requests.rs
@@ -3,6 +3,7 @@
 mod common;
 
 use common::{World, document};
+use coordinator::Effect;
 use peer::{Operation, OperationReply, PeerMessage, RefusalCode};
 use record::CancelSelector;
 use types::{ConfigurationVersion, JobState, Milliseconds};
@@ -296,3 +297,106 @@
         Ok(OperationReply::Explained { lines }) if lines.len() == 1
     ));
 }
+
+#[test]
+fn a_request_that_waited_too_long_is_refused_and_never_taken() {
+    let mut world = World::served();
+    let submit = || Operation::Submit(document::job("late"));
+    let id = world.tell_overdue(submit());
+    world.run(300);
+    let refusal = world.replies[&id].clone().unwrap_err();
+    assert_eq!(refusal.code, RefusalCode::Overloaded);
+    assert!(refusal.retry_after.is_some());
+    assert!(world.record().job(&document::key("late")).is_none());
+}
+
+#[test]
+fn a_second_sending_that_waited_too_long_leaves_the_answer_to_the_first() {
+    let mut world = World::served();
+    let leader = world.leader().unwrap();
+    for follower in [(leader + 1) % 3, (leader + 2) % 3] {
+        world.servers[follower].disk_held = true;
+    }
+    let id = world.ask(Operation::Submit(document::job("twice")));
+    world.run(20);
+    world.tell_overdue_again(Operation::Submit(document::job("twice")));
+    world.run(50);
+    assert!(!world.replies.contains_key(&id));
+    for follower in [(leader + 1) % 3, (leader + 2) % 3] {
+        world.release_disk(follower);
+    }
+    world.run(50);
+    assert!(world.replies[&id].is_ok());
+}
+
+#[test]
+fn requests_that_are_there_together_share_one_write_and_one_message_a_follower() {
+    let mut world = World::served();
+    let submits = (0..20).map(|number| Operation::Submit(document::job(&format!("job-{number}"))));
+    let effects = world.effects_of_all(submits.collect());
+    let is_write = |effect: &&Effect| matches!(effect, Effect::Persist { .. });
+    let is_raft = |effect: &&Effect| {
+        matches!(
+            effect,
+            Effect::Send {
+                message: PeerMessage::Raft { .. },
+                ..
+            }
+        )
+    };
+    assert_eq!(effects.iter().filter(is_write).count(), 1);
+    assert_eq!(effects.iter().filter(is_raft).count(), 2);
+    let leader = world.leader().unwrap();
+    for effect in effects {
+        world.apply(leader, effect);
+    }
+    world.run(100);
+    let answered = world.replies.values();
+    let taken = answered.filter(|reply| matches!(reply, Ok(OperationReply::Submitted { .. })));
+    assert_eq!(taken.count(), 20);
+}
+
+fn followers_of(leader: usize) -> [usize; 2] {
+    [(leader + 1) % 3, (leader + 2) % 3]
+}
+
+/// Asks for a job; then followers hear the leader and cannot answer, until its
+/// lease lapses.
+fn lapse(world: &mut World) -> u64 {
+    for follower in followers_of(world.leader().unwrap()) {
+        world.servers[follower].disk_held = true;
+    }
+    let id = world.ask(Operation::Submit(document::job("job")));
+    world.run_until(2_000, "a lapse", |world| world.leader().is_none());
+    id
+}
+
+#[test]
+fn a_request_that_waits_is_answered_at_once_when_the_office_is_left() {
+    let mut world = World::served();
+    let leader = world.leader().unwrap();
+    let id = lapse(&mut world);
+    assert!(!world.replies.contains_key(&id));
+    // From here on it hears nobody, and steps down after an election timeout.
+    for follower in followers_of(leader) {
+        world.cut.insert(world.servers[follower].port);
+    }
+    world.run(1_000);
+    let refusal = world.replies[&id].clone().unwrap_err();
+    assert_eq!(refusal.code, RefusalCode::TimedOut, "it may be taken yet");
+}
+
+#[test]
+fn a_request_that_waits_is_answered_when_the_lease_holds_again() {
+    let mut world = World::served();
+    let leader = world.leader().unwrap();
+    let id = lapse(&mut world);
+    assert!(!world.replies.contains_key(&id), "{:?}", world.replies[&id]);
+    for follower in followers_of(leader) {
+        world.release_disk(follower);
+    }
+    world.run_until(500, "the lease", |world| world.leader().is_some());
+    world.run(50);
+    assert_eq!(world.leader(), Some(leader));
+    assert!(world.replies[&id].is_ok(), "{:?}", world.replies[&id]);
+}
--- a/crates/coordinator/tests/runs.rs
+++ b/crates/coordinator/tests/runs.rs
@@ -130,6 +130,42 @@
     assert_eq!(world.job("job").state, JobState::Done);
 }
 
+#[test]
+fn a_lease_that_lapses_now_and_then_does_not_keep_a_silent_runner_s_runs() {
+    let mut world = with_runner();
+    world.submit("job");
+    world.run(500);
+    world.agents[0].silent = true;
+    let leader = world.leader().unwrap();
+    let followers = [(leader + 1) % 3, (leader + 2) % 3];
+    let term = world.status(leader).unwrap().term;
+    let mut lapses = 0;
+    let mut lapsed_for = 0;
+    let silent_since = world.now;
+    while world.now - silent_since < given_up_after() + lapsed_for + 1_000 {
+        world.run(2_000);
+        // Followers hear the leader and cannot answer: it stays leader.
+        let heard = world.now;
+        for follower in followers {
+            world.servers[follower].disk_held = true;
+        }
+        world.ask(peer::Operation::Submit(document::job(&format!(
+            "at-{heard}"
+        ))));
+        world.run_until(2_000, "a lapse", |world| world.leader().is_none());
+        for follower in followers {
+            world.release_disk(follower);
+        }
+        world.run_until(1_000, "the lease", |world| world.leader().is_some());
+        lapses += 1;
+        lapsed_for += world.now - heard;
+    }
+    assert_eq!(world.leader(), Some(leader));
+    assert_eq!(world.status(leader).unwrap().term, term);
+    assert!(lapses > 4, "{lapses}");
+    assert_eq!(world.job("job").steps[0].running, 0, "given up");
+}
+
 #[test]
 fn a_late_done_end_settles_a_lost_run_s_task_before_it_starts_again() {
     let mut world = with_runner();
@@ -382,3 +418,24 @@
     assert!(record.job(&document::key("job-59")).is_some());
     assert_eq!(record, world.record());
 }
+
+#[test]
+fn members_write_their_snapshots_apart() {
+    let mut world = World::new(3);
+    world.options.snapshot_every = 20;
+    for server in 0..3 {
+        world.start(server);
+    }
+    world.run(4_000);
+    let put = world.put_configuration(1, document::document());
+    world.run(200);
+    assert!(world.replies[&put].is_ok());
+    for number in 0..60 {
+        world.submit(&format!("job-{number}"));
+    }
+    world.run(200);
+    let written = world.snapshots.len();
+    assert!(written >= 6, "{written}");
+    let apart: std::collections::BTreeSet<_> = world.snapshots.iter().collect();
+    assert_eq!(apart.len(), written, "{:?}", world.snapshots);
+}
