Change named items of a configuration

An update names the version it builds on, items to put in place and names to take away. The record applies it by compare-and-set, checks what it leads to whole, and knows it again by its digest among the last 1,024 orders.

--- a/crates/api/src/configuration.rs
+++ b/crates/api/src/configuration.rs
@@ -5,12 +5,14 @@
 mod resources;
 mod tenant;
 mod timings;
+mod update;
 
 pub use licence::LicenceBody;
 pub use queue::{QueueBody, QueueMode};
 pub use resources::{CapacityBody, CeilingBody, PoolBody};
 pub use tenant::{ErrorBudgetBody, TenantBody};
 pub use timings::TimingsBody;
+pub use update::{ConfigurationUpdateBody, RemoveBody, UpsertBody};
 
 use crate::BodyError;
 use crate::key::KeyBody;
--- a/crates/api/src/route.rs
+++ b/crates/api/src/route.rs
@@ -12,7 +12,7 @@
 pub const CANCELS: &str = "/v1/cancels";
 /// `GET` gives version and document in force.
 pub const CONFIGURATION: &str = "/v1/configuration";
-/// `PUT` takes a version.
+/// `PUT` takes a version, `PATCH` changes named items.
 pub const CONFIGURATION_VERSION: &str = "/v1/configuration/{version}";
 /// `GET` gives the version each member reports.
 pub const CONFIGURATION_STATUS: &str = "/v1/configuration/status";
--- a/crates/api/src/version.rs
+++ b/crates/api/src/version.rs
@@ -3,7 +3,7 @@
 use crate::configuration::ConfigurationBody;
 use serde::{Deserialize, Serialize};
 
-/// Answer to `PUT /v1/configuration/{version}`.
+/// Answer to `PUT` and `PATCH /v1/configuration/{version}`.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ConfiguredBody {
     /// The version in force.
--- a/crates/coordinator/src/reads.rs
+++ b/crates/coordinator/src/reads.rs
@@ -4,16 +4,17 @@
 
 use crate::Coordinator;
 use crate::leader::Leader;
-use crate::requests::not_found;
+use crate::requests::{not_found, refusal_of};
+use configuration::ConfigurationUpdate;
 use dispatch::NotPlacedReason;
 use peer::{
     JobFilter, LicenceView, MemberView, Operation, OperationReply, QueueView, Refusal, TenantView,
 };
-use record::Record;
+use record::{Record, RecordRefusal};
 use std::collections::BTreeMap;
 use types::{
-    Address, JobKey, Milliseconds, NodeId, Now, QueueName, Role, TaskRef, TaskState, TenantId,
-    ZoneName,
+    Address, ConfigurationVersion, JobKey, Milliseconds, NodeId, Now, QueueName, Role, TaskRef,
+    TaskState, TenantId, ZoneName,
 };
 
 /// Jobs on one page at most.
@@ -55,6 +56,9 @@
                 let document = document.clone();
                 Ok(OperationReply::Configuration { version, document })
             }
+            Operation::ConfirmUpdate { version, update } => {
+                confirm_update(record, version, &update)
+            }
             Operation::ListRunners => Ok(OperationReply::Runners(self.dispatcher.runners(now))),
             Operation::ListQueues => Ok(OperationReply::Queues(self.list_queues(record))),
             Operation::ListTenants => Ok(OperationReply::Tenants(self.list_tenants(record))),
@@ -185,6 +189,22 @@
     }
 }
 
+fn confirm_update(
+    record: &Record,
+    version: ConfigurationVersion,
+    update: &ConfigurationUpdate,
+) -> Result<OperationReply, Refusal> {
+    if record.has_taken(version, update) {
+        let known = true;
+        return Ok(OperationReply::Configured { version, known });
+    }
+    let (current, _) = record.configuration();
+    Err(refusal_of(RecordRefusal::VersionConflict {
+        wanted: version,
+        current,
+    }))
+}
+
 fn list_jobs(record: &Record, filter: &JobFilter) -> OperationReply {
     let limit = (filter.limit as usize).clamp(1, MAX_PAGE);
     let page = record.jobs(filter.tenant.as_ref(), filter.state, filter.after, limit);
--- a/crates/coordinator/src/requests.rs
+++ b/crates/coordinator/src/requests.rs
@@ -4,7 +4,7 @@
 use crate::core::{Effect, Sender};
 use crate::leader::{Leader, Waiting};
 use crate::waiting::WaitingRequest;
-use configuration::{ClusterConfiguration, validate};
+use configuration::{ClusterConfiguration, ConfigurationProblem, ConfigurationUpdate, validate};
 use peer::{
     Envelope, MemberView, Operation, OperationReply, PeerMessage, Refusal, RefusalCode, Request,
     RequestId,
@@ -109,6 +109,9 @@
             Operation::PutConfiguration { version, document } => {
                 self.put_configuration(version, document, waiting, now)
             }
+            Operation::UpdateConfiguration { version, update } => {
+                self.update_configuration(version, update, waiting, now)
+            }
             Operation::DrainRunner { runner, draining } => {
                 self.drain_runner(runner, draining, waiting, now)
             }
@@ -187,11 +190,8 @@
         waiting: WaitingRequest,
         now: Now,
     ) -> Answer {
-        let problems = validate(&document);
-        if !problems.is_empty() {
-            return Some(Err(refusal_of(RecordRefusal::InvalidConfiguration {
-                problems,
-            })));
+        if let Some(refusal) = refusal_for(validate(&document)) {
+            return Some(Err(refusal));
         }
         let at = now.wall;
         let command = Command::PutConfiguration {
@@ -202,6 +202,25 @@
         self.propose_request(command, waiting)
     }
 
+    fn update_configuration(
+        &mut self,
+        version: ConfigurationVersion,
+        update: ConfigurationUpdate,
+        waiting: WaitingRequest,
+        now: Now,
+    ) -> Answer {
+        if let Some(refusal) = refusal_for(update.problems()) {
+            return Some(Err(refusal));
+        }
+        let at = now.wall;
+        let command = Command::UpdateConfiguration {
+            version,
+            update,
+            at,
+        };
+        self.propose_request(command, waiting)
+    }
+
     fn drain_runner(
         &mut self,
         runner: RunnerId,
@@ -275,8 +294,14 @@
     }
 }
 
+/// The refusal of a configuration with problems, if it has any.
+fn refusal_for(problems: Vec<ConfigurationProblem>) -> Option<Refusal> {
+    let has_problems = !problems.is_empty();
+    has_problems.then(|| refusal_of(RecordRefusal::InvalidConfiguration { problems }))
+}
+
 /// A record's refusal in the words of the outer interface.
-fn refusal_of(refusal: RecordRefusal) -> Refusal {
+pub(crate) fn refusal_of(refusal: RecordRefusal) -> Refusal {
     let message = refusal.to_string();
     let (code, retry_after, problems) = match refusal {
         RecordRefusal::OtherContent { .. } | RecordRefusal::VersionConflict { .. } => {
--- a/crates/cypressdrum/src/client/arguments.rs
+++ b/crates/cypressdrum/src/client/arguments.rs
@@ -312,6 +312,16 @@
         #[arg(long)]
         version: Option<u64>,
     },
+    /// Change named items of the document in force. Of two operators who build
+    /// on the same version one wins; sending the same again is safe.
+    Update {
+        /// The changes, TOML or JSON, or - for standard input: `replaces`,
+        /// `upsert` and `remove`.
+        file: PathBuf,
+        /// Version it shall have; default is the one it replaces plus one.
+        #[arg(long)]
+        version: Option<u64>,
+    },
     /// Compare a document with the one in force; exit code 1 if they differ.
     Diff {
         /// The document, TOML or JSON, or - for standard input.
--- a/crates/cypressdrum/src/client/configuration.rs
+++ b/crates/cypressdrum/src/client/configuration.rs
@@ -6,11 +6,13 @@
 use crate::client::jobs::read_input;
 use crate::client::{ClientError, Context};
 use crate::output::{OutputFormat, emit, json_line, print};
-use api::configuration::ConfigurationBody;
+use api::configuration::{ConfigurationBody, ConfigurationUpdateBody};
 use api::route;
 use api::version::{ConfigurationStatusBody, ConfigurationViewBody, ConfiguredBody};
 use api::{BodyError, parse_json, parse_toml};
 use reqwest::Method;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
 use std::path::Path;
 
 /// Runs one of the commands.
@@ -18,6 +20,7 @@
     match command {
         ConfigCommand::Get => get(context).await,
         ConfigCommand::Put { file, version } => put(context, &file, version).await,
+        ConfigCommand::Update { file, version } => update(context, &file, version).await,
         ConfigCommand::Diff { file } => diff(context, &file).await,
         ConfigCommand::Status => status(context).await,
     }
@@ -40,16 +43,29 @@
 }
 
 async fn put(context: &Context, file: &Path, version: Option<u64>) -> Result<Exit, ClientError> {
-    let document = read_document(file)?;
+    let document: ConfigurationBody = read_body(file)?;
     let version = match version {
         Some(version) => version,
         None => in_force(context).await?.version + 1,
     };
+    send(context, Method::PUT, version, &document).await
+}
+
+async fn update(context: &Context, file: &Path, version: Option<u64>) -> Result<Exit, ClientError> {
+    let update: ConfigurationUpdateBody = read_body(file)?;
+    let version = version.unwrap_or(update.replaces.saturating_add(1));
+    send(context, Method::PATCH, version, &update).await
+}
+
+/// Sends what shall be in force under a version.
+async fn send<T: Serialize>(
+    context: &Context,
+    method: Method,
+    version: u64,
+    body: &T,
+) -> Result<Exit, ClientError> {
     let path = route::CONFIGURATION_VERSION.replace("{version}", &version.to_string());
-    let sent = context
-        .gateways
-        .send(Method::PUT, &path, Some(&document))
-        .await;
+    let sent = context.gateways.send(method, &path, Some(body)).await;
     let answer: ConfiguredBody = sent.inspect_err(|error| {
         if error.exit() == Exit::Unavailable {
             eprintln!("version {version} may or may not be taken; send it again with --version");
@@ -60,7 +76,7 @@
 }
 
 async fn diff(context: &Context, file: &Path) -> Result<Exit, ClientError> {
-    let document = read_document(file)?;
+    let document: ConfigurationBody = read_body(file)?;
     let view = in_force(context).await?;
     let found = differences(&to_json(&view.configuration), &to_json(&document));
     match context.format {
@@ -83,8 +99,8 @@
     Ok(Exit::Done)
 }
 
-/// Reads a document in JSON, which begins with a brace, or in TOML.
-fn read_document(path: &Path) -> Result<ConfigurationBody, ClientError> {
+/// Reads a body in JSON, which begins with a brace, or in TOML.
+fn read_body<T: DeserializeOwned>(path: &Path) -> Result<T, ClientError> {
     let bytes = read_input(path)?;
     let first = bytes.iter().find(|byte| !byte.is_ascii_whitespace());
     let document = match first {
--- a/crates/gateway/src/shell/http.rs
+++ b/crates/gateway/src/shell/http.rs
@@ -76,7 +76,7 @@
         .route(route::CONFIGURATION, get(operator::configuration))
         .route(
             route::CONFIGURATION_VERSION,
-            put(operator::put_configuration),
+            put(operator::put_configuration).patch(operator::update_configuration),
         )
         .route(
             route::CONFIGURATION_STATUS,
@@ -115,6 +115,8 @@
         Operation::Cancel(_) => "cancel",
         Operation::Explain(_) => "explain",
         Operation::PutConfiguration { .. } => "put_configuration",
+        Operation::UpdateConfiguration { .. } => "update_configuration",
+        Operation::ConfirmUpdate { .. } => "confirm_update",
         Operation::GetConfiguration => "get_configuration",
         Operation::GetNewestConfiguration => "get_newest_configuration",
         Operation::CountJobs(_) => "count_jobs",
--- a/crates/gateway/src/shell/http/operator.rs
+++ b/crates/gateway/src/shell/http/operator.rs
@@ -4,7 +4,7 @@
 use crate::shell::http::answer::{Failure, unexpected};
 use crate::shell::http::asker::{Asker, parse_name};
 use api::BodyError;
-use api::configuration::ConfigurationBody;
+use api::configuration::{ConfigurationBody, ConfigurationUpdateBody};
 use api::operator::{
     AcceptedBody, DrainBody, LicenceViewBody, LicencesBody, MemberViewBody, MembersBody,
     QueueViewBody, QueuesBody, RunnerViewBody, RunnersBody, RunsLostBody, TenantViewBody,
@@ -17,6 +17,7 @@
 use axum::extract::{Path, State};
 use axum::http::{HeaderMap, header};
 use peer::{Operation, OperationReply};
+use serde::de::DeserializeOwned;
 use types::ConfigurationVersion;
 
 /// `GET /v1/configuration`, from this gateway's replica.
@@ -44,9 +45,33 @@
     body: Result<Bytes, BytesRejection>,
 ) -> Result<Json<ConfiguredBody>, Failure> {
     let version = ConfigurationVersion(parse_name("version", &version)?);
-    let document = parse_configuration(&headers, &body?)?.into_document()?;
+    let document: ConfigurationBody = parse_body(&headers, &body?)?;
+    let document = document.into_document()?;
     let operation = Operation::PutConfiguration { version, document };
-    let OperationReply::Configured { version, known } = server.ask(&asker, operation).await? else {
+    configure(&server, &asker, operation).await
+}
+
+/// `PATCH /v1/configuration/{version}`, in JSON or TOML.
+pub async fn update_configuration(
+    State(server): State<Server>,
+    asker: Asker,
+    Path(version): Path<String>,
+    headers: HeaderMap,
+    body: Result<Bytes, BytesRejection>,
+) -> Result<Json<ConfiguredBody>, Failure> {
+    let version = ConfigurationVersion(parse_name("version", &version)?);
+    let update: ConfigurationUpdateBody = parse_body(&headers, &body?)?;
+    let update = update.into_update()?;
+    let operation = Operation::UpdateConfiguration { version, update };
+    configure(&server, &asker, operation).await
+}
+
+async fn configure(
+    server: &Server,
+    asker: &Asker,
+    operation: Operation,
+) -> Result<Json<ConfiguredBody>, Failure> {
+    let OperationReply::Configured { version, known } = server.ask(asker, operation).await? else {
         return Err(unexpected());
     };
     Ok(Json(ConfiguredBody {
@@ -55,7 +80,8 @@
     }))
 }
 
-fn parse_configuration(headers: &HeaderMap, body: &[u8]) -> Result<ConfigurationBody, BodyError> {
+/// A body in TOML, if the media type says so, or in JSON.
+fn parse_body<T: DeserializeOwned>(headers: &HeaderMap, body: &[u8]) -> Result<T, BodyError> {
     let media_type = headers
         .get(header::CONTENT_TYPE)
         .and_then(|value| value.to_str().ok())
--- a/crates/gateway/tests/http/operator.rs
+++ b/crates/gateway/tests/http/operator.rs
@@ -37,6 +37,43 @@
     assert_eq!(response.status(), 400);
 }
 
+#[tokio::test]
+async fn named_items_are_changed_and_an_unknown_list_is_refused() {
+    let fixture = Fixture::start(|operation| {
+        let Operation::UpdateConfiguration { version, update } = operation else {
+            panic!("{operation:?}");
+        };
+        assert_eq!(update.replaces, ConfigurationVersion(3));
+        assert_eq!(update.upsert.licences.len(), 1);
+        assert_eq!(update.remove.queues.len(), 1);
+        Some(Ok(OperationReply::Configured {
+            version: *version,
+            known: false,
+        }))
+    })
+    .await;
+    let good = r#"{"replaces":3,"upsert":{"licences":{"renderer":{"seats":2}}},"remove":{"queues":["old"]}}"#;
+    let patch = |body: &'static str| {
+        let request = fixture.request(Method::PATCH, "/v1/configuration/4");
+        request.body(body).send()
+    };
+    let (status, body) = read(patch(good).await.unwrap()).await;
+    assert_eq!((status, body["version"].as_u64()), (200, Some(4)));
+    for bad in [
+        r#"{"replaces":3,"upsert":{"hosts":{}}}"#,
+        r#"{"replaces":3,"remove":{"hosts":[]}}"#,
+        r#"{"upsert":{}}"#,
+        r#"{"replaces":3,"upsert":{"licences":{"renderer":{}}}}"#,
+    ] {
+        let (status, body) = read(patch(bad).await.unwrap()).await;
+        assert_eq!(status, 400, "{bad}");
+        let message = body["error"]["message"]
+            .as_str()
+            .or(body["message"].as_str());
+        assert!(message.is_some_and(|message| message.len() > 10), "{body}");
+    }
+}
+
 #[tokio::test]
 async fn the_configuration_in_force_is_shown_with_the_gateway_that_holds_it() {
     let fixture = Fixture::start(|_| panic!("the replica answers")).await;
--- a/crates/peer/src/request.rs
+++ b/crates/peer/src/request.rs
@@ -1,6 +1,6 @@
 //! Requests of callers and operators, as gateways pass them to the leader.
 
-use configuration::{ClusterConfiguration, ConfigurationProblem, QueueMode};
+use configuration::{ClusterConfiguration, ConfigurationProblem, ConfigurationUpdate, QueueMode};
 use dispatch::{Decision, RunnerView};
 use record::CancelSelector;
 use serde::{Deserialize, Serialize};
@@ -85,6 +85,21 @@
         /// Most entries wanted.
         limit: u32,
     },
+    /// Change named items of the configuration.
+    UpdateConfiguration {
+        /// The version wanted.
+        version: ConfigurationVersion,
+        /// The changes, with the version they build on.
+        update: ConfigurationUpdate,
+    },
+    /// Whether an update was taken, for one that knows what was sent and can no
+    /// longer work out what that changed.
+    ConfirmUpdate {
+        /// The version wanted then.
+        version: ConfigurationVersion,
+        /// The update; what counts is what it replaces and what was sent.
+        update: ConfigurationUpdate,
+    },
 }
 
 /// Which jobs to list.
--- a/crates/record/src/command.rs
+++ b/crates/record/src/command.rs
@@ -1,7 +1,7 @@
 //! Commands of the replicated log, their answers and what they change.
 
 use crate::RecordError;
-use configuration::{ClusterConfiguration, ConfigurationProblem};
+use configuration::{ClusterConfiguration, ConfigurationProblem, ConfigurationUpdate};
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 use types::{
@@ -70,6 +70,17 @@
         /// At most this many.
         limit: u32,
     },
+    /// Change named items of the configuration, if the version that the update
+    /// replaces is in force. The same update under a version that was taken is
+    /// acknowledged again, as with [`Command::PutConfiguration`].
+    UpdateConfiguration {
+        /// The version wanted; higher than the one in force.
+        version: ConfigurationVersion,
+        /// The changes.
+        update: ConfigurationUpdate,
+        /// Leader's wall time.
+        at: WallTime,
+    },
 }
 
 impl Command {
--- a/crates/record/src/state.rs
+++ b/crates/record/src/state.rs
@@ -95,6 +95,9 @@
             Command::PutConfiguration {
                 version, document, ..
             } => self.put_configuration(*version, document, changes),
+            Command::UpdateConfiguration {
+                version, update, ..
+            } => self.update_configuration(*version, update, changes),
             Command::SetRunnerDraining {
                 runner, draining, ..
             } => Ok(self.set_runner_draining(runner, *draining, changes)),
--- a/crates/record/src/state/configuration.rs
+++ b/crates/record/src/state/configuration.rs
@@ -1,10 +1,12 @@
 //! Taking configurations and operators' words on runners.
 
 use super::Record;
+use super::taken::OrderDigest;
 use crate::mutation::Mutation;
 use crate::{Change, CommandReply, RecordRefusal};
 use configuration::{
-    ClusterConfiguration, ConfigurationProblem, LeftOutQueues, QueueMode, validate,
+    ClusterConfiguration, ConfigurationProblem, ConfigurationUpdate, LeftOutQueues, QueueMode,
+    validate,
 };
 use types::{ConfigurationVersion, RunnerId};
 
@@ -18,8 +20,9 @@
         document: &ClusterConfiguration,
         changes: &mut Vec<Change>,
     ) -> Result<CommandReply, RecordRefusal> {
+        let order = OrderDigest::of_document(document);
         let in_force = version == self.version && *document == self.document;
-        if in_force || self.taken.holds(version, document) {
+        if in_force || self.taken.holds(version, order) {
             return Ok(CommandReply::Configured {
                 version,
                 known: true,
@@ -27,14 +30,63 @@
         }
         let before = ConfigurationVersion(version.0.saturating_sub(1));
         let base = document.replaces.unwrap_or(before);
+        self.compare_version(version, base)?;
+        self.put_in_force(version, document, order, changes)
+    }
+
+    /// Changes named items by compare-and-set on the version that the update
+    /// replaces, and acknowledges the same update again.
+    pub(super) fn update_configuration(
+        &mut self,
+        version: ConfigurationVersion,
+        update: &ConfigurationUpdate,
+        changes: &mut Vec<Change>,
+    ) -> Result<CommandReply, RecordRefusal> {
+        let order = OrderDigest::of_update(update);
+        if self.taken.holds(version, order) {
+            return Ok(CommandReply::Configured {
+                version,
+                known: true,
+            });
+        }
+        self.compare_version(version, update.replaces)?;
+        let problems = update.problems();
+        if !problems.is_empty() {
+            return Err(RecordRefusal::InvalidConfiguration { problems });
+        }
+        let document = update.applied_to(&self.document);
+        self.put_in_force(version, &document, order, changes)
+    }
+
+    /// True when this very update was taken under this version.
+    pub fn has_taken(&self, version: ConfigurationVersion, update: &ConfigurationUpdate) -> bool {
+        self.taken.holds(version, OrderDigest::of_update(update))
+    }
+
+    fn compare_version(
+        &self,
+        version: ConfigurationVersion,
+        base: ConfigurationVersion,
+    ) -> Result<(), RecordRefusal> {
         let fits = (base == self.version && version > self.version)
             || self.mutation == Some(Mutation::AnyConfigurationVersion);
-        if !fits {
-            return Err(RecordRefusal::VersionConflict {
-                wanted: version,
-                current: self.version,
-            });
+        if fits {
+            return Ok(());
         }
+        Err(RecordRefusal::VersionConflict {
+            wanted: version,
+            current: self.version,
+        })
+    }
+
+    /// Checks a document whole, and takes it whole.
+    fn put_in_force(
+        &mut self,
+        version: ConfigurationVersion,
+        document: &ClusterConfiguration,
+        order: Option<OrderDigest>,
+        changes: &mut Vec<Change>,
+    ) -> Result<CommandReply, RecordRefusal> {
         let mut problems = validate(document);
         if document.left_out == LeftOutQueues::Refuse {
             problems.extend(self.find_removed_in_use(document));
@@ -45,7 +97,7 @@
         self.version = version;
         let old = std::mem::replace(&mut self.document, document.clone());
         self.keep_left_out(&old);
-        self.taken.note(version, document);
+        self.taken.note(version, order);
         changes.push(Change::ConfigurationChanged(version));
         Ok(CommandReply::Configured {
             version,
--- a/crates/record/src/state/taken.rs
+++ b/crates/record/src/state/taken.rs
@@ -1,7 +1,7 @@
 //! Which configurations were taken, so that an operator who never got the
 //! acknowledgement may send the same order again after newer ones.
 
-use configuration::ClusterConfiguration;
+use configuration::{ClusterConfiguration, ConfigurationUpdate};
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
 use std::collections::BTreeMap;
@@ -10,20 +10,48 @@
 /// Versions remembered. An order resent after more newer ones is a conflict.
 pub(super) const MAX_TAKEN: usize = 1_024;
 
-/// SHA-256 of a document's bytes in the log.
-type DocumentDigest = [u8; 32];
+/// SHA-256 of an order: of a document's bytes in the log, or of an update.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(transparent)]
+pub(super) struct OrderDigest([u8; 32]);
+
+/// Stands before the bytes of an update, so that none has a document's digest.
+const UPDATE_LABEL: &[u8] = b"configuration update";
+
+impl OrderDigest {
+    /// Of a whole document. None for one that has no bytes, which none read
+    /// from the log is.
+    pub(super) fn of_document(document: &ClusterConfiguration) -> Option<Self> {
+        let bytes = postcard::to_stdvec(document).ok()?;
+        Some(Self(Sha256::digest(bytes).into()))
+    }
+
+    /// Of an update: what was sent, where that is kept, since what follows
+    /// from it can be worked out once only; its items otherwise.
+    pub(super) fn of_update(update: &ConfigurationUpdate) -> Option<Self> {
+        let bytes = match &update.sent {
+            Some(sent) => postcard::to_stdvec(&(update.replaces, sent)),
+            None => postcard::to_stdvec(update),
+        };
+        let mut hasher = Sha256::new();
+        hasher.update(UPDATE_LABEL);
+        hasher.update([u8::from(update.sent.is_some())]);
+        hasher.update(bytes.ok()?);
+        Some(Self(hasher.finalize().into()))
+    }
+}
 
 /// Digests of the newest versions taken.
 #[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
 #[serde(transparent)]
 pub(super) struct TakenConfigurations {
-    digests: BTreeMap<ConfigurationVersion, DocumentDigest>,
+    digests: BTreeMap<ConfigurationVersion, OrderDigest>,
 }
 
 impl TakenConfigurations {
-    /// Notes that a document was taken; forgets the oldest beyond the limit.
-    pub(super) fn note(&mut self, version: ConfigurationVersion, document: &ClusterConfiguration) {
-        let Some(digest) = digest(document) else {
+    /// Notes that an order was taken; forgets the oldest beyond the limit.
+    pub(super) fn note(&mut self, version: ConfigurationVersion, order: Option<OrderDigest>) {
+        let Some(digest) = order else {
             return;
         };
         self.digests.insert(version, digest);
@@ -32,15 +60,10 @@
         }
     }
 
-    /// True when this document was taken under this version.
-    pub(super) fn holds(
-        &self,
-        version: ConfigurationVersion,
-        document: &ClusterConfiguration,
-    ) -> bool {
-        self.digests
-            .get(&version)
-            .is_some_and(|taken| digest(document).as_ref() == Some(taken))
+    /// True when this order was taken under this version.
+    pub(super) fn holds(&self, version: ConfigurationVersion, order: Option<OrderDigest>) -> bool {
+        let taken = self.digests.get(&version).copied();
+        taken.is_some() && taken == order
     }
 
     /// True when no more are held than may be, and none above the one in force.
@@ -49,9 +72,3 @@
         self.digests.len() <= MAX_TAKEN && newest.is_none_or(|(version, _)| *version <= in_force)
     }
 }
-
-/// None for a document that has no bytes, which none read from the log is.
-fn digest(document: &ClusterConfiguration) -> Option<DocumentDigest> {
-    let bytes = postcard::to_stdvec(document).ok()?;
-    Some(Sha256::digest(bytes).into())
-}
--- a/crates/record/tests/configuration.rs
+++ b/crates/record/tests/configuration.rs
@@ -2,8 +2,11 @@
 
 mod support;
 
-use configuration::{ClusterConfiguration, LeftOutQueues};
-use record::{CommandReply, Record, RecordRefusal};
+use configuration::{
+    ClusterConfiguration, ConfigurationUpdate, LeftOutQueues, QueueSettings, RemovedItems,
+    UpsertedItems,
+};
+use record::{Command, CommandReply, Record, RecordRefusal};
 use support::*;
 use types::*;
 
@@ -175,3 +178,147 @@
             .contains_key(&queue("q"))
     );
 }
+
+fn more_urgent() -> QueueSettings {
+    let mut settings = document().queues.into_values().next().unwrap();
+    settings.priority = 9;
+    settings
+}
+
+/// Adds a queue to the document under a version.
+fn adding(queue_name: &str, replaces: u64) -> ConfigurationUpdate {
+    ConfigurationUpdate {
+        replaces: ConfigurationVersion(replaces),
+        upsert: UpsertedItems {
+            queues: [(queue(queue_name), more_urgent())].into(),
+            ..UpsertedItems::default()
+        },
+        ..ConfigurationUpdate::default()
+    }
+}
+
+fn taken(version: u64, known: bool) -> CommandReply {
+    CommandReply::Configured {
+        version: ConfigurationVersion(version),
+        known,
+    }
+}
+
+fn apply(driver: &mut Driver, version: u64, update: &ConfigurationUpdate) -> CommandReply {
+    let command = Command::UpdateConfiguration {
+        version: ConfigurationVersion(version),
+        update: update.clone(),
+        at: WallTime(0),
+    };
+    driver.record.apply(&command).reply
+}
+
+#[test]
+fn an_update_is_applied_to_the_version_it_names_and_known_again() {
+    let mut driver = Driver::new();
+    let first = adding("first", 1);
+    assert_eq!(apply(&mut driver, 5, &first), taken(5, false));
+    assert_eq!(apply(&mut driver, 5, &first), taken(5, true));
+    let (version, in_force) = driver.record.configuration();
+    assert_eq!(version, ConfigurationVersion(5));
+    assert_eq!(in_force.queues.len(), document().queues.len() + 1);
+    assert_eq!(in_force.tenants, document().tenants);
+
+    let second = adding("second", 5);
+    assert_eq!(apply(&mut driver, 5, &second), conflict(5, 5), "not higher");
+    assert_eq!(apply(&mut driver, 9, &second), taken(9, false));
+    assert_eq!(apply(&mut driver, 5, &first), taken(5, true), "a resend");
+    assert_eq!(apply(&mut driver, 9, &first), conflict(9, 9));
+    assert_eq!(apply(&mut driver, 10, &first), conflict(10, 9));
+    let bytes = driver.record.snapshot().unwrap();
+    driver.record = Record::restore(&bytes).unwrap();
+    assert_eq!(apply(&mut driver, 9, &second), taken(9, true));
+    assert_eq!(
+        driver.record.configuration().1.queues.len(),
+        document().queues.len() + 2
+    );
+}
+
+#[test]
+fn of_two_updates_on_one_version_one_wins() {
+    let mut driver = Driver::new();
+    assert_eq!(apply(&mut driver, 3, &adding("mine", 1)), taken(3, false));
+    assert_eq!(apply(&mut driver, 3, &adding("yours", 1)), conflict(3, 3));
+    assert_eq!(apply(&mut driver, 4, &adding("yours", 1)), conflict(4, 3));
+    let queues = &driver.record.configuration().1.queues;
+    assert!(queues.contains_key(&queue("mine")) && !queues.contains_key(&queue("yours")));
+}
+
+#[test]
+fn what_an_update_leads_to_is_checked_whole_and_never_half_taken() {
+    let mut driver = Driver::new();
+    let pool = document().pools.into_keys().next().unwrap();
+    let mut update = adding("new", 1);
+    update.remove = RemovedItems {
+        pools: [pool].into(),
+        ..RemovedItems::default()
+    };
+    let places = problem_places(apply(&mut driver, 2, &update));
+    assert!(
+        places.iter().any(|place| place == "queues.new.pool"),
+        "{places:?}"
+    );
+    assert_eq!(driver.record.configuration().0, ConfigurationVersion(1));
+    assert_eq!(driver.record.configuration().1, &document());
+
+    let mut both = adding("new", 1);
+    both.remove.queues.insert(queue("new"));
+    assert_eq!(problem_places(apply(&mut driver, 2, &both)), ["queues.new"]);
+    assert_eq!(driver.record.configuration().1, &document());
+}
+
+#[test]
+fn what_was_sent_tells_an_order_again_whatever_followed_from_it() {
+    let mut driver = Driver::new();
+    let mut update = adding("new", 1);
+    update.sent = Some("an order in the operator's own words".to_owned());
+    update.source = Some("the text it leads to".to_owned());
+    assert_eq!(apply(&mut driver, 2, &update), taken(2, false));
+    assert_eq!(
+        driver.record.configuration().1.source.as_deref(),
+        Some("the text it leads to")
+    );
+    let bare = ConfigurationUpdate {
+        replaces: ConfigurationVersion(1),
+        sent: update.sent.clone(),
+        ..ConfigurationUpdate::default()
+    };
+    let version = ConfigurationVersion(2);
+    assert!(driver.record.has_taken(version, &bare));
+    assert!(!driver.record.has_taken(ConfigurationVersion(3), &bare));
+    let other = ConfigurationUpdate {
+        sent: Some("another order".to_owned()),
+        ..bare.clone()
+    };
+    assert!(!driver.record.has_taken(version, &other));
+    let unsent = ConfigurationUpdate { sent: None, ..bare };
+    assert!(!driver.record.has_taken(version, &unsent));
+}
+
+#[test]
+fn an_update_that_removes_a_queue_with_work_is_refused_or_drains_it() {
+    let mut driver = Driver::new();
+    driver.submit(job("job", vec![step("only", 1, &[])]));
+    let name = driver.view("job").queue;
+    let update = |replaces: u64| ConfigurationUpdate {
+        replaces: ConfigurationVersion(replaces),
+        remove: RemovedItems {
+            queues: [name.clone()].into(),
+            ..RemovedItems::default()
+        },
+        ..ConfigurationUpdate::default()
+    };
+    let places = problem_places(apply(&mut driver, 2, &update(1)));
+    assert_eq!(places, [format!("queues.{name}")]);
+    let mut drains = document();
+    drains.left_out = LeftOutQueues::Drain;
+    assert_eq!(driver.configure(2, drains), taken(2, false));
+    assert_eq!(apply(&mut driver, 3, &update(2)), taken(3, false));
+    let kept = &driver.record.configuration().1.queues[&name];
+    assert_eq!(kept.mode, configuration::QueueMode::Draining);
+}
--- a/crates/replay/src/input.rs
+++ b/crates/replay/src/input.rs
@@ -2,7 +2,7 @@
 
 use api::BodyError;
 use api::cancel::CancelBody;
-use api::configuration::ConfigurationBody;
+use api::configuration::{ConfigurationBody, ConfigurationUpdateBody};
 use api::job::JobBody;
 use api::runner::{HeartbeatBody, OrderAnswerBody, RunnerBodyError};
 use peer::Operation;
@@ -24,7 +24,7 @@
     Runner(#[from] RunnerBodyError),
     /// More than one input on a line.
     #[error(
-        "a line holds at most one of submit, cancel, configuration, heartbeat and answer, not {found}"
+        "a line holds at most one of submit, cancel, configuration, update, heartbeat and answer, not {found}"
     )]
     Several {
         /// How many it holds.
@@ -70,6 +70,14 @@
     document: ConfigurationBody,
 }
 
+/// A version and the changes that make it.
+#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct UpdateInput {
+    version: u64,
+    changes: ConfigurationUpdateBody,
+}
+
 /// A line as it stands.
 #[derive(Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -78,6 +86,7 @@
     submit: Option<JobBody>,
     cancel: Option<CancelBody>,
     configuration: Option<ConfigurationInput>,
+    update: Option<UpdateInput>,
     runner: Option<RunnerId>,
     heartbeat: Option<HeartbeatBody>,
     answer: Option<OrderAnswerBody>,
@@ -135,6 +144,11 @@
             let document = in_field("configuration.document", input.document.into_document())?;
             return Ok(request(Operation::PutConfiguration { version, document }));
         }
+        if let Some(input) = self.update {
+            let version = ConfigurationVersion(input.version);
+            let update = in_field("update.changes", input.changes.into_update())?;
+            return Ok(request(Operation::UpdateConfiguration { version, update }));
+        }
         match (self.runner, self.heartbeat, self.answer) {
             (Some(runner), Some(heartbeat), None) => {
                 let (report, _) = heartbeat.into_report(runner)?;
@@ -154,6 +168,7 @@
             self.submit.is_some(),
             self.cancel.is_some(),
             self.configuration.is_some(),
+            self.update.is_some(),
         ];
         let inputs = of_runner.iter().chain(&of_caller);
         let found = inputs.filter(|given| **given).count();
--- a/crates/replay/tests/inputs.rs
+++ b/crates/replay/tests/inputs.rs
@@ -170,6 +170,36 @@
     assert_eq!((summary.jobs, summary.refused), (1, 4));
 }
 
+#[test]
+fn an_update_changes_named_items_of_the_version_it_builds_on() {
+    let update = |at: u64, version: u64, replaces: u64, seats: u32| {
+        let upsert = json!({"licences": {"renderer": {"seats": seats}}});
+        let changes = json!({"replaces": replaces, "upsert": upsert});
+        line(
+            at,
+            json!({"update": {"version": version, "changes": changes}}),
+        )
+    };
+    let mut lines = served();
+    lines.push(update(300, 4, 1, 2));
+    lines.push(update(310, 4, 1, 2));
+    lines.push(update(320, 5, 1, 3));
+    lines.push(update(330, 5, 4, 3));
+    let output = replayed(&lines);
+    let answers: Vec<_> = events(&output, "accepted")
+        .into_iter()
+        .filter(|line| line["answer"]["version"].is_u64())
+        .map(|line| line["answer"].clone())
+        .collect();
+    let newest = &answers[answers.len() - 3..];
+    assert_eq!(newest[0], json!({"version": 4, "known": false}));
+    assert_eq!(newest[1], json!({"version": 4, "known": true}));
+    assert_eq!(newest[2], json!({"version": 5, "known": false}));
+    let refused = events(&output, "refused");
+    assert_eq!(refused.len(), 1);
+    assert_eq!(refused[0]["code"], "conflict");
+}
+
 #[test]
 fn a_long_gap_is_walked_and_a_silent_runner_loses_its_run() {
     let (run, mut lines) = running();
--- a/crates/simulation/src/operator.rs
+++ b/crates/simulation/src/operator.rs
@@ -1,7 +1,8 @@
-//! Operator hosts: they send whole configuration versions, resend those whose
-//! answer was lost, and sometimes race.
+//! Operator hosts: they send whole configuration versions and changes to named
+//! items by turns, resend those whose answer was lost, and sometimes race.
 
-use configuration::ClusterConfiguration;
+use configuration::{ClusterConfiguration, ConfigurationUpdate};
+use peer::Operation;
 use types::ConfigurationVersion;
 
 /// Time between an operator's looks at what to do.
@@ -21,6 +22,34 @@
 const GPUS_STEP: u32 = 5;
 const GPUS_RANGE: u32 = 11;
 
+/// An order to the cluster, with the document that it leads to.
+#[derive(Clone)]
+pub struct Order {
+    /// The version wanted.
+    pub version: ConfigurationVersion,
+    /// The document that is in force if it is taken.
+    pub document: ClusterConfiguration,
+    /// The changes, where not the whole document is sent.
+    update: Option<ConfigurationUpdate>,
+}
+
+impl Order {
+    /// What is sent.
+    pub fn operation(&self) -> Operation {
+        let version = self.version;
+        match &self.update {
+            Some(update) => Operation::UpdateConfiguration {
+                version,
+                update: update.clone(),
+            },
+            None => Operation::PutConfiguration {
+                version,
+                document: self.document.clone(),
+            },
+        }
+    }
+}
+
 /// An operator with the changes it still wants to make.
 pub struct OperatorHost {
     /// Its name in the history.
@@ -30,7 +59,7 @@
     /// The document under that version, as it knows it.
     pub document: ClusterConfiguration,
     /// The order it has sent and has no final answer to.
-    pub open_order: Option<(ConfigurationVersion, ClusterConfiguration)>,
+    pub open_order: Option<Order>,
     /// True while an HTTP request of its is under way.
     pub waiting: bool,
     /// Changes it still wants to make.
@@ -55,11 +84,31 @@
         if self.wanted > 0 {
             self.wanted -= 1;
             self.sends_invalid = false;
-            self.open_order = Some((version, self.next_document()));
+            let document = self.next_document();
+            self.open_order = Some(self.order(version, document));
         } else if self.wanted_invalid > 0 {
             self.wanted_invalid -= 1;
             self.sends_invalid = true;
-            self.open_order = Some((version, self.invalid_document()));
+            let document = self.invalid_document();
+            self.open_order = Some(self.order(version, document));
+        }
+    }
+
+    /// The order that leads to a document: every other one names what changes.
+    fn order(&self, version: ConfigurationVersion, document: ClusterConfiguration) -> Order {
+        let by_update = self.known > ConfigurationVersion(0) && (self.marker / 2).is_multiple_of(2);
+        if !by_update {
+            return Order {
+                version,
+                document,
+                update: None,
+            };
+        }
+        let update = ConfigurationUpdate::between(self.known, &self.document, &document);
+        Order {
+            version,
+            document: update.applied_to(&self.document),
+            update: Some(update),
         }
     }
 
@@ -67,6 +116,7 @@
     /// time another ceiling for one tenant, up or down.
     pub fn next_document(&mut self) -> ClusterConfiguration {
         let mut document = self.document.clone();
+        document.replaces = None;
         self.marker += 2;
         for tenant in document.tenants.values_mut() {
             tenant.submit_burst = 10_000 + self.marker;
--- a/crates/simulation/src/world_operator.rs
+++ b/crates/simulation/src/world_operator.rs
@@ -28,30 +28,30 @@
         }
         self.operators[operator].choose_order();
         let gateway = self.operators[operator].gateway;
-        let Some((version, document)) = self.operators[operator].open_order.clone() else {
+        let Some(order) = self.operators[operator].open_order.clone() else {
             return;
         };
         let name = self.operators[operator].name.clone();
         let seen = Seen::ConfigurationSent {
-            version,
-            digest: digest(&document),
+            version: order.version,
+            digest: digest(&order.document),
         };
         self.observe(name, seen);
         if !self.operators[operator].sends_invalid {
-            self.note_sent_ceilings(&document);
+            self.note_sent_ceilings(&order.document);
         }
         self.operators[operator].waiting = true;
         let waiting = Waiting::Configure { operator };
-        let operation = Operation::PutConfiguration { version, document };
-        self.request(gateway, OPERATOR_TIMEOUT_MS, waiting, operation);
+        self.request(gateway, OPERATOR_TIMEOUT_MS, waiting, order.operation());
     }
 
     /// Takes the answer to an order.
     pub(crate) fn configure_answered(&mut self, operator: usize, answer: Answer) {
         self.operators[operator].waiting = false;
-        let Some((version, document)) = self.operators[operator].open_order.clone() else {
+        let Some(order) = self.operators[operator].open_order.clone() else {
             return;
         };
+        let (version, document) = (order.version, order.document);
         let name = self.operators[operator].name.clone();
         match answer {
             Ok(_) => {
