Simulate the loss of disks and of all other power right after an acknowledgement

A plan could kill or wipe at set times only. LoseAtAcknowledgement waits for the next submit, cancel or configuration that is acknowledged.

--- a/crates/simulation/src/fault.rs
+++ b/crates/simulation/src/fault.rs
@@ -3,7 +3,7 @@
 use crate::event::{DiskState, Event};
 use crate::machine::MachineIndex;
 use crate::network::{Micros, Weather};
-use crate::plan::{Behaviour, Fault};
+use crate::plan::{Acknowledgement, Behaviour, Fault};
 use crate::process::{Core, Input, Process, ProcessIndex};
 use crate::run::LONGEST_REPAIR_MS;
 use crate::runner::OrderTrouble;
@@ -34,6 +34,7 @@
             Fault::Stop { machine, down_ms } => self.stop_for(&machine, down_ms),
             Fault::KillCoordinators { down_ms } => self.kill_coordinators(down_ms, false),
             Fault::PowerLoss { down_ms } => self.kill_coordinators(down_ms, true),
+            armed @ Fault::LoseAtAcknowledgement { .. } => self.armed.push(armed),
             Fault::Replace { machine, down_ms } => self.replace(&machine, down_ms),
             Fault::KillOnceRepaired {
                 machine,
@@ -202,6 +203,26 @@
         }
     }
 
+    /// Something was acknowledged: the first loss that waits for it comes now.
+    pub(crate) fn acknowledged(&mut self, what: Acknowledgement) {
+        let waits =
+            |fault: &Fault| matches!(fault, Fault::LoseAtAcknowledgement { of, .. } if *of == what);
+        let Some(position) = self.armed.iter().position(waits) else {
+            return;
+        };
+        if let Fault::LoseAtAcknowledgement {
+            machines, down_ms, ..
+        } = self.armed.remove(position)
+        {
+            let what = format!("{what:?} acknowledged: {machines:?} lose disks, the rest power");
+            self.observe("fault", Seen::Fault { what });
+            self.kill_coordinators(down_ms, true);
+            for machine in machines {
+                self.kill_for(&machine, down_ms, DiskState::Empty);
+            }
+        }
+    }
+
     /// Carries a fault out some time after the cluster is whole, if that is
     /// before `until`.
     pub(crate) fn await_repair(&mut self, fault: Fault, after: Micros, until: Micros) {
--- a/crates/simulation/src/lib.rs
+++ b/crates/simulation/src/lib.rs
@@ -28,7 +28,7 @@
 
 pub use campaign::{Campaign, SeedResult, Summary, run_campaign, run_plan};
 pub use mutation::Mutation;
-pub use plan::{Behaviour, Fault, FleetSize, Plan, PlanError, PlannedFault};
+pub use plan::{Acknowledgement, Behaviour, Fault, FleetSize, Plan, PlanError, PlannedFault};
 pub use planner::{PlannerOptions, plan_from_seed};
 pub use run::{Outcome, run};
 pub use shrink::shrink;
--- a/crates/simulation/src/plan.rs
+++ b/crates/simulation/src/plan.rs
@@ -133,6 +133,16 @@
         /// True when its disk is empty then.
         loses_disk: bool,
     },
+    /// As soon as something is acknowledged, some coordinators lose their disks
+    /// and, in the same moment, all others lose power.
+    LoseAtAcknowledgement {
+        /// Of what.
+        of: Acknowledgement,
+        /// The machines whose disks are lost.
+        machines: Vec<String>,
+        /// Time until all are started again.
+        down_ms: u64,
+    },
     /// A machine stands still and wakes; its clocks have gone on.
     Freeze {
         /// The machine.
@@ -241,6 +251,18 @@
     },
 }
 
+/// What is acknowledged to a caller or an operator.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Acknowledgement {
+    /// A submit.
+    Submit,
+    /// A cancel.
+    Cancel,
+    /// A configuration, or changes to one.
+    Configuration,
+}
+
 /// How a runner misbehaves.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -343,7 +365,9 @@
             | Self::DrainRunner { machine, .. }
             | Self::Misbehave { machine, .. } => vec![machine],
             Self::CutOneWay { from, to, .. } => vec![from, to],
-            Self::Split { machines, .. } => machines.iter().collect(),
+            Self::Split { machines, .. } | Self::LoseAtAcknowledgement { machines, .. } => {
+                machines.iter().collect()
+            }
             Self::KillCoordinators { .. }
             | Self::PowerLoss { .. }
             | Self::Weather { .. }
--- a/crates/simulation/src/run.rs
+++ b/crates/simulation/src/run.rs
@@ -102,6 +102,7 @@
         Fault::Kill { down_ms, .. }
         | Fault::KillCoordinators { down_ms }
         | Fault::PowerLoss { down_ms }
+        | Fault::LoseAtAcknowledgement { down_ms, .. }
         | Fault::LoseDisk { down_ms, .. }
         | Fault::Replace { down_ms, .. }
         | Fault::KillRunner { down_ms, .. } => *down_ms,
--- a/crates/simulation/src/world.rs
+++ b/crates/simulation/src/world.rs
@@ -6,6 +6,7 @@
 use crate::machine::{Machine, MachineIndex};
 use crate::network::{Micros, Network};
 use crate::operator::OperatorHost;
+use crate::plan::Fault;
 use crate::process::{Effect, Input, Process, ProcessIndex, Write};
 use crate::runner::RunnerHost;
 use checker::Observation;
@@ -58,6 +59,8 @@
     pub load_until: Micros,
     /// Newest configuration acknowledged to any operator.
     pub newest_acknowledged: types::ConfigurationVersion,
+    /// Losses that wait for an acknowledgement.
+    pub armed: Vec<Fault>,
     /// A daemon that could not go on, and why.
     pub broken: Vec<String>,
     /// Events handled.
@@ -87,6 +90,7 @@
             mutation: None,
             load_until: 0,
             newest_acknowledged: types::ConfigurationVersion(0),
+            armed: Vec::new(),
             broken: Vec::new(),
             handled: 0,
             queue: BinaryHeap::new(),
--- a/crates/simulation/src/world_http.rs
+++ b/crates/simulation/src/world_http.rs
@@ -4,6 +4,7 @@
 use crate::event::Event;
 use crate::network::Micros;
 use crate::operator::LEAST_SLOTS;
+use crate::plan::Acknowledgement;
 use crate::process::{Input, ProcessIndex};
 use crate::world::World;
 use checker::event::ExpectedStep;
@@ -281,6 +282,7 @@
         let told = match answer {
             Ok(_) => {
                 self.observe(name, Seen::SubmitAcknowledged { job: job.clone() });
+                self.acknowledged(Acknowledgement::Submit);
                 CallerAnswer::Acknowledged
             }
             Err(refusal) => {
@@ -326,6 +328,7 @@
             for job in jobs.into_iter().filter(|job| !unknown.contains(job)) {
                 let name = self.callers[caller].name.clone();
                 self.observe(name, Seen::CancelAcknowledged { job });
+                self.acknowledged(Acknowledgement::Cancel);
             }
         }
     }
--- a/crates/simulation/src/world_operator.rs
+++ b/crates/simulation/src/world_operator.rs
@@ -5,6 +5,7 @@
 use crate::event::Event;
 use crate::network::Micros;
 use crate::operator::{OPERATOR_INTERVAL_MS, OPERATOR_TIMEOUT_MS, digest};
+use crate::plan::Acknowledgement;
 use crate::world::World;
 use crate::world_http::{Answer, refusal_code};
 use checker::Event as Seen;
@@ -59,6 +60,7 @@
                 self.operators[operator].known = version;
                 let digest = digest(&document);
                 self.observe(name, Seen::ConfigurationAcknowledged { version, digest });
+                self.acknowledged(Acknowledgement::Configuration);
                 // An acknowledgement may come after that of a newer version.
                 if version > self.newest_acknowledged {
                     self.newest_acknowledged = version;
