Make the mechanisms that decide a checked policy of the settings

Ablation and, later, a comparison of policies need each mechanism of placement to be left out by itself. dispatch::Policy holds a typed switch for the draw's form, shares, priorities, holds, copies, suspect runners, probation, waiting for a rack and for another runner; the coordinator moves slow runs by one of its own. The defaults are what ships. What guards a promise has no switch.

--- a/crates/coordinator/src/core.rs
+++ b/crates/coordinator/src/core.rs
@@ -37,6 +37,8 @@
     /// A run whose progress stands still for this long is stopped and placed
     /// again; none where it is left alone.
     pub stalled_after: Option<Milliseconds>,
+    /// Runs on a slow runner are moved as well; only where the former is set.
+    pub move_slow: bool,
     /// Timings of consensus.
     pub consensus: consensus::Options,
     /// Limits of the dispatcher.
--- a/crates/coordinator/src/pace.rs
+++ b/crates/coordinator/src/pace.rs
@@ -39,7 +39,8 @@
             false => patience_of(expected).min(allowed),
         };
         let stands_still = runner.heard.since(pace.last_at) >= patience;
-        stands_still || (is_slow(tracked, runner.heard) && self.is_slow_runner(tracked))
+        let may_move = self.options.move_slow && is_slow(tracked, runner.heard);
+        stands_still || (may_move && self.is_slow_runner(tracked))
     }
 
     /// True when most of the runs watched on the runner are slow, and those of
--- a/crates/coordinator/tests/common/mod.rs
+++ b/crates/coordinator/tests/common/mod.rs
@@ -363,6 +363,7 @@
         seeds,
         founding: coordinator::Founding::Exact,
         stalled_after: None,
+        move_slow: true,
         initial_coordinators: 3,
         consensus: consensus::Options::default(),
         dispatcher: dispatch::DispatcherOptions::default(),
--- a/crates/coordinator/tests/shell.rs
+++ b/crates/coordinator/tests/shell.rs
@@ -55,6 +55,7 @@
             seeds: seeds.to_vec(),
             founding: coordinator::Founding::Exact,
             stalled_after: None,
+            move_slow: true,
             initial_coordinators: 3,
             consensus: Options::default(),
             dispatcher: dispatch::DispatcherOptions::default(),
--- a/crates/cypressdrum/src/daemon/options.rs
+++ b/crates/cypressdrum/src/daemon/options.rs
@@ -1,6 +1,8 @@
 //! Turns settings into the options of each role's shell.
 
-use settings::{AgentSettings, CoordinatorSettings, GatewaySettings, NodeSettings};
+use settings::{
+    AgentSettings, CoordinatorSettings, DrawSetting, GatewaySettings, NodeSettings, PolicySettings,
+};
 use types::{Address, Milliseconds, NodeId, Role};
 
 /// Random values of one process life, drawn once at its start.
@@ -22,6 +24,23 @@
     }
 }
 
+fn policy(settings: &PolicySettings) -> dispatch::Policy {
+    dispatch::Policy {
+        draw: match settings.draw {
+            DrawSetting::Uniform => dispatch::Draw::Uniform,
+            DrawSetting::Oldest => dispatch::Draw::Oldest,
+        },
+        shares: settings.shares,
+        priorities: settings.priorities,
+        holds: settings.holds,
+        copies: settings.copies,
+        suspects_last: settings.suspects_last,
+        probation: settings.probation,
+        rack_patience: settings.rack_patience,
+        avoid_failed: settings.avoid_failed,
+    }
+}
+
 /// Options of a coordinator.
 pub fn coordinator(settings: &CoordinatorSettings, draws: Draws) -> coordinator::ShellOptions {
     let CoordinatorSettings {
@@ -37,6 +56,7 @@
         initial_coordinators: settings.initial_coordinators,
         founding: coordinator::Founding::Exact,
         stalled_after: dispatcher.stalled_after_ms.map(Milliseconds),
+        move_slow: settings.policy.move_slow,
         consensus: consensus::Options {
             election_timeout: Milliseconds(timings.election_timeout_ms),
             election_spread: Milliseconds(timings.election_timeout_ms),
@@ -52,6 +72,7 @@
             silent_after: Milliseconds(dispatcher.silent_after_ms),
             patience: Milliseconds(dispatcher.patience_ms),
             urgent_reserve_percent: dispatcher.urgent_reserve_percent,
+            policy: policy(&settings.policy),
         },
         session_lease: Milliseconds(timings.session_lease_ms),
         replace_voter_after: Milliseconds(timings.replace_voter_after_ms),
--- a/crates/dispatch/src/configure.rs
+++ b/crates/dispatch/src/configure.rs
@@ -32,7 +32,8 @@
             let old_mode = self.queues[queue].mode;
             self.queues[queue].pool = pool;
             self.queues[queue].mode = settings.map(|settings| settings.mode).unwrap_or_default();
-            self.queues[queue].priority = settings.map_or(0, |settings| settings.priority);
+            let priority = settings.filter(|_| self.options.policy.priorities);
+            self.queues[queue].priority = priority.map_or(0, |settings| settings.priority);
             if let Some(pool) = pool {
                 self.pools[pool].queues.push(queue);
             }
--- a/crates/dispatch/src/draw.rs
+++ b/crates/dispatch/src/draw.rs
@@ -1,7 +1,8 @@
 //! Reserve: the draw among runnable tenants and the choice of a task.
 
 use crate::pending::Order;
-use crate::queue::ListIndex;
+use crate::policy::Draw;
+use crate::queue::{ListIndex, RunnableSet};
 use crate::run::Run;
 use crate::runner::RunnerIndex;
 use crate::shape::ShapeIndex;
@@ -97,7 +98,7 @@
             Some(task) => self.choose_held(task, &offer)?,
             None => self
                 .choose(Kind::Ordinary, &offer, starving, now)
-                .or_else(|| self.choose(Kind::Copies, &offer, starving, now))?,
+                .or_else(|| self.choose_copy(&offer, starving, now))?,
         };
         self.take(choice, &offer, now)
     }
@@ -145,6 +146,13 @@
             .find_map(|level| self.choose_at(level, kind, offer, starving, now))
     }
 
+    fn choose_copy(&mut self, offer: &Offer, starving: Starving, now: Now) -> Option<Choice> {
+        if !self.options.policy.copies {
+            return None;
+        }
+        self.choose(Kind::Copies, offer, starving, now)
+    }
+
     fn choose_at(
         &mut self,
         level: u8,
@@ -231,6 +239,9 @@
         if left == 0 {
             return None;
         }
+        if self.options.policy.draw == Draw::Oldest {
+            return self.oldest_list(level, kind, pool, drawn);
+        }
         let mut place = self.random.random_range(0..left);
         for (position, &queue) in queues.iter().enumerate() {
             if self.queues[queue].priority != level {
@@ -252,6 +263,47 @@
         None
     }
 
+    /// The list whose first task is the oldest, among those not drawn yet.
+    fn oldest_list(
+        &mut self,
+        level: u8,
+        kind: Kind,
+        pool: usize,
+        drawn: &mut [usize],
+    ) -> Option<ListIndex> {
+        let queues = self.pools[pool].queues.iter().enumerate();
+        let at_level = queues.filter(|(_, queue)| self.queues[**queue].priority == level);
+        let (_, position, queue, list) = at_level
+            .filter(|(_, queue)| self.drawable_count(**queue, kind) > 0)
+            .flat_map(|(position, queue)| {
+                let lists = self.set_of(*queue, kind).left(drawn[position]);
+                lists.map(move |list| (list, position, *queue))
+            })
+            .filter_map(|(list, position, queue)| {
+                let waiting = match kind {
+                    Kind::Ordinary => &self.lists[list].pending,
+                    Kind::Copies => &self.lists[list].copies,
+                };
+                Some((waiting.first()?, position, queue, list))
+            })
+            .min()?;
+        let left = drawn[position];
+        drawn[position] += 1;
+        let set = match kind {
+            Kind::Ordinary => &mut self.queues[queue].runnable,
+            Kind::Copies => &mut self.queues[queue].copying,
+        };
+        set.take(list, left);
+        Some(list)
+    }
+
+    fn set_of(&self, queue: usize, kind: Kind) -> &RunnableSet {
+        match kind {
+            Kind::Ordinary => &self.queues[queue].runnable,
+            Kind::Copies => &self.queues[queue].copying,
+        }
+    }
+
     fn runnable_count(&self, pool: usize, kind: Kind) -> u32 {
         let queues = self.pools[pool].queues.iter();
         let count: usize = queues.map(|queue| self.drawable_count(*queue, kind)).sum();
@@ -268,6 +320,9 @@
     }
 
     fn is_above_share(&self, list: ListIndex, pool: usize) -> bool {
+        if !self.options.policy.shares {
+            return false;
+        }
         let tenant = &self.tenants[self.lists[list].tenant];
         tenant.is_above_share(pool, &self.pools[pool].capacity)
     }
--- a/crates/dispatch/src/gang.rs
+++ b/crates/dispatch/src/gang.rs
@@ -142,7 +142,7 @@
         let chosen = choose_in_rack(&candidates, &needs, size)
             .or_else(|| spread_out.then(|| choose(&candidates, size)).flatten());
         let Some(chosen) = chosen else {
-            if waited >= self.options.hold_after {
+            if waited >= self.options.hold_after && self.options.policy.holds {
                 self.hold_for_gang(first, pool, &candidates, size, now);
             }
             return Vec::new();
--- a/crates/dispatch/src/heartbeat.rs
+++ b/crates/dispatch/src/heartbeat.rs
@@ -87,6 +87,12 @@
         if self.runs_of.contains_key(&task) || self.tasks.contains_key(&task) {
             self.failed_on.entry(task).or_default().insert(index);
         }
+        if !self.options.policy.probation {
+            self.runners[index]
+                .health
+                .note_failed(task.job, u32::MAX, now);
+            return;
+        }
         let threshold = self.options.probation_failures;
         let health = &mut self.runners[index].health;
         if health.note_failed(task.job, threshold, now) && self.may_go_on_probation(index, now) {
--- a/crates/dispatch/src/hold.rs
+++ b/crates/dispatch/src/hold.rs
@@ -82,6 +82,9 @@
     /// Keeps the most suitable runner free for a task that waits too long;
     /// false when the task found none.
     pub(crate) fn hold_runner_for(&mut self, task: TaskRef, pool: usize, now: Now) -> bool {
+        if !self.options.policy.holds {
+            return true;
+        }
         let allowed = (self.pools[pool].runners.len() / RUNNERS_PER_HOLD).max(1);
         if self.pools[pool].holds.len() >= allowed {
             self.review_holds(pool, now);
--- a/crates/dispatch/src/options.rs
+++ b/crates/dispatch/src/options.rs
@@ -1,5 +1,6 @@
 //! Limits of the dispatcher, and what it answers with.
 
+use crate::policy::Policy;
 use serde::{Deserialize, Serialize};
 use types::{Labels, Milliseconds, PoolName, RackName, Resources, RunnerId, RunnerIncarnation};
 
@@ -24,6 +25,8 @@
     /// A task waits this long for the rack, or for another runner than the one
     /// it failed on, while those have no room; then any runner serves.
     pub patience: Milliseconds,
+    /// Which mechanisms decide.
+    pub policy: Policy,
 }
 
 impl Default for DispatcherOptions {
@@ -36,6 +39,7 @@
             silent_after: Milliseconds(1_500),
             patience: Milliseconds(300),
             urgent_reserve_percent: 0,
+            policy: Policy::default(),
         }
     }
 }
--- a/crates/dispatch/src/place.rs
+++ b/crates/dispatch/src/place.rs
@@ -96,7 +96,8 @@
         if !bounds.least.fits_in(&room) {
             return None;
         }
-        let trust = match state.health.is_suspect(now.monotonic) {
+        let suspects_last = self.options.policy.suspects_last;
+        let trust = match suspects_last && state.health.is_suspect(now.monotonic) {
             true => Trust::Suspect,
             false => Trust::Sound,
         };
--- a/crates/dispatch/src/queue.rs
+++ b/crates/dispatch/src/queue.rs
@@ -56,6 +56,20 @@
         }
     }
 
+    /// The members that stand before the last `drawn`.
+    pub(crate) fn left(&self, drawn: usize) -> impl Iterator<Item = ListIndex> + '_ {
+        let left = self.members.len().saturating_sub(drawn);
+        self.members.iter().take(left).copied()
+    }
+
+    /// Moves a member that is left among those drawn.
+    pub(crate) fn take(&mut self, list: ListIndex, drawn: usize) {
+        let last = self.members.len().saturating_sub(drawn + 1);
+        if let Some(chosen) = self.members.get_index_of(&list) {
+            self.members.swap_indices(chosen, last);
+        }
+    }
+
     /// Draws one of the members that stand before the last `drawn`, and moves
     /// it among those, so that repeated draws never meet one twice.
     pub(crate) fn draw(&mut self, drawn: usize, random: &mut impl Rng) -> Option<ListIndex> {
--- a/crates/dispatch/src/suits.rs
+++ b/crates/dispatch/src/suits.rs
@@ -63,12 +63,14 @@
         let waited = waited.map(|entry| now.monotonic.since(entry.waiting_since));
         let patience = self.options.patience;
         let elsewhere = Milliseconds(patience.0.saturating_mul(ELSEWHERE_FACTOR));
-        if waited.is_some_and(|waited| waited < elsewhere)
+        if self.options.policy.avoid_failed
+            && waited.is_some_and(|waited| waited < elsewhere)
             && needs.failed_on.contains(&offer.runner)
         {
             return false;
         }
-        if waited.is_none_or(|waited| waited >= patience) {
+        let waits_for_rack = self.options.policy.rack_patience;
+        if !waits_for_rack || waited.is_none_or(|waited| waited >= patience) {
             return true;
         }
         match &needs.preferred_rack {
--- a/crates/replay/src/cluster.rs
+++ b/crates/replay/src/cluster.rs
@@ -153,6 +153,7 @@
         seeds: Vec::new(),
         founding: coordinator::Founding::Exact,
         stalled_after: None,
+        move_slow: true,
         initial_coordinators: 1,
         consensus: consensus::Options::default(),
         dispatcher: dispatch::DispatcherOptions::default(),
--- a/crates/settings/src/coordinator.rs
+++ b/crates/settings/src/coordinator.rs
@@ -24,6 +24,8 @@
     pub limits: CoordinatorLimits,
     /// Table `dispatcher`.
     pub dispatcher: DispatcherSettings,
+    /// Table `policy`.
+    pub policy: PolicySettings,
 }
 
 impl RoleSettings for CoordinatorSettings {
@@ -35,6 +37,7 @@
         let timings = CoordinatorTimings::read(reader);
         let limits = CoordinatorLimits::read(reader);
         let dispatcher = DispatcherSettings::read(reader);
+        let policy = PolicySettings::read(reader);
         Some(Self {
             node: node?,
             admin_listen: admin_listen?,
@@ -43,6 +46,7 @@
             timings,
             limits,
             dispatcher,
+            policy,
         })
     }
 
@@ -151,6 +155,60 @@
     }
 }
 
+/// Table `policy`: which mechanisms decide. All are on by default.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct PolicySettings {
+    /// How a tenant is chosen: `uniform` (default) or `oldest`.
+    pub draw: DrawSetting,
+    /// A tenant above its share waits while one below could start.
+    pub shares: bool,
+    /// Work of more urgent queues goes first and keeps its part free.
+    pub priorities: bool,
+    /// A runner is kept free for a task or a gang that starves.
+    pub holds: bool,
+    /// Further copies of running tasks, where a step allows them.
+    pub copies: bool,
+    /// Runners on which much failed lately come last.
+    pub suspects_last: bool,
+    /// Runners on which many jobs failed in a row get nothing for a while.
+    pub probation: bool,
+    /// A task waits for the rack where it runs best.
+    pub rack_patience: bool,
+    /// A task waits for another runner than those it failed on.
+    pub avoid_failed: bool,
+    /// Runs on a slow runner are moved (needs `dispatcher.stalled_after_ms`).
+    pub move_slow: bool,
+}
+
+/// How a tenant is chosen.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, serde::Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum DrawSetting {
+    /// Uniformly at random.
+    #[default]
+    Uniform,
+    /// The one whose first task is the oldest.
+    Oldest,
+}
+
+impl PolicySettings {
+    fn read(reader: &mut Reader) -> Self {
+        let mut on = |key: &str| reader.defaulted(&format!("policy.{key}"), true);
+        Self {
+            shares: on("shares"),
+            priorities: on("priorities"),
+            holds: on("holds"),
+            copies: on("copies"),
+            suspects_last: on("suspects_last"),
+            probation: on("probation"),
+            rack_patience: on("rack_patience"),
+            avoid_failed: on("avoid_failed"),
+            move_slow: on("move_slow"),
+            draw: reader.defaulted("policy.draw", DrawSetting::Uniform),
+        }
+    }
+}
+
 /// Table `dispatcher`.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct DispatcherSettings {
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -17,7 +17,8 @@
 
 pub use agent::{AgentSettings, AgentTimings};
 pub use coordinator::{
-    CoordinatorLimits, CoordinatorSettings, CoordinatorTimings, DispatcherSettings,
+    CoordinatorLimits, CoordinatorSettings, CoordinatorTimings, DispatcherSettings, DrawSetting,
+    PolicySettings,
 };
 pub use error::{SettingsError, SettingsProblem};
 pub use gateway::{GatewayLimits, GatewaySettings, GatewayTimings};
--- a/crates/simulation/src/fleet.rs
+++ b/crates/simulation/src/fleet.rs
@@ -102,6 +102,7 @@
             seeds: seeds.to_vec(),
             founding: coordinator::Founding::Exact,
             stalled_after: None,
+            move_slow: true,
             initial_coordinators: u32::try_from(fleet.coordinators).unwrap_or(u32::MAX),
             consensus: consensus::Options {
                 mutation: plan.mutation.and_then(Mutation::of_consensus),
