Simulate a leader whose work takes time

A plan may now say what a look of the dispatcher, an input and a step of a coordinator cost; messages wait meanwhile, in lanes and taken together as in the daemon's shell, or in one queue as before.

--- a/crates/coordinator/src/core.rs
+++ b/crates/coordinator/src/core.rs
@@ -89,6 +89,8 @@
     AcknowledgeBeforeCommit,
     /// Runs of a silent runner are closed at a tenth of their lease.
     ExpireRunsEarly,
+    /// The dispatcher pulls for every runner and looks into every list.
+    LookAtAll,
     /// A guard of the record left out.
     Record(record::mutation::Mutation),
 }
@@ -258,6 +260,12 @@
         self.replica.as_ref().map(|replica| &replica.record)
     }
 
+    /// Looks of the dispatcher so far, in this office; 0 while it does not lead.
+    pub fn looks(&self) -> u64 {
+        let leader = self.leader.as_ref();
+        leader.map_or(0, |leader| leader.dispatcher.looks())
+    }
+
     /// What its consensus node says of itself; none before it has one.
     pub fn status(&self, now: Now) -> Option<consensus::Status> {
         let replica = self.replica.as_ref()?;
--- a/crates/coordinator/src/leadership.rs
+++ b/crates/coordinator/src/leadership.rs
@@ -75,7 +75,10 @@
         metrics::counter!("cypressdrum_elections_won_total").increment(1);
         let seed = self.random.random();
         let options = self.options.clone();
-        let dispatcher = Dispatcher::new(options.dispatcher.clone(), identity.term, seed);
+        let mut dispatcher = Dispatcher::new(options.dispatcher.clone(), identity.term, seed);
+        if options.mutation == Some(Mutation::LookAtAll) {
+            dispatcher.look_at_all();
+        }
         let record = &replica.record;
         self.leader = Some(Leader::new(options, identity, record, dispatcher, now));
     }
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -49,6 +49,8 @@
     pub(crate) failed_on: BTreeMap<TaskRef, BTreeSet<RunnerIndex>>,
     pub(crate) reason_cursor: usize,
     pub(crate) search_holds_after: Monotonic,
+    /// Runners and lists that nothing could fit are passed over.
+    pub(crate) passes_over: bool,
     /// See [`Dispatcher::looks`].
     looks: Cell<u64>,
 }
@@ -77,6 +79,7 @@
             failed_on: BTreeMap::new(),
             reason_cursor: 0,
             search_holds_after: Monotonic::default(),
+            passes_over: true,
             looks: Cell::new(0),
         }
     }
@@ -210,6 +213,11 @@
         self.looks.get()
     }
 
+    /// Passes over nothing any more, for proofs of what that is worth.
+    pub fn look_at_all(&mut self) {
+        self.passes_over = false;
+    }
+
     pub(crate) fn note_look(&self) {
         self.note_looks(1);
     }
--- a/crates/dispatch/src/draw.rs
+++ b/crates/dispatch/src/draw.rs
@@ -340,7 +340,8 @@
         let searches = starving == Starving::Search && !in_shadow;
         let reserve = self.reserve_beside(list.queue, offer);
         let bounds = list.pending.bounds();
-        if !searches && !bounds.is_some_and(|bounds| reserve.may_admit(&bounds, offer)) {
+        let may_admit = bounds.is_some_and(|bounds| reserve.may_admit(&bounds, offer));
+        if !searches && !may_admit && self.passes_over {
             return Finding::default();
         }
         let mut finding = Finding {
--- a/crates/dispatch/src/place.rs
+++ b/crates/dispatch/src/place.rs
@@ -93,7 +93,7 @@
     fn turn(&mut self, runner: RunnerIndex, bounds: &Bounds, now: Now) -> Option<Turn> {
         let state = &self.runners[runner];
         let room = state.room();
-        if !bounds.least.fits_in(&room) {
+        if !bounds.least.fits_in(&room) && self.passes_over {
             return None;
         }
         let suspects_last = self.options.policy.suspects_last;
--- /dev/null
+++ b/crates/simulation/src/busy.rs
@@ -0,0 +1,127 @@
+//! Coordinators that take time: while one is at work, what is sent to it waits.
+//!
+//! The simulation charges no processor time by default. A plan may say what a look
+//! of the dispatcher, an input and a step cost; then a leader can fall behind, and
+//! it shows whether it catches up or loses its sessions.
+
+use crate::event::{Event, Life};
+use crate::network::Micros;
+use crate::plan::Processing;
+use crate::process::{Core, Input, ProcessIndex};
+use crate::world::World;
+use peer::{Envelope, Lane};
+use types::{Milliseconds, Role};
+
+/// Inputs that share a step, and the wait after which a request is refused: as
+/// in the daemon's shell.
+const STEP_INPUTS: usize = 64;
+const LONGEST_REQUEST_WAIT: Micros = 300_000;
+
+/// What waits for a coordinator, and until when it is at work.
+#[derive(Debug, Default)]
+pub struct Busy {
+    until: Micros,
+    waiting: Vec<(Micros, Envelope)>,
+    /// Looks of its dispatcher, when it was last asked.
+    looks: u64,
+}
+
+impl World {
+    /// True while the process is at work.
+    pub(crate) fn is_busy(&self, process: ProcessIndex) -> bool {
+        self.processes[process.0].busy.until > self.now
+    }
+
+    /// A message for a process that may be at work.
+    pub(crate) fn message_arrives(&mut self, process: ProcessIndex, envelope: Envelope) {
+        if !self.is_busy(process) {
+            return self.input(process, Input::Message(envelope));
+        }
+        let now = self.now;
+        let busy = &mut self.processes[process.0].busy;
+        busy.waiting.push((now, envelope));
+        if busy.waiting.len() == 1 {
+            self.schedule_resume(process);
+        }
+    }
+
+    fn schedule_resume(&mut self, process: ProcessIndex) {
+        let state = &self.processes[process.0];
+        let (until, life) = (state.busy.until, state.life);
+        self.schedule(until, Event::Resume(process, life));
+    }
+
+    /// The process has done its step: it takes what has arrived meanwhile.
+    pub(crate) fn resume(&mut self, process: ProcessIndex, life: Life) {
+        let state = &mut self.processes[process.0];
+        if state.life != life {
+            state.busy.waiting.clear();
+            return;
+        }
+        if state.busy.until > self.now {
+            return self.schedule_resume(process);
+        }
+        let inputs = self.take_waiting(process);
+        self.inputs(process, inputs);
+        if !self.processes[process.0].busy.waiting.is_empty() {
+            self.schedule_resume(process);
+        }
+    }
+
+    fn take_waiting(&mut self, process: ProcessIndex) -> Vec<Input> {
+        let now = self.now;
+        let single = self.processing.single_queue;
+        let waiting = &mut self.processes[process.0].busy.waiting;
+        if !single {
+            waiting.sort_by_key(|(_, envelope)| Lane::of(&envelope.body));
+        }
+        let most = match single {
+            true => 1,
+            false => STEP_INPUTS,
+        };
+        let taken = waiting.drain(..most.min(waiting.len()));
+        let mut longest = self.longest_office_wait;
+        let inputs = taken
+            .map(|(since, envelope)| {
+                let waited = now - since;
+                let lane = Lane::of(&envelope.body);
+                if lane == Lane::Office {
+                    longest = longest.max(waited);
+                }
+                let overdue = lane == Lane::Requests && waited > LONGEST_REQUEST_WAIT;
+                match overdue && !single {
+                    true => Input::Overdue(envelope),
+                    false => Input::Message(envelope),
+                }
+            })
+            .collect();
+        self.longest_office_wait = longest;
+        inputs
+    }
+
+    /// Notes what a step of so many inputs cost.
+    pub(crate) fn charge(&mut self, process: ProcessIndex, inputs: usize) {
+        if self.processing == Processing::default() {
+            return;
+        }
+        let state = &mut self.processes[process.0];
+        if state.role() != Role::Coordinator {
+            return;
+        }
+        let looks = match &state.core {
+            Some(Core::Coordinator(core)) => core.looks(),
+            _ => 0,
+        };
+        // A new leader begins anew.
+        let since = looks.checked_sub(state.busy.looks).unwrap_or(looks);
+        state.busy.looks = looks;
+        let inputs = u64::try_from(inputs).unwrap_or(u64::MAX);
+        let cost = self.processing.cost_micros(since, inputs);
+        state.busy.until = self.now + cost;
+    }
+
+    /// How long a message of office waited at most for a coordinator at work.
+    pub fn longest_office_wait(&self) -> Milliseconds {
+        Milliseconds(self.longest_office_wait / 1_000)
+    }
+}
--- a/crates/simulation/src/event.rs
+++ b/crates/simulation/src/event.rs
@@ -15,6 +15,8 @@
 pub enum Event {
     /// A daemon's own timer.
     Tick(ProcessIndex, Life),
+    /// A daemon that was at work takes what has arrived meanwhile.
+    Resume(ProcessIndex, Life),
     /// A message reaches a daemon.
     Message(ProcessIndex, Envelope),
     /// A coordinator's disk has finished its oldest write.
@@ -78,6 +80,7 @@
     pub fn process(&self) -> Option<ProcessIndex> {
         match self {
             Self::Tick(process, _)
+            | Self::Resume(process, _)
             | Self::Message(process, _)
             | Self::DiskDone(process, _)
             | Self::OrderAnswered(process, ..)
--- a/crates/simulation/src/fleet.rs
+++ b/crates/simulation/src/fleet.rs
@@ -38,6 +38,7 @@
 pub fn build(plan: &Plan) -> Result<World, InvalidName> {
     let mut world = World::new(ChaCha8Rng::seed_from_u64(plan.seed));
     world.mutation = plan.mutation;
+    world.processing = plan.processing;
     add_machines(&mut world, &plan.fleet)?;
     let seeds = seed_sockets(&plan.fleet);
     for position in 0..world.machines.len() {
@@ -158,6 +159,7 @@
         core: None,
         disk: DiskSlot::None,
         writes: VecDeque::new(),
+        busy: Default::default(),
         timer: None,
         retired: false,
         last_identity: None,
--- a/crates/simulation/src/lib.rs
+++ b/crates/simulation/src/lib.rs
@@ -6,6 +6,7 @@
 //! and write down what they saw; the checker reads that history. The same seed
 //! gives the same run to the byte.
 
+mod busy;
 pub mod caller;
 pub mod campaign;
 pub mod event;
@@ -28,7 +29,9 @@
 
 pub use campaign::{Campaign, SeedResult, Summary, run_campaign, run_plan};
 pub use mutation::Mutation;
-pub use plan::{Acknowledgement, Behaviour, Fault, FleetSize, Plan, PlanError, PlannedFault};
+pub use plan::{
+    Acknowledgement, Behaviour, Fault, FleetSize, Plan, PlanError, PlannedFault, Processing,
+};
 pub use planner::{PlannerOptions, plan_from_seed};
 pub use run::{Outcome, run};
 pub use shrink::shrink;
--- a/crates/simulation/src/mutation.rs
+++ b/crates/simulation/src/mutation.rs
@@ -52,6 +52,8 @@
     ForgetFailures,
     /// The end of one member does not end the rest of its gang.
     KeepRestOfGang,
+    /// The dispatcher pulls for every runner and looks into every list.
+    LookAtAll,
     /// Agents deliver orders of any term.
     NoAgentTermFence,
     /// Agents keep orders over a lost session or a freeze.
@@ -60,7 +62,7 @@
 
 impl Mutation {
     /// Every mutation, in order.
-    pub const ALL: [Self; 20] = [
+    pub const ALL: [Self; 21] = [
         Self::VoteDespiteLeader,
         Self::LeaseFromReply,
         Self::ResendStartInsteadOfVoid,
@@ -79,6 +81,7 @@
         Self::SkipReservationCheck,
         Self::ForgetFailures,
         Self::KeepRestOfGang,
+        Self::LookAtAll,
         Self::NoAgentTermFence,
         Self::AgentKeepsOrders,
     ];
@@ -100,6 +103,7 @@
             Self::SkipLeaseCheck => Some(coordinator::Mutation::SkipLeaseCheck),
             Self::AcknowledgeBeforeCommit => Some(coordinator::Mutation::AcknowledgeBeforeCommit),
             Self::ExpireRunsEarly => Some(coordinator::Mutation::ExpireRunsEarly),
+            Self::LookAtAll => Some(coordinator::Mutation::LookAtAll),
             other => other.of_record().map(coordinator::Mutation::Record),
         }
     }
--- a/crates/simulation/src/plan.rs
+++ b/crates/simulation/src/plan.rs
@@ -19,6 +19,9 @@
     /// Most time after the load in which all work must end.
     #[serde(default = "default_calm_ms")]
     pub calm_ms: u64,
+    /// What the work of coordinators costs; nothing unless the plan says so.
+    #[serde(default)]
+    pub processing: Processing,
     /// A mechanism turned off, for proofs.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub mutation: Option<Mutation>,
@@ -68,6 +71,30 @@
     }
 }
 
+/// What the work of coordinators costs.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Processing {
+    /// A look of the dispatcher.
+    pub nanos_per_look: u64,
+    /// An input of any kind.
+    pub micros_per_input: u64,
+    /// A step, whatever it takes in.
+    pub micros_per_step: u64,
+    /// One message a step, in the order of arrival: the loop as it was before
+    /// messages had lanes. For proofs.
+    pub single_queue: bool,
+}
+
+impl Processing {
+    /// Time that a step takes, in microseconds.
+    pub fn cost_micros(&self, looks: u64, inputs: u64) -> u64 {
+        looks.saturating_mul(self.nanos_per_look) / 1_000
+            + inputs.saturating_mul(self.micros_per_input)
+            + self.micros_per_step
+    }
+}
+
 /// A fault with its moment.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PlannedFault {
@@ -304,6 +331,7 @@
             fleet: FleetSize::default(),
             load_ms: DEFAULT_LOAD_MS,
             calm_ms: DEFAULT_CALM_MS,
+            processing: Processing::default(),
             mutation: None,
             faults: Vec::new(),
         }
--- a/crates/simulation/src/planner.rs
+++ b/crates/simulation/src/planner.rs
@@ -59,6 +59,7 @@
         fleet: options.fleet,
         load_ms: options.load_ms,
         calm_ms: crate::plan::DEFAULT_CALM_MS,
+        processing: Default::default(),
         mutation: None,
         faults,
     }
--- a/crates/simulation/src/process.rs
+++ b/crates/simulation/src/process.rs
@@ -2,6 +2,7 @@
 //! coordinator.
 
 use crate::Mutation;
+use crate::busy::Busy;
 use crate::event::{DiskState, Life};
 use crate::machine::MachineIndex;
 use crate::network::Micros;
@@ -36,6 +37,8 @@
     Tick,
     /// A message arrived.
     Message(Envelope),
+    /// A request that waited too long for a coordinator at work.
+    Overdue(Envelope),
     /// A batch is synced.
     Persisted(u64),
     /// The identity is synced.
@@ -123,6 +126,8 @@
     pub disk: DiskSlot,
     /// Writes asked for and not done.
     pub writes: VecDeque<Write>,
+    /// What waits while it is at work.
+    pub busy: Busy,
     /// Moment of the timer in the queue.
     pub timer: Option<Micros>,
     /// True when it is gone for good.
@@ -155,6 +160,7 @@
         self.life = Life(self.life.0 + 1);
         self.timer = None;
         self.writes.clear();
+        self.busy = Busy::default();
         self.address.node = node;
         let core = match self.settings.clone() {
             Settings::Gateway(mut options) => {
@@ -234,6 +240,7 @@
             core: None,
             disk: DiskSlot::None,
             writes: VecDeque::new(),
+            busy: Busy::default(),
             timer: None,
             retired: false,
             last_identity: None,
@@ -245,12 +252,20 @@
     pub fn handle(&mut self, now: Now, input: Input) -> Vec<Effect> {
         match &mut self.core {
             None => Vec::new(),
-            Some(Core::Coordinator(core)) => handle_coordinator(core, now, input),
+            Some(Core::Coordinator(core)) => handle_coordinator(core, now, vec![input]),
             Some(Core::Gateway(core)) => handle_gateway(core, now, input),
             Some(Core::Agent(core)) => handle_agent(core, now, input),
         }
     }
 
+    /// Gives inputs that are there together to a coordinator, in one step.
+    pub fn handle_all(&mut self, now: Now, inputs: Vec<Input>) -> Vec<Effect> {
+        match &mut self.core {
+            Some(Core::Coordinator(core)) => handle_coordinator(core, now, inputs),
+            _ => Vec::new(),
+        }
+    }
+
     /// When its core wants a tick.
     pub fn next_wakeup(&self) -> Option<Monotonic> {
         self.core.as_ref().map(|core| match core {
@@ -287,17 +302,26 @@
     }
 }
 
-fn handle_coordinator(core: &mut Coordinator, now: Now, input: Input) -> Vec<Effect> {
-    let input = match input {
+fn coordinator_input(input: Input) -> Option<coordinator::Input> {
+    Some(match input {
         Input::Tick => coordinator::Input::Tick,
         Input::Message(envelope) => coordinator::Input::Peer(envelope),
+        Input::Overdue(envelope) => coordinator::Input::Overdue(envelope),
         Input::Persisted(number) => coordinator::Input::Persisted { number },
         Input::IdentitySaved => coordinator::Input::IdentitySaved,
         Input::Stop => coordinator::Input::Stop,
-        Input::Request { .. } | Input::Heartbeat(_) | Input::Answered(..) => return Vec::new(),
-    };
+        Input::Request { .. } | Input::Heartbeat(_) | Input::Answered(..) => return None,
+    })
+}
+
+fn handle_coordinator(core: &mut Coordinator, now: Now, inputs: Vec<Input>) -> Vec<Effect> {
+    let inputs: Vec<coordinator::Input> =
+        inputs.into_iter().filter_map(coordinator_input).collect();
+    if inputs.is_empty() {
+        return Vec::new();
+    }
     let mut effects = Vec::new();
-    core.handle(now, input, &mut effects);
+    core.handle_all(now, inputs, &mut effects);
     effects
         .into_iter()
         .filter_map(|effect| match effect {
--- a/crates/simulation/src/world.rs
+++ b/crates/simulation/src/world.rs
@@ -6,7 +6,7 @@
 use crate::machine::{Machine, MachineIndex};
 use crate::network::{Micros, Network};
 use crate::operator::OperatorHost;
-use crate::plan::Fault;
+use crate::plan::{Fault, Processing};
 use crate::process::{Effect, Input, Process, ProcessIndex, Write};
 use crate::runner::RunnerHost;
 use checker::Observation;
@@ -22,6 +22,8 @@
 const LEAST_TIMER_MICROS: Micros = 1_000;
 /// Time one sync of a coordinator's disk takes.
 const SYNC_MICROS: (Micros, Micros) = (300, 1_500);
+/// Time after which a daemon at work is looked at again.
+const BUSY_MICROS: Micros = 500;
 /// Time an unsynced write waits when disks lie about their syncs.
 const UNSYNCED_MICROS: Micros = 2_000_000;
 
@@ -59,6 +61,10 @@
     pub load_until: Micros,
     /// Newest configuration acknowledged to any operator.
     pub newest_acknowledged: types::ConfigurationVersion,
+    /// What the work of coordinators costs.
+    pub processing: Processing,
+    /// Longest wait of a message of office for a coordinator at work.
+    pub(crate) longest_office_wait: Micros,
     /// Losses that wait for an acknowledgement.
     pub armed: Vec<Fault>,
     /// A daemon that could not go on, and why.
@@ -91,6 +97,8 @@
             load_until: 0,
             newest_acknowledged: types::ConfigurationVersion(0),
             armed: Vec::new(),
+            processing: Processing::default(),
+            longest_office_wait: 0,
             broken: Vec::new(),
             handled: 0,
             queue: BinaryHeap::new(),
@@ -148,7 +156,8 @@
         }
         match event {
             Event::Tick(process, life) => self.tick(process, life),
-            Event::Message(process, envelope) => self.input(process, Input::Message(envelope)),
+            Event::Message(process, envelope) => self.message_arrives(process, envelope),
+            Event::Resume(process, life) => self.resume(process, life),
             Event::DiskDone(process, life) => self.disk_done(process, life),
             Event::Start(process, disk) => self.start_process(process, disk),
             Event::GraceOver(process, life) => self.grace_over(process, life),
@@ -221,6 +230,9 @@
         if stale || !self.is_due(self.processes[process.0].timer) {
             return;
         }
+        if self.is_busy(process) {
+            return self.schedule_in(BUSY_MICROS, Event::Tick(process, life));
+        }
         self.processes[process.0].timer = None;
         self.input(process, Input::Tick);
     }
@@ -235,6 +247,19 @@
     pub fn input(&mut self, process: ProcessIndex, input: Input) {
         let now = self.clock_of(process);
         let effects = self.processes[process.0].handle(now, input);
+        self.after_step(process, 1, effects);
+    }
+
+    /// The same with inputs that are there together.
+    pub(crate) fn inputs(&mut self, process: ProcessIndex, inputs: Vec<Input>) {
+        let now = self.clock_of(process);
+        let count = inputs.len();
+        let effects = self.processes[process.0].handle_all(now, inputs);
+        self.after_step(process, count, effects);
+    }
+
+    fn after_step(&mut self, process: ProcessIndex, inputs: usize, effects: Vec<Effect>) {
+        self.charge(process, inputs);
         for effect in effects {
             self.carry_out(process, effect);
         }
@@ -277,6 +302,9 @@
         if self.processes[process.0].life != life {
             return;
         }
+        if self.is_busy(process) {
+            return self.schedule_in(BUSY_MICROS, Event::DiskDone(process, life));
+        }
         match self.processes[process.0].finish_write() {
             None => {}
             Some(Ok(_)) if self.mutation == Some(Mutation::AcknowledgeBeforeSync) => {}
