--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -1,7 +1,7 @@
 //! The dispatcher's public steps; each module beside this one has one part.
 
-use crate::draw::Starving;
 use crate::gang::Gangs;
+use crate::look::Starving;
 use crate::options::{AuditReport, DispatcherOptions, Published, RunnerView};
 use crate::queue::{ListIndex, Pool, Queue, Tenant, TenantList};
 use crate::run::Run;
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -17,6 +17,7 @@
 mod health;
 mod heartbeat;
 mod hold;
+mod look;
 pub mod options;
 mod pending;
 mod place;
--- a/crates/dispatch/src/place.rs
+++ b/crates/dispatch/src/place.rs
@@ -1,7 +1,7 @@
 //! Placement over all runners, and the changed reasons of what stays.
 
 use crate::bounds::Bounds;
-use crate::draw::Starving;
+use crate::look::Starving;
 use crate::runner::RunnerIndex;
 use crate::{Decision, DecisionKind, Dispatcher};
 use rand::Rng;
