--- a/crates/dispatch/src/draw.rs
+++ b/crates/dispatch/src/draw.rs
@@ -47,7 +47,8 @@
     below_share: Option<TaskRef>,
     bursting: Option<TaskRef>,
     starving: Option<TaskRef>,
-    above_ceiling: Vec<ListIndex>,
+    /// Lists above their ceiling, and whether some task of each only leaves room.
+    above_ceiling: Vec<(ListIndex, bool)>,
 }
 
 /// Which of a queue's sets is drawn from.
@@ -142,8 +143,9 @@
     ) -> Option<Choice> {
         let runnable_tenants = self.runnable_count(offer.pool, kind);
         let walk = self.walk_tenants(level, kind, offer, starving, now);
-        for index in walk.above_ceiling {
+        for (index, leaves_room) in walk.above_ceiling {
             self.lists[index].above_ceiling = true;
+            self.lists[index].leaves_room = leaves_room;
             self.refresh_list(index);
         }
         if let Some(task) = walk.starving
@@ -178,7 +180,7 @@
                 Kind::Copies => self.look_for_copy(index, offer),
             };
             if finding.above_ceiling {
-                walk.above_ceiling.push(index);
+                walk.above_ceiling.push((index, finding.leaves_room));
             }
             if self.is_above_share(index, offer.pool) {
                 walk.bursting = walk.bursting.or(finding.startable);
--- a/crates/dispatch/src/look.rs
+++ b/crates/dispatch/src/look.rs
@@ -24,8 +24,11 @@
     pub(crate) startable: Option<TaskRef>,
     /// Waits longer than a task should and fits an empty runner like this one.
     pub(crate) starving: Option<TaskRef>,
-    /// Every task looked at would exceed the tenant's ceiling.
+    /// Every task looked at would exceed the tenant's ceiling, or what is left
+    /// of it beside the part kept for urgent work.
     pub(crate) above_ceiling: bool,
+    /// Some task would start but for that part.
+    pub(crate) leaves_room: bool,
 }
 
 impl Dispatcher {
@@ -58,6 +61,7 @@
                 continue;
             };
             if !tenant.allows_beside(&needs.resources, &kept) {
+                finding.leaves_room |= tenant.allows(&needs.resources);
                 continue;
             }
             finding.above_ceiling = false;
--- a/crates/dispatch/src/place.rs
+++ b/crates/dispatch/src/place.rs
@@ -129,14 +129,21 @@
         let lists = self.lists.len();
         for _ in 0..affordable.max(1).min(lists) {
             self.reason_cursor = (self.reason_cursor + 1) % lists;
-            // What is kept for urgent work shrinks as time goes by.
-            self.lists[self.reason_cursor].above_ceiling = false;
-            self.refresh_list(self.reason_cursor);
+            self.look_again_if_it_leaves_room(self.reason_cursor);
             self.relieve_list(self.reason_cursor, now);
             decisions.extend(self.changed_reason(self.reason_cursor, now));
         }
     }
 
+    /// What is kept for urgent work shrinks as time goes by, and nothing tells.
+    fn look_again_if_it_leaves_room(&mut self, index: usize) {
+        let list = &mut self.lists[index];
+        if std::mem::take(&mut list.leaves_room) {
+            list.above_ceiling = false;
+            self.refresh_list(index);
+        }
+    }
+
     fn changed_reason(&mut self, index: usize, now: Now) -> Option<Decision> {
         let list = &self.lists[index];
         let (queue, tenant) = (list.queue, list.tenant);
--- a/crates/dispatch/src/queue.rs
+++ b/crates/dispatch/src/queue.rs
@@ -27,6 +27,9 @@
     /// True when every task looked at would exceed the tenant's ceiling; until
     /// the list, the ceiling or the holdings change, it need not be drawn.
     pub(crate) above_ceiling: bool,
+    /// True when some of them would start but for what is kept for urgent work,
+    /// which shrinks as time goes by.
+    pub(crate) leaves_room: bool,
     /// What its work asks for.
     pub(crate) demand: Demand,
     /// When a task of it was last given a runner.
--- a/crates/dispatch/src/task.rs
+++ b/crates/dispatch/src/task.rs
@@ -201,6 +201,7 @@
             copies: Default::default(),
             shadowed: Default::default(),
             above_ceiling: false,
+            leaves_room: false,
             demand: Default::default(),
             started_at: self.latest,
             waiting_since: self.latest,
