Let a leader that is up but badly placed give way

Change (consensus::standing): a leader dates the first answer of each follower to each round of heartbeats; followers probe one another and tell what they measured. A leader with more bad links than good ones for six heartbeats hands over to the voter with the fewest bad links that reaches a quorum without it, if one does. A slow disk excuses a follower's late answers and bars it; the lag of the leader's own loop is discounted, four times; who gave way is not chosen again for 600 heartbeats. A badly placed voter stands later. Proposals wait while leadership is handed over. Not covered: a leader whose processor is slow.

--- a/crates/consensus/src/election.rs
+++ b/crates/consensus/src/election.rs
@@ -38,7 +38,13 @@
         let shortest = self.options.election_timeout.0;
         let spread = self.options.election_spread.0;
         let extra = self.random.random_range(0..spread.max(1));
-        self.election_deadline = self.clock + Milliseconds(shortest.saturating_add(extra));
+        // A voter that is badly placed lets the others stand first.
+        let handicap = match self.options.gives_way && self.own_standing().is_poor() {
+            true => spread,
+            false => 0,
+        };
+        let wait = shortest.saturating_add(extra).saturating_add(handicap);
+        self.election_deadline = self.clock + Milliseconds(wait);
     }
 
     /// When to try again if this attempt fails: soon, since what failed it is
@@ -102,7 +108,7 @@
         self.count_pre_votes();
     }
 
-    fn other_voters(&self) -> Vec<NodeId> {
+    pub(crate) fn other_voters(&self) -> Vec<NodeId> {
         let voters = self.membership().voters.keys();
         voters.filter(|n| **n != self.id).copied().collect()
     }
@@ -115,6 +121,7 @@
             self.become_follower(self.term, None);
             return;
         }
+        self.stands_by_transfer = transfer;
         self.term = next_term(self.term);
         self.voted_for = Some(self.id);
         self.leader = None;
@@ -157,6 +164,9 @@
             next_heartbeat: self.clock,
             first_index,
             transfer: None,
+            elected_at: self.clock,
+            by_transfer: self.stands_by_transfer,
+            badly_placed_since: None,
         });
         self.leader = Some(self.id);
         self.follow_members();
--- a/crates/consensus/src/lease.rs
+++ b/crates/consensus/src/lease.rs
@@ -114,12 +114,21 @@
             return;
         };
         let mut begun = leadership.rounds.begun_at(round);
+        let trip = begun.map(|begun| now.since(begun));
         if from_reply {
             begun = Some(now);
         }
-        if let Some(progress) = leadership.progress.get_mut(&from) {
-            progress.last_heard = now;
-            progress.answered_round = progress.answered_round.max(begun);
+        let Some(progress) = leadership.progress.get_mut(&from) else {
+            return;
+        };
+        progress.last_heard = now;
+        progress.answered_round = progress.answered_round.max(begun);
+        // Its first answer to a round: later ones answer entries sent since.
+        if round > progress.last_round
+            && let Some(trip) = trip
+        {
+            progress.last_round = round;
+            self.note_round_trip(from, trip);
         }
     }
 
--- a/crates/consensus/src/lib.rs
+++ b/crates/consensus/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod ready;
 mod replication;
 mod snapshot;
+mod standing;
 pub mod state;
 mod transfer;
 
@@ -27,6 +28,7 @@
 pub use node::{Node, ProposeError, Status};
 pub use options::{Mutation, Options};
 pub use ready::Ready;
+pub use standing::Standing;
 pub use state::{
     Entry, HardState, Membership, Payload, RaftRole, Recovered, Snapshot, SnapshotMeta,
 };
--- a/crates/consensus/src/log.rs
+++ b/crates/consensus/src/log.rs
@@ -7,8 +7,6 @@
 
 /// Bytes an entry takes besides its payload, as counted for batches.
 const ENTRY_OVERHEAD_BYTES: usize = 32;
-/// Bytes one member of a membership is counted with.
-const MEMBER_BYTES: usize = 40;
 
 /// The index after `index`. Indexes come from the network, so this never
 /// overflows.
@@ -23,14 +21,7 @@
 
 /// The bytes an entry is counted with.
 fn size_of(entry: &Entry) -> usize {
-    let payload = match &entry.payload {
-        Payload::Noop => 0,
-        Payload::Command(command) => command.len(),
-        Payload::Membership(membership) => {
-            MEMBER_BYTES * (membership.voters.len() + membership.learners.len())
-        }
-    };
-    payload.saturating_add(ENTRY_OVERHEAD_BYTES)
+    entry.payload.bytes().saturating_add(ENTRY_OVERHEAD_BYTES)
 }
 
 /// The entries after a base that is known committed.
--- a/crates/consensus/src/message.rs
+++ b/crates/consensus/src/message.rs
@@ -1,6 +1,6 @@
 //! Messages between Raft nodes.
 
-use crate::{Entry, SnapshotMeta};
+use crate::{Entry, SnapshotMeta, Standing};
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
 use types::{LogIndex, NodeId, Term};
@@ -101,12 +101,25 @@
         /// The leader's term.
         term: Term,
     },
+    /// How long do you take to answer? Belongs to no term.
+    Probe {
+        /// Its number, echoed.
+        number: u64,
+        /// What the sender measured so far.
+        standing: Standing,
+    },
+    /// Answer to a probe.
+    ProbeReply {
+        /// The probe's number.
+        number: u64,
+    },
 }
 
 impl Message {
-    /// The term the message carries.
+    /// The term the message carries; 0 for probes, which belong to none.
     pub fn term(&self) -> Term {
         match self {
+            Self::Probe { .. } | Self::ProbeReply { .. } => Term(0),
             Self::PreVote { term, .. }
             | Self::PreVoteReply { term, .. }
             | Self::Vote { term, .. }
--- a/crates/consensus/src/node.rs
+++ b/crates/consensus/src/node.rs
@@ -6,9 +6,11 @@
 use crate::progress::Progress;
 use crate::ready::{Batches, Outbox};
 use crate::snapshot::IncomingSnapshot;
+use crate::standing::Standings;
 use crate::transfer::Transfer;
 use crate::{
     HardState, Membership, Message, Options, Outgoing, Payload, RaftRole, Recovered, Snapshot,
+    Standing,
 };
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -54,6 +56,13 @@
     pub silence: Vec<(NodeId, Milliseconds)>,
     /// Leader only: last index known equal at each other member.
     pub matched: Vec<(NodeId, LogIndex)>,
+    /// What it measured of its links: a leader by its rounds, a follower by
+    /// probes to other followers.
+    pub standing: Standing,
+    /// What other voters said of theirs last.
+    pub told: Vec<(NodeId, Standing)>,
+    /// Times this process gave leadership way.
+    pub gave_way: u32,
 }
 
 /// What a node keeps in its role.
@@ -76,6 +85,11 @@
     /// Index of the first entry of its own term.
     pub first_index: LogIndex,
     pub transfer: Option<Transfer>,
+    pub elected_at: Monotonic,
+    /// Elected since its predecessor handed over.
+    pub by_transfer: bool,
+    /// Since when more than half of its links are bad.
+    pub badly_placed_since: Option<Monotonic>,
 }
 
 /// A Raft node; see the crate's page for how it is driven.
@@ -105,6 +119,9 @@
     pub(crate) election_deadline: Monotonic,
     pub(crate) outbox: Outbox,
     pub(crate) batches: Batches,
+    pub(crate) standings: Standings,
+    /// The election this node stands in follows a transfer.
+    pub(crate) stands_by_transfer: bool,
 }
 
 impl Node {
@@ -150,6 +167,8 @@
             batches: Batches::new(hard_state),
             log,
             options,
+            standings: Standings::default(),
+            stands_by_transfer: false,
         };
         node.recover_memberships();
         node.begin_after_restart(hard_state);
@@ -192,6 +211,7 @@
                 self.step_leader(from, message);
             }
             Message::TimeoutNow { term } => self.on_timeout_now(term),
+            Message::Probe { .. } | Message::ProbeReply { .. } => self.step_probe(from, message),
         }
     }
 
@@ -202,12 +222,14 @@
             Role::Leader(leadership) => {
                 if self.clock >= leadership.next_heartbeat {
                     self.begin_round();
+                    self.give_way_if_badly_placed();
                 }
                 self.check_transfer();
             }
             _ if self.clock >= self.election_deadline => self.on_election_timeout(),
             _ => {}
         }
+        self.probe_when_due();
     }
 
     /// Takes the time, before anything else is done with an input: a leader
@@ -216,6 +238,7 @@
         self.clock = self.clock.max(now);
         if !self.hears_quorum() {
             tracing::info!(node = %self.id, term = %self.term, "no quorum heard, stepping down");
+            self.release_followers();
             self.become_follower(self.term, None);
         }
     }
@@ -227,6 +250,7 @@
                 Some(deadline) => leadership.next_heartbeat.min(deadline),
                 None => leadership.next_heartbeat,
             },
+            _ if self.options.gives_way => self.election_deadline.min(self.standings.next_probe),
             _ => self.election_deadline,
         }
     }
@@ -262,6 +286,17 @@
         self.outbox.after_persist.push(Outgoing { to, message });
     }
 
+    /// True when this node leads its term, whether it holds the lease or not.
+    pub fn leads(&self) -> bool {
+        matches!(self.role, Role::Leader(_))
+    }
+
+    /// Says how long the process has kept its messages waiting: an answer that
+    /// lay here for so long does not speak against the link.
+    pub fn note_lag(&mut self, lag: Milliseconds) {
+        self.standings.lag = lag;
+    }
+
     /// This node's identity.
     pub fn id(&self) -> NodeId {
         self.id
@@ -278,8 +313,12 @@
             membership: self.membership().clone(),
             silence: Vec::new(),
             matched: Vec::new(),
+            standing: self.own_standing(),
+            told: self.standings.told(),
+            gave_way: self.standings.gave_way,
         };
         if let Role::Leader(leadership) = &self.role {
+            status.standing = self.leader_standing();
             for (node, progress) in &leadership.progress {
                 let silence = now.since(progress.last_heard);
                 status.silence.push((*node, silence));
--- a/crates/consensus/src/progress.rs
+++ b/crates/consensus/src/progress.rs
@@ -6,6 +6,7 @@
 
 use crate::log::{Log, after, before};
 use crate::snapshot::OutgoingSnapshot;
+use crate::standing::Answers;
 use crate::{Entry, Message, Options, Outgoing, Snapshot};
 use std::collections::VecDeque;
 use types::{LogIndex, Milliseconds, Monotonic, NodeId, Term};
@@ -48,6 +49,10 @@
     pub last_heard: Monotonic,
     /// When the newest round it answered was begun.
     pub answered_round: Option<Monotonic>,
+    /// Number of the newest round it answered.
+    pub last_round: u64,
+    /// How late it answered rounds lately.
+    pub answers: Answers,
     /// When `matched` last grew, or sending began anew.
     advanced_at: Monotonic,
 }
@@ -60,6 +65,8 @@
             sending: Sending::Probe { waiting: false },
             last_heard: now,
             answered_round: None,
+            last_round: 0,
+            answers: Answers::default(),
             advanced_at: now,
         }
     }
--- a/crates/consensus/src/ready.rs
+++ b/crates/consensus/src/ready.rs
@@ -60,6 +60,7 @@
     last_index: LogIndex,
     last_term: Term,
     hard_state: HardState,
+    given_at: Monotonic,
 }
 
 /// The batches given out so far.
@@ -85,6 +86,11 @@
     pub fn synced_term(&self) -> Term {
         self.synced_term
     }
+
+    /// When the oldest batch that is not synced was given out.
+    pub fn oldest_given_at(&self) -> Option<Monotonic> {
+        self.pending.front().map(|batch| batch.given_at)
+    }
 }
 
 impl Node {
@@ -123,6 +129,7 @@
             last_index: self.log.last_index(),
             last_term: self.log.last_term(),
             hard_state: self.batches.given,
+            given_at: self.clock,
         });
     }
 
@@ -168,7 +175,9 @@
             self.log.mark_synced(batch.last_index, batch.last_term);
             let term = batch.hard_state.term;
             self.batches.synced_term = self.batches.synced_term.max(term);
+            let took = self.clock.since(batch.given_at);
             self.batches.pending.pop_front();
+            self.note_sync(took);
         }
         match self.role {
             Role::Candidate(_) => self.count_votes(),
--- a/crates/consensus/src/state.rs
+++ b/crates/consensus/src/state.rs
@@ -28,6 +28,22 @@
     Membership(Membership),
 }
 
+/// The bytes a member of a membership is counted with.
+const MEMBER_BYTES: usize = 40;
+
+impl Payload {
+    /// About how long it is.
+    pub fn bytes(&self) -> usize {
+        match self {
+            Self::Noop => 0,
+            Self::Command(command) => command.len(),
+            Self::Membership(membership) => {
+                MEMBER_BYTES * (membership.voters.len() + membership.learners.len())
+            }
+        }
+    }
+}
+
 /// Voters and learners with their peer sockets.
 #[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
 pub struct Membership {
--- a/crates/consensus/src/transfer.rs
+++ b/crates/consensus/src/transfer.rs
@@ -8,7 +8,8 @@
 //! term T+1, again with the transfer flag. The flag overrides only promises
 //! to a leader of term T or before, and that leader is this node, which gave
 //! its lease up. If the late receiver stands for T+1 as well, each voter
-//! gives its one vote of that term to one of them.
+//! gives its one vote of that term to one of them. A leader that gives way since
+//! it is badly placed (see [`crate::standing`]) does not stand again: it follows.
 
 use crate::node::{Leadership, Role};
 use crate::{Message, Node};
@@ -21,6 +22,8 @@
     deadline: Monotonic,
     /// Whether `TimeoutNow` was queued: the lease is given up for this term.
     sent: bool,
+    /// This leader is badly placed: it does not stand again if this fails.
+    gives_way: bool,
 }
 
 impl Leadership {
@@ -36,6 +39,11 @@
 }
 
 impl Node {
+    /// True while a transfer is under way: nothing can be proposed.
+    pub fn is_handing_over(&self) -> bool {
+        matches!(&self.role, Role::Leader(leadership) if leadership.transfer.is_some())
+    }
+
     /// Hands leadership to the most advanced voter; returns it, if there is
     /// one. Proposals are refused from now on. If the voter has not taken over
     /// within an election timeout this node goes on leading, in a new term if
@@ -43,6 +51,12 @@
     pub fn transfer_leadership(&mut self, now: Monotonic) -> Option<NodeId> {
         self.observe(now);
         let target = self.most_advanced_voter();
+        self.transfer_to(target?, false)
+    }
+
+    /// Hands leadership to this voter, unless a transfer is under way; returns
+    /// whom it goes to.
+    pub(crate) fn transfer_to(&mut self, target: NodeId, gives_way: bool) -> Option<NodeId> {
         let deadline = self.clock + self.options.election_timeout;
         let Role::Leader(leadership) = &mut self.role else {
             return None;
@@ -51,12 +65,13 @@
             return Some(transfer.target);
         }
         leadership.transfer = Some(Transfer {
-            target: target?,
+            target,
             deadline,
             sent: false,
+            gives_way,
         });
         self.advance_transfer();
-        target
+        Some(target)
     }
 
     /// The voter with the longest log among those heard lately.
@@ -89,9 +104,31 @@
         }
         transfer.sent = true;
         let to = transfer.target;
+        if transfer.gives_way {
+            self.note_gave_way();
+        }
         self.send(to, Message::TimeoutNow { term: self.term });
     }
 
+    /// A leader that steps down in its term will never hold the lease of this
+    /// term again, so the promise to it may be overridden as by a transfer. Where
+    /// it can still be heard (it is cut off one way), the voter told stands at
+    /// once, in place of waiting until its promise has run out.
+    pub(crate) fn release_followers(&mut self) {
+        let Role::Leader(leadership) = &self.role else {
+            return;
+        };
+        let voters = &self.membership().voters;
+        let members = leadership.progress.iter();
+        let successor = members
+            .filter(|(node, _)| voters.contains_key(node))
+            .max_by_key(|(_, progress)| (progress.matched, progress.last_heard))
+            .map(|(node, _)| *node);
+        if let Some(to) = successor {
+            self.send(to, Message::TimeoutNow { term: self.term });
+        }
+    }
+
     /// Ends a transfer that took too long.
     pub(crate) fn check_transfer(&mut self) {
         let Role::Leader(leadership) = &mut self.role else {
@@ -101,10 +138,12 @@
         if deadline.is_none_or(|at| self.clock < at) {
             return;
         }
-        if leadership.handed_over() {
-            self.stand(true);
-        } else {
-            leadership.transfer = None;
+        let gives_way = leadership.transfer.as_ref().is_some_and(|t| t.gives_way);
+        match leadership.handed_over() {
+            // Others, better placed, stand when their promise has run out.
+            true if gives_way => self.become_follower(self.term, None),
+            true => self.stand(true),
+            false => leadership.transfer = None,
         }
     }
 
--- a/crates/consensus/tests/node.rs
+++ b/crates/consensus/tests/node.rs
@@ -54,11 +54,24 @@
     all
 }
 
+/// Lets the node wake as it wants until it stands for election.
+fn let_it_stand(node: &mut Node) -> Monotonic {
+    loop {
+        let now = node.next_wakeup();
+        node.tick(now);
+        let role = node.status(now).role;
+        if !matches!(role, RaftRole::Follower | RaftRole::Learner) {
+            return now;
+        }
+        // Probes to other voters, which nobody answers here.
+        persist_all(node, now);
+    }
+}
+
 #[test]
 fn a_lone_voter_leads_and_commits_only_what_it_synced() {
     let mut node = node(&[1], Recovered::default());
-    let now = node.next_wakeup();
-    node.tick(now);
+    let now = let_it_stand(&mut node);
     persist_all(&mut node, now);
     assert!(node.holds_lease(now));
     assert_eq!(node.status(now).role, RaftRole::Leader);
@@ -143,9 +156,8 @@
         entries: vec![command(1, 1), command(2, 2)],
     };
     let mut node = node(&[1, 2, 3], recovered);
-    let now = node.next_wakeup();
+    let now = let_it_stand(&mut node);
     let (term, granted) = (Term(4), true);
-    node.tick(now);
     node.step(now, LEADER, Message::PreVoteReply { term, granted });
     persist_all(&mut node, now);
     node.step(now, LEADER, Message::VoteReply { term, granted });
--- a/crates/coordinator/src/core.rs
+++ b/crates/coordinator/src/core.rs
@@ -240,6 +240,14 @@
         }
     }
 
+    /// Says how long messages wait for this process, to leave and to be taken: what
+    /// is late for that does not speak against a link.
+    pub fn note_lag(&mut self, lag: Milliseconds) {
+        if let Some(replica) = &mut self.replica {
+            replica.node.note_lag(lag);
+        }
+    }
+
     /// When it wants [`Input::Tick`] next, on the monotonic clock.
     pub fn next_wakeup(&self) -> Monotonic {
         let last = self.last_input.monotonic;
--- a/crates/coordinator/src/leadership.rs
+++ b/crates/coordinator/src/leadership.rs
@@ -147,6 +147,11 @@
             return false;
         };
         leader.start_reserved(&replica.record, now);
+        // What the log does not take while leadership is handed over waits: most
+        // often for one round trip.
+        if replica.node.is_handing_over() {
+            return false;
+        }
         // What ended goes first: a late done end must be in the log before
         // its task could be reserved again.
         leader.propose_closes(now);
--- a/crates/coordinator/src/load.rs
+++ b/crates/coordinator/src/load.rs
@@ -11,6 +11,41 @@
 /// Shortest time between two such lines.
 const LINE_INTERVAL: Duration = Duration::from_secs(1);
 
+/// What was late counts as the loop's lag for one to two such times.
+const LAG_WINDOW: Duration = Duration::from_millis(500);
+
+/// How late the loop is, lately: messages that waited, timers that fired late and
+/// long steps. It is the most in this window and the one before.
+#[derive(Debug)]
+struct Lag {
+    most: Duration,
+    most_before: Duration,
+    window_at: Instant,
+}
+
+impl Lag {
+    fn new() -> Self {
+        Self {
+            most: Duration::ZERO,
+            most_before: Duration::ZERO,
+            window_at: Instant::now(),
+        }
+    }
+
+    fn note(&mut self, late: Duration) {
+        if self.window_at.elapsed() >= LAG_WINDOW {
+            self.most_before = self.most;
+            self.most = Duration::ZERO;
+            self.window_at = Instant::now();
+        }
+        self.most = self.most.max(late);
+    }
+
+    fn now(&self) -> Duration {
+        self.most.max(self.most_before)
+    }
+}
+
 /// Figures of the loop since the last line of the log.
 #[derive(Debug)]
 pub(crate) struct Load {
@@ -19,6 +54,7 @@
     steps: u32,
     inputs: u32,
     line_at: Instant,
+    lag: Lag,
 }
 
 impl Load {
@@ -30,20 +66,34 @@
             steps: 0,
             inputs: 0,
             line_at: Instant::now(),
+            lag: Lag::new(),
         }
     }
 
+    /// How late the loop is.
+    pub(crate) fn lag(&self) -> Milliseconds {
+        let lag = self.lag.now().as_millis();
+        Milliseconds(u64::try_from(lag).unwrap_or(u64::MAX))
+    }
+
+    /// Notes a timer that fired so late.
+    pub(crate) fn woken_late(&mut self, late: Duration) {
+        self.lag.note(late);
+    }
+
     /// Notes a message that is taken now.
     pub(crate) fn taken(&mut self, arrival: &Arrival, waited: Milliseconds) {
         metrics::histogram!("cypressdrum_inbox_wait_seconds", "lane" => arrival.lane.name())
             .record(waited.0 as f64 / 1_000.0);
         self.longest_wait = self.longest_wait.max(waited);
+        self.lag.note(Duration::from_millis(waited.0));
     }
 
     /// Notes a step of the core with so many inputs.
     pub(crate) fn stepped(&mut self, inputs: usize, took: Duration, inbox: &Inbox) {
         metrics::histogram!("cypressdrum_step_seconds").record(took.as_secs_f64());
         self.longest_step = self.longest_step.max(took);
+        self.lag.note(took);
         self.steps += 1;
         self.inputs += u32::try_from(inputs).unwrap_or(u32::MAX);
         if self.line_at.elapsed() >= LINE_INTERVAL {
@@ -64,6 +114,7 @@
                 "the loop is behind"
             );
         }
-        *self = Self::new();
+        let lag = std::mem::replace(&mut self.lag, Lag::new());
+        *self = Self { lag, ..Self::new() };
     }
 }
--- a/crates/coordinator/src/shell.rs
+++ b/crates/coordinator/src/shell.rs
@@ -26,6 +26,8 @@
 /// Inputs that share one step of the core at most: what they lead to waits for the
 /// last of them.
 const STEP_INPUTS: usize = 64;
+/// A step that takes this long is told: no lease is renewed meanwhile.
+const LONG_STEP: Duration = Duration::from_millis(100);
 /// A request that waited this long for the core is refused, not answered late.
 /// Gateways send again soon after, and each sending would come to wait longer.
 const LONGEST_REQUEST_WAIT: Milliseconds = Milliseconds(300);
@@ -163,6 +165,7 @@
         self.handle(Input::Tick);
         while !self.stopped {
             let until_wakeup = self.until_wakeup();
+            let slept_at = Instant::now();
             let input = tokio::select! {
                 biased;
                 done = self.disk.done() => match done {
@@ -178,7 +181,11 @@
                     Some(arrival) => self.arrived(arrival),
                     None => return Ok(()),
                 },
-                () = tokio::time::sleep(until_wakeup) => Input::Tick,
+                () = tokio::time::sleep(until_wakeup) => {
+                    let late = slept_at.elapsed().saturating_sub(until_wakeup);
+                    self.load.woken_late(late);
+                    Input::Tick
+                }
             };
             self.handle(input);
         }
@@ -213,11 +220,20 @@
         let count = inputs.len();
         let now = clock::now();
         let mut effects = Vec::new();
+        self.core.note_lag(self.load.lag());
         self.core.handle_all(now, inputs, &mut effects);
         for effect in effects {
             self.carry_out(now, effect);
         }
-        self.load.stepped(count, begun.elapsed(), &self.incoming);
+        let took = begun.elapsed();
+        if took >= LONG_STEP {
+            tracing::warn!(
+                took_ms = took.as_millis() as u64,
+                inputs = count,
+                "a long step"
+            );
+        }
+        self.load.stepped(count, took, &self.incoming);
     }
 
     fn carry_out(&mut self, decided: Now, effect: Effect) {
