--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod core;
 pub mod shell;
+pub mod snapshots;
 
 mod admission;
 mod audit;
--- a/crates/coordinator/src/replica.rs
+++ b/crates/coordinator/src/replica.rs
@@ -6,6 +6,7 @@
 //! for the newest one still under way.
 
 use crate::core::Effect;
+use crate::snapshots::{SnapshotDue, SnapshotSchedule, Turn};
 use crate::{Coordinator, Mutation, core::Sender};
 use consensus::message::Outgoing;
 use consensus::{Membership, Message, Node, Payload, Ready, Recovered, Snapshot, SnapshotMeta};
@@ -42,7 +43,7 @@
     pub(crate) node: Node,
     pub(crate) record: Record,
     applied: SnapshotMeta,
-    since_snapshot: u64,
+    schedule: SnapshotSchedule,
     snapshot_under_way: bool,
     next_number: u64,
     outstanding: VecDeque<Outstanding>,
@@ -50,13 +51,9 @@
 
 impl Replica {
     /// A replica from what the disk held.
-    ///
-    /// Members apply the same entries and would all write their snapshots at
-    /// once, while no quorum syncs anything else. `ahead` entries count as
-    /// applied since the last one, another number for each member.
     pub(crate) fn new(
         cluster: ClusterId,
-        ahead: u64,
+        schedule: SnapshotSchedule,
         initial: Membership,
         recovered: Recovered,
         node: impl FnOnce(Membership, Recovered) -> Node,
@@ -76,7 +73,7 @@
             node: node(initial, recovered),
             record,
             applied,
-            since_snapshot: ahead,
+            schedule,
             snapshot_under_way: false,
             next_number: 1,
             outstanding: VecDeque::new(),
@@ -163,7 +160,7 @@
             self.record = restore(snapshot)?;
             self.record.set_mutation(mutation);
             self.applied = snapshot.meta.clone();
-            self.since_snapshot = 0;
+            self.schedule.restart(snapshot.data.len());
         }
         let mut results = Vec::new();
         for entry in ready.committed {
@@ -172,7 +169,7 @@
             }
             self.applied.index = entry.index;
             self.applied.term = entry.term;
-            self.since_snapshot += 1;
+            self.schedule.applied(entry.payload.bytes());
             match entry.payload {
                 Payload::Noop => {}
                 Payload::Membership(membership) => self.applied.membership = membership,
@@ -190,21 +187,34 @@
         Ok(results)
     }
 
-    /// Writes a snapshot of its own when enough entries were applied.
-    fn snapshot_when_due(&mut self, every: u64, effects: &mut Vec<Effect>) -> Result<(), String> {
+    /// Writes a snapshot of its own when one is due.
+    fn snapshot_when_due(
+        &mut self,
+        now: Monotonic,
+        effects: &mut Vec<Effect>,
+    ) -> Result<(), String> {
         // A joiner that has not reached its own admission in the log does not
         // know the membership a snapshot must name.
         let membership_known = !self.applied.membership.voters.is_empty();
-        let due = self.since_snapshot >= every.max(1);
-        if self.snapshot_under_way || !due || !membership_known {
+        if self.snapshot_under_way || !membership_known {
             return Ok(());
         }
+        match self.schedule.due(self.node.leads(), self.turn()) {
+            SnapshotDue::No => return Ok(()),
+            SnapshotDue::AfterHandingOver => {
+                if self.node.transfer_leadership(now).is_some() {
+                    return Ok(());
+                }
+            }
+            SnapshotDue::Yes => {}
+        }
         let data = self.record.snapshot().map_err(|error| error.to_string())?;
+        tracing::info!(index = %self.applied.index, bytes = data.len(), "took a snapshot");
+        self.schedule.restart(data.len());
         let snapshot = Snapshot {
             meta: self.applied.clone(),
             data: Arc::from(data),
         };
-        self.since_snapshot = 0;
         self.snapshot_under_way = true;
         let batch = Batch {
             snapshot: Some(snapshot.clone()),
@@ -215,6 +225,18 @@
     }
 }
 
+impl Replica {
+    fn turn(&self) -> Turn {
+        let voters = &self.applied.membership.voters;
+        let own = self.node.id();
+        Turn {
+            applied: self.applied.index,
+            position: voters.keys().position(|voter| *voter == own),
+            voters: voters.len(),
+        }
+    }
+}
+
 fn restore(snapshot: &Snapshot) -> Result<Record, String> {
     Record::restore(&snapshot.data)
         .map_err(|error| format!("snapshot at {}: {error}", snapshot.meta.index))
@@ -229,10 +251,16 @@
         let own = self.own.node;
         let options = self.options.consensus.clone();
         let seed = self.random.random();
-        let ahead = own.0 % self.options.snapshot_every.max(1);
-        let replica = Replica::new(cluster, ahead, initial, recovered, |initial, recovered| {
-            Node::new(own, options, initial, recovered, seed, now)
-        });
+        let read = recovered.snapshot.as_ref();
+        let bytes = read.map_or(0, |snapshot| snapshot.data.len() as u64);
+        let schedule = SnapshotSchedule::new(self.options.snapshot_every, own, bytes);
+        let replica = Replica::new(
+            cluster,
+            schedule,
+            initial,
+            recovered,
+            |initial, recovered| Node::new(own, options, initial, recovered, seed, now),
+        );
         match replica {
             Ok(mut replica) => {
                 if let Some(Mutation::Record(mutation)) = self.options.mutation {
@@ -262,7 +290,7 @@
             }
         }
         if let Some(replica) = &mut self.replica
-            && let Err(reason) = replica.snapshot_when_due(self.options.snapshot_every, effects)
+            && let Err(reason) = replica.snapshot_when_due(now.monotonic, effects)
         {
             self.fail(reason);
         }
