--- a/crates/consensus/src/standing.rs
+++ b/crates/consensus/src/standing.rs
@@ -15,7 +15,7 @@
 //! is. It hands over (see [`crate::transfer`]) if that lasts, and if a follower
 //! that is up to date has good links to a quorum without it. It stays where all
 //! are bad. Who gave way is not chosen again for a while, and a leader that took
-//! over this way keeps office for a while, so leadership does not wander.
+//! over this way keeps its place for a while, so leadership does not wander.
 //!
 //! Nothing here is part of the safety argument: a wrong measure costs a transfer.
 
@@ -49,11 +49,11 @@
 const SLOW_DISK_HEARTBEATS: u64 = 40;
 /// A leader is badly placed for so many heartbeat intervals before it gives way.
 const PATIENCE_HEARTBEATS: u64 = 6;
-/// Office, in heartbeat intervals, before a leader judges itself: its window has
+/// Heartbeat intervals that a leader leads before it judges itself: its window has
 /// to fill.
-const FIRST_OFFICE_HEARTBEATS: u64 = 20;
+const SETTLE_HEARTBEATS: u64 = 20;
 /// The same for a leader that took over from one that gave way.
-const OFFICE_AFTER_TRANSFER_HEARTBEATS: u64 = 80;
+const SETTLE_AFTER_TRANSFER_HEARTBEATS: u64 = 80;
 /// Heartbeat intervals for which a leader that gave way is not chosen again.
 const REST_HEARTBEATS: u64 = 600;
 /// Entries that a successor may lack when the transfer begins: they follow while
@@ -318,8 +318,8 @@
         let standing = self.leader_standing();
         let badly_placed = standing.bad_links > standing.good_links;
         let (now, patience) = (self.clock, self.heartbeats(PATIENCE_HEARTBEATS));
-        let first = self.heartbeats(FIRST_OFFICE_HEARTBEATS);
-        let after_transfer = self.heartbeats(OFFICE_AFTER_TRANSFER_HEARTBEATS);
+        let first = self.heartbeats(SETTLE_HEARTBEATS);
+        let after_transfer = self.heartbeats(SETTLE_AFTER_TRANSFER_HEARTBEATS);
         let gives_way = self.options.gives_way;
         let Role::Leader(leadership) = &mut self.role else {
             return;
@@ -329,11 +329,12 @@
             return;
         }
         let since = *leadership.badly_placed_since.get_or_insert(now);
-        let office = match leadership.by_transfer {
+        let settled_after = match leadership.by_transfer {
             true => after_transfer,
             false => first,
         };
-        let is_due = now.since(since) >= patience && now.since(leadership.elected_at) >= office;
+        let is_due =
+            now.since(since) >= patience && now.since(leadership.elected_at) >= settled_after;
         if !gives_way || !is_due || leadership.transfer.is_some() {
             return;
         }
--- a/crates/consensus/tests/standing.rs
+++ b/crates/consensus/tests/standing.rs
@@ -99,7 +99,7 @@
 }
 
 #[test]
-fn without_giving_way_a_badly_placed_leader_keeps_office() -> Result<(), Violation> {
+fn without_giving_way_a_badly_placed_leader_stays() -> Result<(), Violation> {
     let mut kept = 0;
     for seed in SEEDS {
         let (mut cluster, old) = cluster(seed, false)?;
@@ -112,7 +112,7 @@
 }
 
 #[test]
-fn a_badly_placed_follower_costs_no_office() -> Result<(), Violation> {
+fn a_badly_placed_follower_moves_nothing() -> Result<(), Violation> {
     for seed in SEEDS {
         let (mut cluster, leader) = cluster(seed, true)?;
         cluster.lossy.insert(NodeId(leader.0 % VOTERS + 1));
--- a/crates/coordinator/src/core.rs
+++ b/crates/coordinator/src/core.rs
@@ -268,7 +268,7 @@
         self.replica.as_ref().map(|replica| &replica.record)
     }
 
-    /// Looks of the dispatcher so far, in this office; 0 while it does not lead.
+    /// Looks of the dispatcher so far, in this term; 0 while it does not lead.
     pub fn looks(&self) -> u64 {
         let leader = self.leader.as_ref();
         leader.map_or(0, |leader| leader.dispatcher.looks())
--- a/crates/coordinator/src/leader.rs
+++ b/crates/coordinator/src/leader.rs
@@ -238,8 +238,8 @@
 
     /// The lease lapsed: what was collected must not leave, and starts that
     /// were not sent never will be. Requests whose entries are in the log wait
-    /// on: the lease may hold again, and else they are answered as the office
-    /// is left.
+    /// on: the lease may hold again, and else they are answered as leadership
+    /// is lost.
     pub(crate) fn suspend(&mut self) {
         self.serving = false;
         self.to_start.clear();
--- a/crates/coordinator/src/leadership.rs
+++ b/crates/coordinator/src/leadership.rs
@@ -53,8 +53,8 @@
             Some(leader) if may_serve => leader.note_served(now.monotonic),
             Some(_) => {}
             None if may_serve => {
-                self.take_office(now);
-                self.announce_office(now, effects);
+                self.begin_leading(now);
+                self.announce_leadership(now, effects);
             }
             None => {}
         }
@@ -62,7 +62,7 @@
 
     /// Builds the view of a new leader. The node's lease holds, so an entry of
     /// its own term is committed and the record has everything before it.
-    fn take_office(&mut self, now: Now) {
+    fn begin_leading(&mut self, now: Now) {
         let Some(replica) = &self.replica else {
             return;
         };
@@ -85,7 +85,7 @@
 
     /// Tells every gateway and agent known who leads, so that none has to wait
     /// until it misses the old leader.
-    fn announce_office(&self, now: Now, effects: &mut Vec<Effect>) {
+    fn announce_leadership(&self, now: Now, effects: &mut Vec<Effect>) {
         let members = self.member_view(now);
         for to in self.directory.other_sockets() {
             effects.push(Effect::Send {
--- a/crates/coordinator/src/load.rs
+++ b/crates/coordinator/src/load.rs
@@ -108,7 +108,7 @@
                 longest_step_ms = self.longest_step.as_millis() as u64,
                 steps = self.steps,
                 inputs = self.inputs,
-                office = inbox.waiting(Lane::Office),
+                liveness = inbox.waiting(Lane::Liveness),
                 work = inbox.waiting(Lane::Work),
                 requests = inbox.waiting(Lane::Requests),
                 "the loop is behind"
--- a/crates/coordinator/tests/requests.rs
+++ b/crates/coordinator/tests/requests.rs
@@ -372,7 +372,7 @@
 }
 
 #[test]
-fn a_request_that_waits_is_answered_at_once_when_the_office_is_left() {
+fn a_request_that_waits_is_answered_at_once_when_leadership_is_lost() {
     let mut world = World::served();
     let leader = world.leader().unwrap();
     let id = lapse(&mut world);
--- a/crates/peer/src/transport/inbox.rs
+++ b/crates/peer/src/transport/inbox.rs
@@ -2,7 +2,7 @@
 //!
 //! A core that is behind for a moment must still hear who leads and who is
 //! alive, or the sessions of all that wait for it end, all come back at once,
-//! and it is further behind than before. So what keeps daemons in office never
+//! and it is further behind than before. So what keeps leases and sessions alive never
 //! waits behind the work, and neither waits behind requests, which can be sent
 //! again or refused.
 
@@ -11,7 +11,7 @@
 use tokio::sync::mpsc;
 use types::Milliseconds;
 
-/// Envelopes held of one kind. When work or what keeps daemons in office fills
+/// Envelopes held of one kind. When work or what keeps leases and sessions alive fills
 /// its places, senders wait.
 const LENGTH: usize = 1_024;
 
@@ -20,7 +20,7 @@
 pub enum Lane {
     /// Elections, replication, discovery, sessions and their leases, and the
     /// configuration that they confirm.
-    Office,
+    Liveness,
     /// Heartbeats of runners, orders and all answers.
     Work,
     /// Requests of callers and operators.
@@ -46,14 +46,14 @@
             | PeerMessage::Hello(_)
             | PeerMessage::Lease(_)
             | PeerMessage::NotLeader { .. }
-            | PeerMessage::Configuration { .. } => Self::Office,
+            | PeerMessage::Configuration { .. } => Self::Liveness,
         }
     }
 
     /// Its name in metrics and logs.
     pub fn name(self) -> &'static str {
         match self {
-            Self::Office => "office",
+            Self::Liveness => "liveness",
             Self::Work => "work",
             Self::Requests => "requests",
         }
@@ -82,7 +82,7 @@
 /// The receiving end of what has arrived.
 #[derive(Debug)]
 pub struct Inbox {
-    office: mpsc::Receiver<Arrival>,
+    liveness: mpsc::Receiver<Arrival>,
     work: mpsc::Receiver<Arrival>,
     requests: mpsc::Receiver<Arrival>,
 }
@@ -90,23 +90,23 @@
 /// The end that connections put messages into.
 #[derive(Debug, Clone)]
 pub(super) struct Arriving {
-    office: mpsc::Sender<Arrival>,
+    liveness: mpsc::Sender<Arrival>,
     work: mpsc::Sender<Arrival>,
     requests: mpsc::Sender<Arrival>,
 }
 
 /// Both ends.
 pub(super) fn inbox() -> (Arriving, Inbox) {
-    let (office, office_arrived) = mpsc::channel(LENGTH);
+    let (liveness, liveness_arrived) = mpsc::channel(LENGTH);
     let (work, work_arrived) = mpsc::channel(LENGTH);
     let (requests, requests_arrived) = mpsc::channel(LENGTH);
     let arriving = Arriving {
-        office,
+        liveness,
         work,
         requests,
     };
     let inbox = Inbox {
-        office: office_arrived,
+        liveness: liveness_arrived,
         work: work_arrived,
         requests: requests_arrived,
     };
@@ -126,7 +126,7 @@
         // An error means that the daemon listens no more, and is about to end,
         // or that a request found no place.
         match lane {
-            Lane::Office => drop(self.office.send(arrival).await),
+            Lane::Liveness => drop(self.liveness.send(arrival).await),
             Lane::Work => drop(self.work.send(arrival).await),
             Lane::Requests => {
                 if self.requests.try_send(arrival).is_err() {
@@ -149,7 +149,7 @@
     pub async fn arrival(&mut self) -> Option<Arrival> {
         tokio::select! {
             biased;
-            Some(arrival) = self.office.recv() => Some(arrival),
+            Some(arrival) = self.liveness.recv() => Some(arrival),
             Some(arrival) = self.work.recv() => Some(arrival),
             Some(arrival) = self.requests.recv() => Some(arrival),
             else => None,
@@ -158,14 +158,14 @@
 
     /// The most pressing message, if one is there.
     pub fn try_arrival(&mut self) -> Option<Arrival> {
-        let pressing = self.office.try_recv().or_else(|_| self.work.try_recv());
+        let pressing = self.liveness.try_recv().or_else(|_| self.work.try_recv());
         pressing.or_else(|_| self.requests.try_recv()).ok()
     }
 
     /// Messages that wait in a lane.
     pub fn waiting(&self, lane: Lane) -> usize {
         match lane {
-            Lane::Office => self.office.len(),
+            Lane::Liveness => self.liveness.len(),
             Lane::Work => self.work.len(),
             Lane::Requests => self.requests.len(),
         }
--- a/crates/peer/tests/lanes.rs
+++ b/crates/peer/tests/lanes.rs
@@ -1,4 +1,4 @@
-//! What keeps daemons in office does not wait behind requests.
+//! What keeps leases and sessions alive does not wait behind requests.
 
 mod common;
 
@@ -21,7 +21,7 @@
 }
 
 #[tokio::test]
-async fn a_message_of_office_overtakes_requests_of_the_same_connection() {
+async fn a_liveness_message_overtakes_requests_of_the_same_connection() {
     let sender = Daemon::start(1, KEY).await;
     let mut receiver = Daemon::start(2, KEY).await;
     sender.reach(&mut receiver).await;
@@ -40,13 +40,13 @@
     guarded(full).await;
     sender.transport.send(receiver.socket(), numbered(7));
     let arrived = async {
-        while receiver.inbox.waiting(Lane::Office) == 0 {
+        while receiver.inbox.waiting(Lane::Liveness) == 0 {
             tokio::time::sleep(Duration::from_millis(1)).await;
         }
     };
     guarded(arrived).await;
     let first = guarded(receiver.inbox.arrival()).await.unwrap();
-    assert_eq!(first.lane, Lane::Office);
+    assert_eq!(first.lane, Lane::Liveness);
     let second = receiver.inbox.try_arrival().unwrap();
     assert_eq!(second.lane, Lane::Requests);
 }
@@ -67,5 +67,5 @@
         })
     };
     assert_eq!(Lane::of(&relay(request(1))), Lane::Requests);
-    assert_eq!(Lane::of(&relay(PeerMessage::Discover)), Lane::Office);
+    assert_eq!(Lane::of(&relay(PeerMessage::Discover)), Lane::Liveness);
 }
--- a/crates/simulation/src/busy.rs
+++ b/crates/simulation/src/busy.rs
@@ -80,12 +80,12 @@
             false => STEP_INPUTS,
         };
         let taken = waiting.drain(..most.min(waiting.len()));
-        let mut longest = self.longest_office_wait;
+        let mut longest = self.longest_liveness_wait;
         let inputs = taken
             .map(|(since, envelope)| {
                 let waited = now - since;
                 let lane = Lane::of(&envelope.body);
-                if lane == Lane::Office {
+                if lane == Lane::Liveness {
                     longest = longest.max(waited);
                 }
                 let overdue = lane == Lane::Requests && waited > LONGEST_REQUEST_WAIT;
@@ -95,7 +95,7 @@
                 }
             })
             .collect();
-        self.longest_office_wait = longest;
+        self.longest_liveness_wait = longest;
         inputs
     }
 
@@ -120,8 +120,8 @@
         state.busy.until = self.now + cost;
     }
 
-    /// How long a message of office waited at most for a coordinator at work.
-    pub fn longest_office_wait(&self) -> Milliseconds {
-        Milliseconds(self.longest_office_wait / 1_000)
+    /// How long a liveness message waited at most for a coordinator at work.
+    pub fn longest_liveness_wait(&self) -> Milliseconds {
+        Milliseconds(self.longest_liveness_wait / 1_000)
     }
 }
--- a/crates/simulation/src/run.rs
+++ b/crates/simulation/src/run.rs
@@ -34,9 +34,9 @@
     pub broken: Vec<String>,
     /// Virtual time of the run.
     pub virtual_time: Milliseconds,
-    /// Longest wait of a message that keeps daemons in office, where the plan
+    /// Longest wait of a message that keeps leases and sessions alive, where the plan
     /// charges for the work of coordinators.
-    pub longest_office_wait: Milliseconds,
+    pub longest_liveness_wait: Milliseconds,
 }
 
 impl Outcome {
@@ -168,14 +168,14 @@
         .iter()
         .map(|byte| format!("{byte:02x}"))
         .collect();
-    let longest_office_wait = world.longest_office_wait();
+    let longest_liveness_wait = world.longest_liveness_wait();
     Outcome {
         report,
         digest,
         events: world.handled,
         broken: world.broken,
         virtual_time: Milliseconds(world.now / 1_000),
-        longest_office_wait,
+        longest_liveness_wait,
         history: world.history,
     }
 }
--- a/crates/simulation/src/world.rs
+++ b/crates/simulation/src/world.rs
@@ -63,8 +63,8 @@
     pub newest_acknowledged: types::ConfigurationVersion,
     /// What the work of coordinators costs.
     pub processing: Processing,
-    /// Longest wait of a message of office for a coordinator at work.
-    pub(crate) longest_office_wait: Micros,
+    /// Longest wait of a liveness message for a coordinator at work.
+    pub(crate) longest_liveness_wait: Micros,
     /// Losses that wait for an acknowledgement.
     pub armed: Vec<Fault>,
     /// A daemon that could not go on, and why.
@@ -98,7 +98,7 @@
             newest_acknowledged: types::ConfigurationVersion(0),
             armed: Vec::new(),
             processing: Processing::default(),
-            longest_office_wait: 0,
+            longest_liveness_wait: 0,
             broken: Vec::new(),
             handled: 0,
             queue: BinaryHeap::new(),
--- a/crates/simulation/tests/behind.rs
+++ b/crates/simulation/tests/behind.rs
@@ -1,5 +1,5 @@
 //! A leader whose work takes time, at many times the load that its runners hold: what
-//! keeps daemons in office does not wait, and all work ends.
+//! keeps leases and sessions alive does not wait, and all work ends.
 
 use simulation::{Fault, Mutation, Outcome, Plan, PlannedFault, Processing, run};
 use types::Milliseconds;
@@ -35,8 +35,8 @@
 
 fn show(name: &str, outcome: &Outcome) {
     println!(
-        "{name}: office waited {}, {} jobs done, {} violations",
-        outcome.longest_office_wait,
+        "{name}: liveness waited {}, {} jobs done, {} violations",
+        outcome.longest_liveness_wait,
         outcome.report.done_jobs,
         outcome.report.violations.len()
     );
@@ -48,7 +48,7 @@
         let outcome = run(&day(seed)).unwrap();
         show("as it is", &outcome);
         assert!(outcome.is_good(), "{:#?}", outcome.report.violations);
-        let waited = outcome.longest_office_wait;
+        let waited = outcome.longest_liveness_wait;
         assert!(waited.0 * 5 < SESSION_LEASE.0, "seed {seed}: {waited}");
     }
 }
@@ -64,7 +64,7 @@
         let outcome = run(&plan).unwrap();
         show("one queue, all looked at", &outcome);
         assert!(!outcome.is_good(), "seed {seed}: nothing broke");
-        let waited = outcome.longest_office_wait;
+        let waited = outcome.longest_liveness_wait;
         assert!(waited.0 * 3 > SESSION_LEASE.0, "seed {seed}: {waited}");
     }
 }
