Name fewer addresses in leases, and tell apart runners that leave from a lack of room

Cause (capacity): a lease named up to 16 gateways and agents at each hello, some 416 of its 555 bytes, and they serve as further seeds only. They are named once in 16 hellos now, and kept meanwhile. Tests: coordinator/tests/requests, dispatch/tests/room.

--- a/crates/api/src/decision.rs
+++ b/crates/api/src/decision.rs
@@ -134,6 +134,8 @@
     NoSeat,
     /// The tenant is above its share.
     TenantAboveShare,
+    /// The runners that could take it leave or are silent.
+    RunnersAway,
     /// No runner has room.
     NoRoom,
     /// No runner with room carries the labels.
@@ -163,6 +165,7 @@
             NotPlacedReason::CeilingKeptForUrgent => Self::CeilingKeptForUrgent,
             NotPlacedReason::TenantAboveShare => Self::TenantAboveShare,
             NotPlacedReason::NoSeat => Self::NoSeat,
+            NotPlacedReason::RunnersAway => Self::RunnersAway,
             NotPlacedReason::NoRoom => Self::NoRoom,
             NotPlacedReason::NoRunnerWithLabels => Self::NoRunnerWithLabels,
             NotPlacedReason::RunnerOnProbation => Self::RunnerOnProbation,
--- a/crates/coordinator/src/sessions.rs
+++ b/crates/coordinator/src/sessions.rs
@@ -12,6 +12,10 @@
 /// Gateways and agents named in one lease. They serve as further seeds only.
 const MAX_OTHERS: usize = 16;
 
+/// A gateway or agent is told them once in this many hellos: naming them in each
+/// lease was three quarters of its bytes.
+const HELLOS_PER_OTHERS: u64 = 16;
+
 /// A coordinator is told all sessions once in this many hellos.
 const HELLOS_PER_LIST: u64 = 5;
 
@@ -70,7 +74,10 @@
 
     /// Addresses of some gateways and agents: those that follow the asking one
     /// by identity, so that each process is named to a few others.
-    fn others(&self, asking: NodeId) -> Vec<Address> {
+    fn others(&self, asking: NodeId, hello: u64) -> Vec<Address> {
+        if hello % HELLOS_PER_OTHERS != 1 {
+            return Vec::new();
+        }
         let after = self
             .sessions
             .range((Bound::Excluded(asking), Bound::Unbounded));
@@ -201,7 +208,7 @@
             coordinators,
             others: match sender.address.role {
                 Role::Coordinator => self.all_sessions(hello.sequence),
-                _ => self.sessions.others(sender.address.node),
+                _ => self.sessions.others(sender.address.node, hello.sequence),
             },
         };
         self.answer(sender, PeerMessage::Lease(lease));
--- a/crates/coordinator/tests/common/agent.rs
+++ b/crates/coordinator/tests/common/agent.rs
@@ -21,6 +21,8 @@
     pub ended: Vec<EndedRun>,
     pub tombstones: BTreeSet<RunId>,
     pub started: Vec<RunId>,
+    /// How many gateways and agents each lease named.
+    pub named: Vec<usize>,
     pub updates: Vec<RunnerUpdate>,
     /// Sends neither hellos nor heartbeats.
     pub silent: bool,
@@ -56,6 +58,7 @@
             ended: Vec::new(),
             tombstones: BTreeSet::new(),
             started: Vec::new(),
+            named: Vec::new(),
             updates: Vec::new(),
             silent: false,
             draining: false,
@@ -155,6 +158,10 @@
                 .into_iter()
                 .filter_map(|order| self.order(now, from, order))
                 .collect(),
+            PeerMessage::Lease(lease) => {
+                self.named.push(lease.others.len());
+                Vec::new()
+            }
             PeerMessage::RunnerUpdate(update) => {
                 if update.incarnation.0 != self.incarnation || update.term < self.highest_term {
                     return Vec::new();
--- a/crates/coordinator/tests/requests.rs
+++ b/crates/coordinator/tests/requests.rs
@@ -400,3 +400,15 @@
     assert_eq!(world.leader(), Some(leader));
     assert!(world.replies[&id].is_ok(), "{:?}", world.replies[&id]);
 }
+
+#[test]
+fn leases_name_gateways_and_agents_now_and_then_only() {
+    let mut world = World::served();
+    world.add_agent(1);
+    world.add_agent(2);
+    world.run(20_000);
+    let named = &world.agents[0].named;
+    let told = named.iter().filter(|others| **others > 0).count();
+    assert!(told >= 1, "{named:?}");
+    assert!(told * 12 <= named.len(), "{named:?}");
+}
--- a/crates/dispatch/src/decision.rs
+++ b/crates/dispatch/src/decision.rs
@@ -52,6 +52,8 @@
     NoSeat,
     /// The tenant is above its share and another one below its own waits.
     TenantAboveShare,
+    /// The runners that could take it leave or are silent.
+    RunnersAway,
     /// No runner of the pool has room.
     NoRoom,
     /// No runner with room carries the labels.
@@ -91,6 +93,9 @@
             Self::TenantAboveShare => {
                 formatter.write_str("the tenant is above its share while others below theirs wait")
             }
+            Self::RunnersAway => {
+                formatter.write_str("the runners that could take it leave or are silent")
+            }
             Self::NoRoom => formatter.write_str("no runner of the pool has room"),
             Self::NoRunnerWithLabels => {
                 formatter.write_str("no runner with room carries the labels asked for")
--- a/crates/dispatch/src/explain.rs
+++ b/crates/dispatch/src/explain.rs
@@ -84,14 +84,16 @@
         if !carries_labels.is_some_and(|last| needs.matches(&last.labels)) {
             return Some(NotPlacedReason::NoRunnerWithLabels);
         }
+        let refusal = self.pull_refusal(runner, now);
+        if refusal.is_some_and(|refusal| refusal != PullRefusal::OnProbation) {
+            return Some(NotPlacedReason::RunnersAway);
+        }
         let is_copy_here = entry.standing == Standing::Copies && self.runs_on(task, runner);
         if is_copy_here || !needs.resources.fits_in(&state.room()) {
             return Some(NotPlacedReason::NoRoom);
         }
-        match self.pull_refusal(runner, now) {
-            Some(PullRefusal::OnProbation) => return Some(NotPlacedReason::RunnerOnProbation),
-            Some(_) => return Some(NotPlacedReason::NoRoom),
-            None => {}
+        if refusal.is_some() {
+            return Some(NotPlacedReason::RunnerOnProbation);
         }
         state.hold.filter(|hold| hold.task != task)?;
         Some(NotPlacedReason::HeldForLargerTask {
@@ -121,9 +123,10 @@
 // The nearer a runner came to taking the task, the more its reason says.
 fn rank(reason: &NotPlacedReason) -> u8 {
     match reason {
-        NotPlacedReason::HeldForLargerTask { .. } => 3,
-        NotPlacedReason::RunnerOnProbation => 2,
-        NotPlacedReason::NoRoom => 1,
+        NotPlacedReason::HeldForLargerTask { .. } => 4,
+        NotPlacedReason::RunnerOnProbation => 3,
+        NotPlacedReason::NoRoom => 2,
+        NotPlacedReason::RunnersAway => 1,
         _ => 0,
     }
 }
--- a/crates/dispatch/tests/room.rs
+++ b/crates/dispatch/tests/room.rs
@@ -184,3 +184,19 @@
     let blamed = views.iter().filter(|view| view.on_probation).count();
     assert_eq!(blamed, 1);
 }
+
+#[test]
+fn a_task_whose_only_runner_leaves_says_so_and_not_that_room_is_short() {
+    let mut dispatcher = dispatcher(&document(&[("a", 100)]));
+    let mut labelled = report("labelled", 1, 9, 9);
+    labelled.labels.insert("kind".to_owned(), "b".to_owned());
+    labelled.draining = true;
+    dispatcher.heartbeat(&labelled, at(0));
+    dispatcher.heartbeat(&report("other", 1, 9, 9), at(0));
+    let mut wanted = meta(1, "a", 1);
+    wanted.labels.insert("kind".to_owned(), "b".to_owned());
+    dispatcher.publish(wanted, at(0));
+    dispatcher.place(at(0), 10);
+    let reason = dispatcher.explain(task(1), at(0));
+    assert_eq!(reason, Some(NotPlacedReason::RunnersAway));
+}
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -172,7 +172,7 @@
     pub configuration: ConfigurationVersion,
     /// Live coordinators.
     pub coordinators: Vec<Address>,
-    /// Live gateways and agents.
+    /// Live gateways and agents, told now and then; none says nothing.
     pub others: Vec<Address>,
 }
 
--- a/crates/session/src/directory.rs
+++ b/crates/session/src/directory.rs
@@ -48,10 +48,13 @@
         }
     }
 
-    /// Takes the leader's list of live members in place of what was known.
+    /// Takes the leader's list of live members in place of what was known. Others
+    /// than coordinators are told now and then, and stay known meanwhile.
     pub fn replace(&mut self, leader: &Address, coordinators: &[Address], others: &[Address]) {
         self.coordinators.clear();
-        self.others.clear();
+        if !others.is_empty() {
+            self.others.clear();
+        }
         self.learn(leader);
         for member in coordinators.iter().chain(others) {
             self.learn(member);
