--- a/crates/api/src/operator.rs
+++ b/crates/api/src/operator.rs
@@ -219,6 +219,34 @@
     /// Configuration version it last reported to the leader; `null` while it
     /// has not.
     pub configuration: Option<u64>,
+    /// Voters: the health of their links to others, as they measured it last.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub links: Option<LinkHealthBody>,
+}
+
+/// How others answer a voter: a leader by its heartbeats, a follower by probes to
+/// the other followers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LinkHealthBody {
+    /// Links whose answers come in time.
+    pub good: u8,
+    /// Links whose answers come late.
+    pub bad: u8,
+    /// Its disk is slow, or was a moment ago.
+    pub slow_disk: bool,
+    /// It gave leadership way a while ago.
+    pub gave_way: bool,
+}
+
+impl From<consensus::LinkHealth> for LinkHealthBody {
+    fn from(links: consensus::LinkHealth) -> Self {
+        Self {
+            good: links.good_links,
+            bad: links.bad_links,
+            slow_disk: links.slow_disk,
+            gave_way: links.gave_way,
+        }
+    }
 }
 
 impl From<MemberView> for MemberViewBody {
@@ -231,6 +259,7 @@
             standing: view.standing,
             silence_ms: view.silence.0,
             configuration: view.configuration.map(|version| version.0),
+            links: view.links.map(LinkHealthBody::from),
         }
     }
 }
--- a/crates/consensus/src/election.rs
+++ b/crates/consensus/src/election.rs
@@ -39,7 +39,7 @@
         let spread = self.options.election_spread.0;
         let extra = self.random.random_range(0..spread.max(1));
         // A voter that is badly placed lets the others stand first.
-        let handicap = match self.options.gives_way && self.own_standing().is_poor() {
+        let handicap = match self.options.gives_way && self.own_link_health().is_poor() {
             true => spread,
             false => 0,
         };
--- a/crates/consensus/src/lib.rs
+++ b/crates/consensus/src/lib.rs
@@ -11,6 +11,7 @@
 mod election;
 mod follower;
 mod lease;
+mod link_health;
 mod log;
 mod membership;
 pub mod message;
@@ -20,15 +21,14 @@
 pub mod ready;
 mod replication;
 mod snapshot;
-mod standing;
 pub mod state;
 mod transfer;
 
+pub use link_health::LinkHealth;
 pub use message::{Message, Outgoing};
 pub use node::{Node, ProposeError, Status};
 pub use options::{Mutation, Options};
 pub use ready::Ready;
-pub use standing::Standing;
 pub use state::{
     Entry, HardState, Membership, Payload, RaftRole, Recovered, Snapshot, SnapshotMeta,
 };
--- a/crates/consensus/src/standing.rs
+++ b/crates/consensus/src/link_health.rs
@@ -62,7 +62,7 @@
 
 /// What a voter measured of its links to other voters than the leader.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default, serde::Serialize, serde::Deserialize)]
-pub struct Standing {
+pub struct LinkHealth {
     /// Links whose answers come in time.
     pub good_links: u8,
     /// Links whose answers come late.
@@ -74,7 +74,7 @@
     pub gave_way: bool,
 }
 
-impl Standing {
+impl LinkHealth {
     /// True when the voter could lead without the present leader: it reaches a
     /// quorum of `quorum` voters, and a third of its links at most is bad.
     fn could_lead(&self, quorum: usize) -> bool {
@@ -137,9 +137,9 @@
     answers: Answers,
 }
 
-/// What a node knows of its own standing and, as the leader, of the others'.
+/// What a node knows of its own links and, as the leader, of what others measured'.
 #[derive(Debug, Default)]
-pub(crate) struct Standings {
+pub(crate) struct LinkMeasures {
     links: BTreeMap<NodeId, ProbedLink>,
     last_probe: u64,
     pub(crate) next_probe: Monotonic,
@@ -152,15 +152,14 @@
     /// How long this process has kept its messages waiting.
     pub(crate) lag: Milliseconds,
     /// What other voters said last, and when.
-    told: BTreeMap<NodeId, (Standing, Monotonic)>,
+    told: BTreeMap<NodeId, (LinkHealth, Monotonic)>,
 }
 
-impl Standings {
+impl LinkMeasures {
     /// What other voters said last.
-    pub(crate) fn told(&self) -> Vec<(NodeId, Standing)> {
+    pub(crate) fn told(&self) -> Vec<(NodeId, LinkHealth)> {
         let told = self.told.iter();
-        told.map(|(node, (standing, _))| (*node, *standing))
-            .collect()
+        told.map(|(node, (health, _))| (*node, *health)).collect()
     }
 }
 
@@ -175,24 +174,24 @@
 
     /// Sends probes when they are due. A leader has its rounds.
     pub(crate) fn probe_when_due(&mut self) {
-        if !self.options.gives_way || self.clock < self.standings.next_probe {
+        if !self.options.gives_way || self.clock < self.measures.next_probe {
             return;
         }
         let interval = self.heartbeats(PROBE_HEARTBEATS);
-        self.standings.next_probe = self.clock + interval;
+        self.measures.next_probe = self.clock + interval;
         if !self.is_voter() || matches!(self.role, Role::Leader(_)) {
-            self.standings.links.clear();
+            self.measures.links.clear();
             return;
         }
-        self.standings.last_probe += 1;
-        let number = self.standings.last_probe;
-        let standing = self.own_standing();
+        self.measures.last_probe += 1;
+        let number = self.measures.last_probe;
+        let health = self.own_link_health();
         let others = self.other_voters();
-        self.standings.links.retain(|node, _| others.contains(node));
+        self.measures.links.retain(|node, _| others.contains(node));
         for to in others {
-            self.send(to, Message::Probe { number, standing });
+            self.send(to, Message::Probe { number, health });
             if Some(to) != self.leader {
-                let link = self.standings.links.entry(to).or_default();
+                let link = self.measures.links.entry(to).or_default();
                 link.waiting.push_back((number, self.clock));
                 if link.waiting.len() as u64 > PROBE_WINDOW {
                     link.waiting.pop_front();
@@ -204,8 +203,8 @@
     /// Takes a probe of another voter, or the answer to one.
     pub(crate) fn step_probe(&mut self, from: NodeId, message: Message) {
         match message {
-            Message::Probe { number, standing } => {
-                self.standings.told.insert(from, (standing, self.clock));
+            Message::Probe { number, health } => {
+                self.measures.told.insert(from, (health, self.clock));
                 if !matches!(self.role, Role::Leader(_)) {
                     self.send(from, Message::ProbeReply { number });
                 }
@@ -219,7 +218,7 @@
         let late_after = self.late_after();
         let window = self.heartbeats(PROBE_HEARTBEATS * PROBE_WINDOW);
         let now = self.clock;
-        let Some(link) = self.standings.links.get_mut(&from) else {
+        let Some(link) = self.measures.links.get_mut(&from) else {
             return;
         };
         while let Some((waiting, sent)) = link.waiting.front().copied()
@@ -234,43 +233,43 @@
     }
 
     /// What this voter measured, without its link to the leader.
-    pub(crate) fn own_standing(&self) -> Standing {
+    pub(crate) fn own_link_health(&self) -> LinkHealth {
         let late_after = self.late_after();
-        let mut standing = Standing {
+        let mut health = LinkHealth {
             slow_disk: self.has_slow_disk(),
             gave_way: self.is_resting(),
-            ..Standing::default()
+            ..LinkHealth::default()
         };
-        for (node, link) in &self.standings.links {
+        for (node, link) in &self.measures.links {
             let overdue = link.waiting.front();
             let silent = overdue.is_some_and(|(_, sent)| self.clock.since(*sent) > late_after);
             if Some(*node) == self.leader || !link.answers.is_known() {
                 continue;
             }
             match link.answers.probes_are_late() || silent {
-                true => standing.bad_links = standing.bad_links.saturating_add(1),
-                false => standing.good_links = standing.good_links.saturating_add(1),
+                true => health.bad_links = health.bad_links.saturating_add(1),
+                false => health.good_links = health.good_links.saturating_add(1),
             }
         }
-        standing
+        health
     }
 
     fn is_resting(&self) -> bool {
         let rest = self.heartbeats(REST_HEARTBEATS);
-        let gave_way = self.standings.gave_way_at;
+        let gave_way = self.measures.gave_way_at;
         gave_way.is_some_and(|at| self.clock.since(at) < rest)
     }
 
     /// Notes how long a sync took.
     pub(crate) fn note_sync(&mut self, took: Milliseconds) {
         if took > self.late_after() {
-            self.standings.late_sync_at = Some(self.clock);
+            self.measures.late_sync_at = Some(self.clock);
         }
     }
 
     fn has_slow_disk(&self) -> bool {
         let lately = self.heartbeats(SLOW_DISK_HEARTBEATS);
-        let late_sync = self.standings.late_sync_at;
+        let late_sync = self.measures.late_sync_at;
         let was_late = late_sync.is_some_and(|at| self.clock.since(at) < lately);
         let waits = self.batches.oldest_given_at();
         was_late || waits.is_some_and(|at| self.clock.since(at) > self.late_after())
@@ -278,7 +277,7 @@
 
     /// Leader: notes how long a follower took to answer a round.
     pub(crate) fn note_round_trip(&mut self, from: NodeId, took: Milliseconds) {
-        let lag = self.standings.lag.0.saturating_mul(LAG_FACTOR);
+        let lag = self.measures.lag.0.saturating_mul(LAG_FACTOR);
         let on_the_way = Milliseconds(took.0.saturating_sub(lag));
         let late = on_the_way > self.late_after();
         let window = self.heartbeats(ROUND_WINDOW_HEARTBEATS);
@@ -291,32 +290,32 @@
     }
 
     /// Leader: its links to other voters, as its rounds tell.
-    pub(crate) fn leader_standing(&self) -> Standing {
-        let mut standing = Standing::default();
+    pub(crate) fn leader_link_health(&self) -> LinkHealth {
+        let mut health = LinkHealth::default();
         let Role::Leader(leadership) = &self.role else {
-            return standing;
+            return health;
         };
         let voters = &self.membership().voters;
         let members = leadership.progress.iter();
         for (node, progress) in members.filter(|(node, _)| voters.contains_key(node)) {
-            let told = self.standings.told.get(node);
+            let told = self.measures.told.get(node);
             if told.is_some_and(|(told, _)| told.slow_disk) {
                 continue;
             }
             if progress.answers.rounds_are_late() {
-                standing.bad_links = standing.bad_links.saturating_add(1);
+                health.bad_links = health.bad_links.saturating_add(1);
             } else if progress.answers.is_known() {
-                standing.good_links = standing.good_links.saturating_add(1);
+                health.good_links = health.good_links.saturating_add(1);
             }
         }
-        standing
+        health
     }
 
     /// Leader, at each round: gives way if it has been badly placed for a while
     /// and another voter is not.
     pub(crate) fn give_way_if_badly_placed(&mut self) {
-        let standing = self.leader_standing();
-        let badly_placed = standing.bad_links > standing.good_links;
+        let health = self.leader_link_health();
+        let badly_placed = health.bad_links > health.good_links;
         let (now, patience) = (self.clock, self.heartbeats(PATIENCE_HEARTBEATS));
         let first = self.heartbeats(SETTLE_HEARTBEATS);
         let after_transfer = self.heartbeats(SETTLE_AFTER_TRANSFER_HEARTBEATS);
@@ -342,16 +341,16 @@
             return;
         };
         tracing::warn!(node = %self.id, term = %self.term, to = %target,
-            bad_links = standing.bad_links, good_links = standing.good_links,
-            lag = %self.standings.lag,
+            bad_links = health.bad_links, good_links = health.good_links,
+            lag = %self.measures.lag,
             "gives leadership way: badly placed");
         self.transfer_to(target, true);
     }
 
     /// This node gave leadership way.
     pub(crate) fn note_gave_way(&mut self) {
-        self.standings.gave_way_at = Some(self.clock);
-        self.standings.gave_way = self.standings.gave_way.saturating_add(1);
+        self.measures.gave_way_at = Some(self.clock);
+        self.measures.gave_way = self.measures.gave_way.saturating_add(1);
     }
 
     /// The voter that could lead and has the fewest bad links; among equals the
@@ -364,19 +363,19 @@
         let quorum = membership.quorum();
         let fresh = self.options.election_timeout;
         let last_index = self.log.last_index().0;
-        let told = self.standings.told.iter();
-        told.filter(|(node, (standing, at))| {
+        let told = self.measures.told.iter();
+        told.filter(|(node, (health, at))| {
             let progress = leadership.progress.get(node);
             membership.voters.contains_key(node)
-                && standing.could_lead(quorum)
+                && health.could_lead(quorum)
                 && self.clock.since(*at) < fresh
                 && progress.is_some_and(|progress| {
                     progress.matched.0.saturating_add(SUCCESSOR_LAG) >= last_index
                 })
         })
-        .min_by_key(|(node, (standing, _))| {
+        .min_by_key(|(node, (health, _))| {
             let heard = leadership.progress.get(node).map(|p| p.last_heard);
-            (standing.bad_links, std::cmp::Reverse(heard))
+            (health.bad_links, std::cmp::Reverse(heard))
         })
         .map(|(node, _)| *node)
     }
--- a/crates/consensus/src/message.rs
+++ b/crates/consensus/src/message.rs
@@ -1,6 +1,6 @@
 //! Messages between Raft nodes.
 
-use crate::{Entry, SnapshotMeta, Standing};
+use crate::{Entry, LinkHealth, SnapshotMeta};
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
 use types::{LogIndex, NodeId, Term};
@@ -106,7 +106,7 @@
         /// Its number, echoed.
         number: u64,
         /// What the sender measured so far.
-        standing: Standing,
+        health: LinkHealth,
     },
     /// Answer to a probe.
     ProbeReply {
--- a/crates/consensus/src/node.rs
+++ b/crates/consensus/src/node.rs
@@ -1,16 +1,16 @@
 //! The Raft node: its state, its inputs and what it says of itself.
 
 use crate::lease::Rounds;
+use crate::link_health::LinkMeasures;
 use crate::log::Log;
 use crate::membership::MembershipHistory;
 use crate::progress::Progress;
 use crate::ready::{Batches, Outbox};
 use crate::snapshot::IncomingSnapshot;
-use crate::standing::Standings;
 use crate::transfer::Transfer;
 use crate::{
-    HardState, Membership, Message, Options, Outgoing, Payload, RaftRole, Recovered, Snapshot,
-    Standing,
+    HardState, LinkHealth, Membership, Message, Options, Outgoing, Payload, RaftRole, Recovered,
+    Snapshot,
 };
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -58,9 +58,9 @@
     pub matched: Vec<(NodeId, LogIndex)>,
     /// What it measured of its links: a leader by its rounds, a follower by
     /// probes to other followers.
-    pub standing: Standing,
+    pub links: LinkHealth,
     /// What other voters said of theirs last.
-    pub told: Vec<(NodeId, Standing)>,
+    pub told: Vec<(NodeId, LinkHealth)>,
     /// Times this process gave leadership way.
     pub gave_way: u32,
 }
@@ -119,7 +119,7 @@
     pub(crate) election_deadline: Monotonic,
     pub(crate) outbox: Outbox,
     pub(crate) batches: Batches,
-    pub(crate) standings: Standings,
+    pub(crate) measures: LinkMeasures,
     /// The election this node stands in follows a transfer.
     pub(crate) stands_by_transfer: bool,
 }
@@ -167,7 +167,7 @@
             batches: Batches::new(hard_state),
             log,
             options,
-            standings: Standings::default(),
+            measures: LinkMeasures::default(),
             stands_by_transfer: false,
         };
         node.recover_memberships();
@@ -250,7 +250,7 @@
                 Some(deadline) => leadership.next_heartbeat.min(deadline),
                 None => leadership.next_heartbeat,
             },
-            _ if self.options.gives_way => self.election_deadline.min(self.standings.next_probe),
+            _ if self.options.gives_way => self.election_deadline.min(self.measures.next_probe),
             _ => self.election_deadline,
         }
     }
@@ -294,7 +294,7 @@
     /// Says how long the process has kept its messages waiting: an answer that
     /// lay here for so long does not speak against the link.
     pub fn note_lag(&mut self, lag: Milliseconds) {
-        self.standings.lag = lag;
+        self.measures.lag = lag;
     }
 
     /// This node's identity.
@@ -313,12 +313,12 @@
             membership: self.membership().clone(),
             silence: Vec::new(),
             matched: Vec::new(),
-            standing: self.own_standing(),
-            told: self.standings.told(),
-            gave_way: self.standings.gave_way,
+            links: self.own_link_health(),
+            told: self.measures.told(),
+            gave_way: self.measures.gave_way,
         };
         if let Role::Leader(leadership) = &self.role {
-            status.standing = self.leader_standing();
+            status.links = self.leader_link_health();
             for (node, progress) in &leadership.progress {
                 let silence = now.since(progress.last_heard);
                 status.silence.push((*node, silence));
--- a/crates/consensus/src/progress.rs
+++ b/crates/consensus/src/progress.rs
@@ -4,9 +4,9 @@
 //! entries and pieces sent to it would lie in its connection, and all arrive,
 //! each again and again, when the link heals.
 
+use crate::link_health::Answers;
 use crate::log::{Log, after, before};
 use crate::snapshot::OutgoingSnapshot;
-use crate::standing::Answers;
 use crate::{Entry, Message, Options, Outgoing, Snapshot};
 use std::collections::VecDeque;
 use types::{LogIndex, Milliseconds, Monotonic, NodeId, Term};
--- a/crates/consensus/src/transfer.rs
+++ b/crates/consensus/src/transfer.rs
@@ -9,7 +9,7 @@
 //! to a leader of term T or before, and that leader is this node, which gave
 //! its lease up. If the late receiver stands for T+1 as well, each voter
 //! gives its one vote of that term to one of them. A leader that gives way since
-//! it is badly placed (see [`crate::standing`]) does not stand again: it follows.
+//! it is badly placed (see [`crate::link_health`]) does not stand again: it follows.
 
 use crate::node::{Leadership, Role};
 use crate::{Message, Node};
--- a/crates/coordinator/src/reads.rs
+++ b/crates/coordinator/src/reads.rs
@@ -231,6 +231,14 @@
             _ if status.membership.voters.contains_key(&node) => "voter",
             _ => "learner",
         };
+        let links = |node: NodeId| match node {
+            _ if node == self.own.node => Some(status.links),
+            _ => {
+                let mut told = status.told.iter();
+                told.find(|(teller, _)| *teller == node)
+                    .map(|(_, links)| *links)
+            }
+        };
         let silences: BTreeMap<NodeId, Milliseconds> = status.silence.iter().copied().collect();
         let voters = status.membership.voters.iter();
         let mut views: Vec<MemberView> = voters
@@ -241,6 +249,7 @@
                     standing: standing(*node).to_owned(),
                     silence: silences.get(node).copied().unwrap_or_default(),
                     configuration: version(*node),
+                    links: links(*node),
                 })
             })
             .collect();
@@ -249,6 +258,7 @@
             standing: "session".to_owned(),
             silence: now.monotonic.since(session.heard),
             configuration: Some(session.configuration),
+            links: None,
         }));
         views
     }
--- a/crates/cypressdrum/src/client/show.rs
+++ b/crates/cypressdrum/src/client/show.rs
@@ -5,7 +5,8 @@
 use api::configuration::{CapacityBody, CeilingBody};
 use api::decision::{DecisionLine, EventBody};
 use api::operator::{
-    AcceptedBody, LicencesBody, MembersBody, QueuesBody, RunnersBody, RunsLostBody, TenantsBody,
+    AcceptedBody, LicencesBody, LinkHealthBody, MembersBody, QueuesBody, RunnersBody, RunsLostBody,
+    TenantsBody,
 };
 use api::version::{ConfigurationStatusBody, ConfiguredBody};
 use api::view::{ExplainedBody, JobViewBody, JobsBody, SubmittedBody};
@@ -242,6 +243,7 @@
             "STANDING",
             "SILENT MS",
             "CONFIGURATION",
+            "LINKS GOOD/BAD",
         ]);
         for member in &self.members {
             table.row([
@@ -252,12 +254,25 @@
                 member.standing.clone(),
                 member.silence_ms.to_string(),
                 version_of(member.configuration),
+                member.links.map_or_else(|| "-".to_owned(), links_of),
             ]);
         }
         table.render()
     }
 }
 
+/// The links of a voter, and what else speaks against its leading.
+fn links_of(links: LinkHealthBody) -> String {
+    let mut text = format!("{}/{}", links.good, links.bad);
+    if links.slow_disk {
+        text.push_str(" slow disk");
+    }
+    if links.gave_way {
+        text.push_str(" gave way");
+    }
+    text
+}
+
 impl Show for AcceptedBody {
     fn table(&self) -> String {
         "accepted\n".to_owned()
--- a/crates/cypressdrum/src/daemon/options.rs
+++ b/crates/cypressdrum/src/daemon/options.rs
@@ -63,6 +63,7 @@
             election_spread: Milliseconds(timings.election_timeout_ms),
             heartbeat_interval: Milliseconds(timings.heartbeat_interval_ms),
             leader_lease: Milliseconds(timings.leader_lease_ms),
+            gives_way: settings.policy.gives_way,
             ..consensus::Options::default()
         },
         dispatcher: dispatch::DispatcherOptions {
--- a/crates/gateway/tests/http/operator.rs
+++ b/crates/gateway/tests/http/operator.rs
@@ -98,6 +98,7 @@
             socket: ([127, 0, 0, 1], 1).into(),
         },
         standing: "session".to_owned(),
+        links: None,
         silence: Milliseconds(10),
         configuration: configuration.map(ConfigurationVersion),
     };
--- a/crates/peer/src/request.rs
+++ b/crates/peer/src/request.rs
@@ -261,6 +261,8 @@
     /// Configuration version it last reported to this leader: of a coordinator
     /// the one it has applied. None while it has not reported.
     pub configuration: Option<ConfigurationVersion>,
+    /// Voters: the health of their links, as they measured it last.
+    pub links: Option<consensus::LinkHealth>,
 }
 
 /// One line of the decision log.
--- a/crates/settings/src/coordinator.rs
+++ b/crates/settings/src/coordinator.rs
@@ -180,6 +180,8 @@
     pub avoid_failed: bool,
     /// Runs on a slow runner are moved (needs `dispatcher.stalled_after_ms`).
     pub move_slow: bool,
+    /// A leader that is badly placed gives way to a voter that is not.
+    pub gives_way: bool,
 }
 
 /// How a tenant is chosen.
@@ -207,6 +209,7 @@
             rack_patience: on("rack_patience"),
             avoid_failed: on("avoid_failed"),
             move_slow: on("move_slow"),
+            gives_way: on("gives_way"),
             draw: reader.defaulted("policy.draw", DrawSetting::Uniform),
         }
     }
