Account for what simulated jobs lose, and to what

lab losses plays a simulated fleet over several seeds under the policy section of one settings file or several, and draws what jobs lose by cause, queue, tenant and window, from the product's own decision stream and the runners' own times; mean and spread over seeds, and policies side by side, seed by seed. Nothing that runs on a site changes: plans get a policy, outcomes their decision stream.

--- a/crates/lab/src/error.rs
+++ b/crates/lab/src/error.rs
@@ -14,6 +14,14 @@
         /// Why.
         source: std::io::Error,
     },
+    /// A policy cannot be read.
+    #[error("{path}: {problem}", path = path.display())]
+    Policy {
+        /// The file.
+        path: PathBuf,
+        /// What is wrong.
+        problem: String,
+    },
     /// No free loopback address.
     #[error("no free loopback address: {0}")]
     Address(std::io::Error),
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod error;
 pub mod fleet;
 pub mod history;
+pub mod losses;
 pub mod ports;
 pub mod process;
 pub mod report;
--- /dev/null
+++ b/crates/lab/src/losses.rs
@@ -0,0 +1,137 @@
+//! `losses`: simulated fleets over several seeds under a policy, and what their jobs
+//! lose to what, from the product's own decision stream.
+
+pub mod account;
+pub mod table;
+
+use crate::LabError;
+use account::account;
+use clap::Args;
+use cypressdrum::Exit;
+use dispatch::Policy;
+use simulation::{FleetSize, Plan};
+use std::path::{Path, PathBuf};
+use table::{Losses, SeedLosses, render};
+
+/// Seeds when none are asked for.
+const DEFAULT_SEEDS: u64 = 5;
+/// Switches of a settings file's policy that are no placement's.
+const GIVES_WAY: &str = "gives_way";
+const MOVE_SLOW: &str = "move_slow";
+
+/// What to account for.
+#[derive(Debug, Clone, Args)]
+pub struct LossesArguments {
+    /// How many seeds, one after the other.
+    #[arg(long, default_value_t = DEFAULT_SEEDS)]
+    pub seeds: u64,
+    /// The first seed.
+    #[arg(long, default_value_t = 1)]
+    pub first_seed: u64,
+    /// The day, with its faults; a calm one unless given. Its seed is not used.
+    #[arg(long, value_name = "FILE")]
+    pub plan: Option<PathBuf>,
+    /// Load in percent of today's, for a calm day.
+    #[arg(long, default_value_t = 100, conflicts_with = "plan")]
+    pub load_percent: u32,
+    /// A settings file whose policy section decides; may be given several times.
+    /// The policy that ships unless given.
+    #[arg(long, value_name = "FILE")]
+    pub policy: Vec<PathBuf>,
+    /// Print one JSON document in place of tables.
+    #[arg(long)]
+    pub json: bool,
+}
+
+/// A policy with its name.
+#[derive(Debug, Clone)]
+struct Chosen {
+    name: String,
+    placement: Policy,
+    gives_way: bool,
+}
+
+/// Plays the seeds and prints the tables.
+pub fn run(arguments: LossesArguments) -> Exit {
+    match losses(&arguments) {
+        Ok(all) => {
+            let text = match arguments.json {
+                true => cypressdrum::output::json_line(&all),
+                false => render(&all),
+            };
+            print!("{text}");
+            Exit::Done
+        }
+        Err(error) => {
+            eprintln!("{error}");
+            Exit::Usage
+        }
+    }
+}
+
+/// Lost credit under each policy, seed by seed. Equal arguments give equal sums.
+pub fn losses(arguments: &LossesArguments) -> Result<Vec<Losses>, LabError> {
+    let day = read_day(arguments)?;
+    let policies = read_policies(&arguments.policy)?;
+    let mut all = Vec::new();
+    for policy in policies {
+        let mut seeds = Vec::new();
+        for seed in (arguments.first_seed..).take(arguments.seeds as usize) {
+            let mut plan = day.clone();
+            plan.seed = seed;
+            plan.policy = policy.placement;
+            plan.gives_way = policy.gives_way;
+            let outcome = simulation::run(&plan)?;
+            seeds.push(SeedLosses::new(seed, &account(&outcome)));
+        }
+        let policy = policy.name;
+        all.push(Losses { policy, seeds });
+    }
+    Ok(all)
+}
+
+fn read_day(arguments: &LossesArguments) -> Result<Plan, LabError> {
+    let Some(path) = &arguments.plan else {
+        let mut day = Plan::calm(arguments.first_seed);
+        day.fleet = FleetSize {
+            load_percent: arguments.load_percent,
+            ..FleetSize::default()
+        };
+        return Ok(day);
+    };
+    let text = std::fs::read_to_string(path).map_err(LabError::file(path))?;
+    Ok(Plan::parse(&text)?)
+}
+
+fn read_policies(paths: &[PathBuf]) -> Result<Vec<Chosen>, LabError> {
+    if paths.is_empty() {
+        return Ok(vec![Chosen {
+            name: "shipped".to_owned(),
+            placement: Policy::default(),
+            gives_way: true,
+        }]);
+    }
+    paths.iter().map(|path| read_policy(path)).collect()
+}
+
+/// The `policy` section of a settings file; what it does not name is as it ships.
+fn read_policy(path: &Path) -> Result<Chosen, LabError> {
+    let text = std::fs::read_to_string(path).map_err(LabError::file(path))?;
+    let wrong = |problem: toml::de::Error| LabError::Policy {
+        path: path.to_owned(),
+        problem: problem.to_string(),
+    };
+    let mut file: toml::Table = toml::from_str(&text).map_err(wrong)?;
+    let section = file.remove("policy");
+    let mut section = match section {
+        Some(toml::Value::Table(section)) => section,
+        _ => toml::Table::new(),
+    };
+    section.remove(MOVE_SLOW);
+    let gives_way = section.remove(GIVES_WAY);
+    Ok(Chosen {
+        name: path.display().to_string(),
+        gives_way: gives_way.and_then(|on| on.as_bool()).unwrap_or(true),
+        placement: section.try_into().map_err(wrong)?,
+    })
+}
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -4,6 +4,7 @@
 use lab::capacity::{self, CapacityArguments};
 use lab::daemon::{self, DaemonArguments};
 use lab::demo::{self, DemoArguments};
+use lab::losses::{self, LossesArguments};
 use lab::scenario::{self, ScenarioArguments};
 use lab::simulate::{self, SimulateArguments};
 use std::process::ExitCode;
@@ -26,6 +27,8 @@
     Trial(ScenarioArguments),
     /// Run whole fleets in one process under random or given faults.
     Simulate(SimulateArguments),
+    /// Account for what jobs lose, under one policy or two side by side.
+    Losses(LossesArguments),
     /// Run one daemon; the lab starts its own children with it.
     #[command(hide = true)]
     Daemon(DaemonArguments),
@@ -37,6 +40,7 @@
         Command::Capacity(arguments) => capacity::run(arguments).into(),
         Command::Trial(arguments) => scenario::run(arguments).into(),
         Command::Simulate(arguments) => simulate::run(arguments).into(),
+        Command::Losses(arguments) => losses::run(arguments).into(),
         Command::Daemon(arguments) => daemon::run(arguments).into(),
     }
 }
--- a/crates/simulation/src/fleet.rs
+++ b/crates/simulation/src/fleet.rs
@@ -106,10 +106,14 @@
             move_slow: true,
             initial_coordinators: u32::try_from(fleet.coordinators).unwrap_or(u32::MAX),
             consensus: consensus::Options {
+                gives_way: plan.gives_way,
                 mutation: plan.mutation.and_then(Mutation::of_consensus),
                 ..consensus::Options::default()
             },
-            dispatcher: dispatch::DispatcherOptions::default(),
+            dispatcher: dispatch::DispatcherOptions {
+                policy: plan.policy,
+                ..dispatch::DispatcherOptions::default()
+            },
             session_lease: SESSION_LEASE,
             replace_voter_after: Milliseconds(2_000),
             runner_wait: Milliseconds(1_000),
--- a/crates/simulation/src/lib.rs
+++ b/crates/simulation/src/lib.rs
@@ -35,3 +35,4 @@
 pub use planner::{PlannerOptions, plan_from_seed};
 pub use run::{Outcome, run};
 pub use shrink::shrink;
+pub use world::TimedDecision;
--- a/crates/simulation/src/plan.rs
+++ b/crates/simulation/src/plan.rs
@@ -22,6 +22,12 @@
     /// What the work of coordinators costs; nothing unless the plan says so.
     #[serde(default)]
     pub processing: Processing,
+    /// Which mechanisms of placement decide.
+    #[serde(default)]
+    pub policy: dispatch::Policy,
+    /// A badly placed leader gives way.
+    #[serde(default = "default_gives_way")]
+    pub gives_way: bool,
     /// A mechanism turned off, for proofs.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub mutation: Option<Mutation>,
@@ -35,6 +41,10 @@
 /// Most time after the load in which all work must end.
 pub const DEFAULT_CALM_MS: u64 = 120_000;
 
+fn default_gives_way() -> bool {
+    true
+}
+
 fn default_load_ms() -> u64 {
     DEFAULT_LOAD_MS
 }
@@ -332,6 +342,8 @@
             load_ms: DEFAULT_LOAD_MS,
             calm_ms: DEFAULT_CALM_MS,
             processing: Processing::default(),
+            policy: dispatch::Policy::default(),
+            gives_way: true,
             mutation: None,
             faults: Vec::new(),
         }
--- a/crates/simulation/src/planner.rs
+++ b/crates/simulation/src/planner.rs
@@ -60,6 +60,8 @@
         load_ms: options.load_ms,
         calm_ms: crate::plan::DEFAULT_CALM_MS,
         processing: Default::default(),
+        policy: Default::default(),
+        gives_way: true,
         mutation: None,
         faults,
     }
--- a/crates/simulation/src/run.rs
+++ b/crates/simulation/src/run.rs
@@ -4,7 +4,7 @@
 use crate::fleet::build;
 use crate::network::Micros;
 use crate::plan::{Fault, Plan};
-use crate::world::World;
+use crate::world::{TimedDecision, World};
 use checker::{Limits, Observation, Report, Violation, ViolationKind, check};
 use serde::Serialize;
 use sha2::{Digest, Sha256};
@@ -26,6 +26,9 @@
     pub report: Report,
     /// What was seen.
     pub history: Vec<Observation>,
+    /// The decision log of all leaders.
+    #[serde(skip)]
+    pub decisions: Vec<TimedDecision>,
     /// SHA-256 of the history, in hex: equal for equal runs.
     pub digest: String,
     /// Events handled.
@@ -176,6 +179,7 @@
         broken: world.broken,
         virtual_time: Milliseconds(world.now / 1_000),
         longest_liveness_wait,
+        decisions: world.decisions,
         history: world.history,
     }
 }
--- a/crates/simulation/src/world.rs
+++ b/crates/simulation/src/world.rs
@@ -54,7 +54,7 @@
     /// What was seen.
     pub history: Vec<Observation>,
     /// The decision log of all leaders.
-    pub decisions: Vec<DecisionEntry>,
+    pub decisions: Vec<TimedDecision>,
     /// The mechanism turned off in this run.
     pub mutation: Option<Mutation>,
     /// When callers stop sending new jobs.
@@ -76,6 +76,15 @@
     next_ticket: u64,
 }
 
+/// A line of a leader's decision log, by the observer's clock.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct TimedDecision {
+    /// Observer's clock since the start of the run.
+    pub at: Milliseconds,
+    /// The line.
+    pub entry: DecisionEntry,
+}
+
 impl World {
     /// An empty world.
     pub fn new(random: ChaCha8Rng) -> Self {
@@ -272,7 +281,10 @@
             Effect::Write(write) => self.begin_write(process, write),
             Effect::Deliver(order) => self.deliver_order(process, order),
             Effect::Respond(ticket, result) => self.respond(process, ticket, result),
-            Effect::Decision(entry) => self.decisions.push(*entry),
+            Effect::Decision(entry) => {
+                let at = Milliseconds(self.now / 1_000);
+                self.decisions.push(TimedDecision { at, entry: *entry });
+            }
             Effect::Stopped => self.processes[process.0].kill(&mut self.random, false),
         }
     }
