Simulate links that lose packets: late, in order, one machine's

A fault of plans: messages on a machine's links come late when their packet is lost, and what follows waits.

--- a/crates/simulation/src/fault.rs
+++ b/crates/simulation/src/fault.rs
@@ -2,7 +2,7 @@
 
 use crate::event::{DiskState, Event};
 use crate::machine::MachineIndex;
-use crate::network::{Micros, Weather};
+use crate::network::{LossyLinks, Micros, Weather};
 use crate::plan::{Acknowledgement, Behaviour, Fault};
 use crate::process::{Core, Input, Process, ProcessIndex};
 use crate::run::LONGEST_REPAIR_MS;
@@ -89,6 +89,21 @@
                 };
                 self.network.set_weather(weather, self.now + for_ms * 1_000);
             }
+            Fault::LossyLinks {
+                machine,
+                lost_per_thousand,
+                wait_ms,
+                for_ms,
+            } => {
+                if let Some(machine) = self.machine_named(&machine) {
+                    let links = LossyLinks {
+                        lost_per_thousand,
+                        wait_ms,
+                        until: self.now + for_ms * 1_000,
+                    };
+                    self.network.set_lossy(machine, links);
+                }
+            }
             Fault::LateOrders {
                 machine,
                 delay_ms,
--- a/crates/simulation/src/network.rs
+++ b/crates/simulation/src/network.rs
@@ -24,9 +24,24 @@
     pub delay_ms: u64,
 }
 
+/// Links of one machine that lose packets, as connections show it: a message whose
+/// packet is lost comes later, and what follows on the same link waits for it.
+#[derive(Debug, Clone, Copy)]
+pub struct LossyLinks {
+    /// Messages in a thousand whose packet is lost.
+    pub lost_per_thousand: u32,
+    /// Time until a lost packet comes again.
+    pub wait_ms: u64,
+    /// When the links are whole again.
+    pub until: Micros,
+}
+
 /// Cuts and weather.
 #[derive(Debug, Default)]
 pub struct Network {
+    lossy: BTreeMap<MachineIndex, LossyLinks>,
+    /// When what waits on a lossy link has come through.
+    free_at: BTreeMap<(MachineIndex, MachineIndex), Micros>,
     cuts: BTreeMap<(MachineIndex, MachineIndex), Micros>,
     weather: Weather,
     weather_until: Micros,
@@ -45,8 +60,14 @@
         self.weather_until = until;
     }
 
+    /// Has the links of a machine lose packets.
+    pub fn set_lossy(&mut self, machine: MachineIndex, links: LossyLinks) {
+        self.lossy.insert(machine, links);
+    }
+
     /// Ends all cuts and bad weather.
     pub fn heal(&mut self) {
+        self.lossy.clear();
         self.cuts.clear();
         self.weather_until = 0;
     }
@@ -58,7 +79,7 @@
 
     /// Delays of the copies of one message that arrive; empty when it is lost.
     pub fn deliveries(
-        &self,
+        &mut self,
         random: &mut ChaCha8Rng,
         now: Micros,
         from: MachineIndex,
@@ -77,9 +98,42 @@
         } else {
             1
         };
-        (0..copies)
+        let delays: Vec<Micros> = (0..copies)
             .map(|_| delay(random, same_zone, weather.delay_ms))
-            .collect()
+            .collect();
+        match self.lossy_link(from, to, now) {
+            None => delays,
+            Some(links) => delays
+                .into_iter()
+                .map(|delay| self.over_lossy_link(random, (from, to), now, delay, links))
+                .collect(),
+        }
+    }
+
+    fn lossy_link(&self, from: MachineIndex, to: MachineIndex, now: Micros) -> Option<LossyLinks> {
+        let ends = [from, to].into_iter();
+        ends.filter_map(|machine| self.lossy.get(&machine))
+            .find(|links| now < links.until)
+            .copied()
+    }
+
+    /// The delay of a message that would take `delay` over a whole link.
+    fn over_lossy_link(
+        &mut self,
+        random: &mut ChaCha8Rng,
+        link: (MachineIndex, MachineIndex),
+        now: Micros,
+        delay: Micros,
+        links: LossyLinks,
+    ) -> Micros {
+        let lost = per_thousand(random, links.lost_per_thousand);
+        let free_at = self.free_at.entry(link).or_default();
+        let waits = *free_at > now;
+        // What is lost while others wait comes again with them.
+        if lost && !waits {
+            *free_at = now + delay + links.wait_ms * 1_000;
+        }
+        (now + delay).max(*free_at) - now
     }
 
     fn weather_at(&self, now: Micros) -> Weather {
--- a/crates/simulation/src/plan.rs
+++ b/crates/simulation/src/plan.rs
@@ -210,6 +210,17 @@
         /// For how long.
         for_ms: u64,
     },
+    /// The links of a machine lose packets; messages come late, in order.
+    LossyLinks {
+        /// The machine.
+        machine: String,
+        /// Messages in a thousand whose packet is lost.
+        lost_per_thousand: u32,
+        /// Time until a lost packet comes again.
+        wait_ms: u64,
+        /// How long.
+        for_ms: u64,
+    },
     /// The whole network loses, doubles and delays.
     Weather {
         /// Messages lost in a thousand.
@@ -399,6 +410,7 @@
             | Self::KillOnceRepaired { machine, .. }
             | Self::Freeze { machine, .. }
             | Self::Cut { machine, .. }
+            | Self::LossyLinks { machine, .. }
             | Self::LateOrders { machine, .. }
             | Self::ClockStep { machine, .. }
             | Self::KillRunner { machine, .. }
--- a/crates/simulation/src/run.rs
+++ b/crates/simulation/src/run.rs
@@ -121,6 +121,7 @@
         | Fault::Cut { for_ms, .. }
         | Fault::CutOneWay { for_ms, .. }
         | Fault::Split { for_ms, .. }
+        | Fault::LossyLinks { for_ms, .. }
         | Fault::Weather { for_ms, .. }
         | Fault::LateOrders { for_ms, .. }
         | Fault::Misbehave { for_ms, .. }
