--- a/crates/lab/src/losses/account.rs
+++ b/crates/lab/src/losses/account.rs
@@ -38,7 +38,8 @@
     Held,
     /// The leader did not know its runners yet.
     NewLeader,
-    /// Nothing stood against it: the draw, the log, the placement's interval.
+    /// Nothing stood against it, or for a moment only: the draw, the log, the
+    /// placement's interval.
     Draw,
     /// A run was reserved, and its start had not come to the runner.
     Order,
@@ -103,8 +104,11 @@
     runs: BTreeSet<RunId>,
 }
 
-/// Reasons told for one tenant's work in one queue; none once something of it was
-/// placed.
+/// A shorter wait is that of the log and of the placement's interval. For a longer
+/// one the last reason told for the list holds: a reason is told when it changes.
+const UNEXPLAINED: Milliseconds = Milliseconds(100);
+
+/// Reasons told for one tenant's work in one queue.
 type Reasons = BTreeMap<(TenantId, QueueName), Vec<(Milliseconds, Option<Cause>)>>;
 
 #[derive(Debug, Default)]
@@ -174,7 +178,6 @@
                 let reasons = self.reasons.entry(list).or_default();
                 match &decision.kind {
                     DecisionKind::Placed { reservation, .. } => {
-                        reasons.push((at, None));
                         let run = self.runs.entry(reservation.run).or_default();
                         run.placed.get_or_insert(at);
                         if let Some(key) = key {
@@ -249,6 +252,8 @@
         .iter()
         .flat_map(|run| [run.placed, run.started, run.ended, run.closed]);
     let moments = of_runs.chain([job.acknowledged]).flatten();
+    let explained = waits_from(job, runs).map(|from| from + UNEXPLAINED);
+    let moments = moments.chain(explained);
     let moments = moments.chain(reasons.iter().map(|(at, _)| *at));
     let within: BTreeSet<Milliseconds> = moments
         .filter(|at| whole.holds(*at))
@@ -257,6 +262,12 @@
     within.into_iter().collect()
 }
 
+/// Moments from which some task of a job may have waited.
+fn waits_from(job: &SeenJob, runs: &[SeenRun]) -> impl Iterator<Item = Milliseconds> {
+    let closed = runs.iter().filter_map(|run| run.closed);
+    closed.chain(job.acknowledged)
+}
+
 /// What stands in the way of a job from this moment on; none while it gets on.
 fn cause_at(
     at: Milliseconds,
@@ -288,6 +299,10 @@
     if runs.iter().any(|run| within(run.ended, run.closed)) {
         return Some(Cause::Report);
     }
+    let waits_from = waits_from(job, runs).filter(|from| *from <= at).max();
+    if waits_from.is_none_or(|from| at < from + UNEXPLAINED) {
+        return Some(Cause::Draw);
+    }
     let told = reasons.partition_point(|(told, _)| *told <= at);
     let reason = told.checked_sub(1).and_then(|last| reasons[last].1);
     Some(reason.unwrap_or(Cause::Draw))
