--- a/crates/dispatch/tests/ceiling.rs
+++ b/crates/dispatch/tests/ceiling.rs
@@ -48,7 +48,8 @@
 
 fn hear_all(dispatcher: &mut Dispatcher, milliseconds: u64) {
     let sequence = milliseconds + 1;
-    dispatcher.heartbeat(&report("quick", sequence, 64, 64), at(milliseconds));
+    // The runner with more room is pulled for first: that of the less urgent pool.
+    dispatcher.heartbeat(&report("quick", sequence, 20, 20), at(milliseconds));
     let large = in_other_pool(report("large", sequence, 64, 64));
     dispatcher.heartbeat(&large, at(milliseconds));
 }
@@ -57,10 +58,26 @@
     placed.iter().map(|one| one.task.job.0).collect()
 }
 
-/// Ends a run of `batch` and places what follows.
-fn end_and_place(dispatcher: &mut Dispatcher, run: &Reservation, ms: u64) -> Vec<Reservation> {
+fn end(dispatcher: &mut Dispatcher, run: &Reservation) {
     dispatcher.remove_run(run.run);
     dispatcher.remove(run.task);
+}
+
+/// Work that comes, is placed whole and has ended.
+fn run_and_end(dispatcher: &mut Dispatcher, work: impl IntoIterator<Item = TaskMeta>) {
+    let mut tasks = 0;
+    for meta in work {
+        dispatcher.publish(meta, at(0));
+        tasks += 1;
+    }
+    let placed = all_placed(dispatcher.place(at(0), 100));
+    assert_eq!(placed.len(), tasks);
+    placed.iter().for_each(|run| end(dispatcher, run));
+}
+
+/// Ends a run of `batch` and places what follows.
+fn end_and_place(dispatcher: &mut Dispatcher, run: &Reservation, ms: u64) -> Vec<Reservation> {
+    end(dispatcher, run);
     all_placed(dispatcher.place(at(ms), 100))
 }
 
@@ -82,13 +99,8 @@
 #[test]
 fn what_urgent_work_asked_for_lately_stays_free_under_the_ceiling() {
     let mut dispatcher = fleet(&two_pools(40), DispatcherOptions::default());
-    for job in 21..=23 {
-        dispatcher.publish(in_queue("urgent", meta(job, "a", 2)), at(0));
-    }
-    for run in all_placed(dispatcher.place(at(0), 100)) {
-        dispatcher.remove_run(run.run);
-        dispatcher.remove(run.task);
-    }
+    let urgent = (21..=23).map(|job| in_queue("urgent", meta(job, "a", 2)));
+    run_and_end(&mut dispatcher, urgent);
     for job in 1..=10 {
         dispatcher.publish(in_queue("batch", meta(job, "a", 5)), at(500));
     }
@@ -103,13 +115,8 @@
 #[test]
 fn a_task_that_leaves_room_for_urgent_work_says_so() {
     let mut dispatcher = fleet(&two_pools(40), DispatcherOptions::default());
-    for job in 21..=23 {
-        dispatcher.publish(in_queue("urgent", meta(job, "a", 2)), at(0));
-    }
-    for run in all_placed(dispatcher.place(at(0), 100)) {
-        dispatcher.remove_run(run.run);
-        dispatcher.remove(run.task);
-    }
+    let urgent = (21..=23).map(|job| in_queue("urgent", meta(job, "a", 2)));
+    run_and_end(&mut dispatcher, urgent);
     for job in 1..=10 {
         dispatcher.publish(in_queue("batch", meta(job, "a", 5)), at(500));
     }
@@ -120,20 +127,19 @@
 
 #[test]
 fn no_more_than_the_part_is_kept_and_none_of_the_first_half() {
+    // Waits for ever: no runner carries its label.
+    let mut nowhere = in_queue("urgent", meta(21, "a", 39));
+    nowhere.labels.insert("kind".to_owned(), "none".to_owned());
+
     let mut dispatcher = fleet(&two_pools(40), DispatcherOptions::default());
-    // Waits for ever: no runner is as large.
-    dispatcher.publish(in_queue("urgent", meta(21, "a", 39)), at(0));
+    dispatcher.publish(nowhere.clone(), at(0));
     for job in 1..=10 {
         dispatcher.publish(in_queue("batch", meta(job, "a", 5)), at(0));
     }
     let placed = all_placed(dispatcher.place(at(0), 100));
-    let batch = placed.iter().filter(|one| one.task.job.0 <= 10);
-    // A quarter of 40 is kept beside what the urgent task does not hold.
-    assert!(batch.count() <= 6);
+    assert_eq!(placed.len(), 6, "a quarter of 40 is kept, not 39");
 
     let mut dispatcher = fleet(&two_pools(40), DispatcherOptions::default());
-    let mut nowhere = in_queue("urgent", meta(21, "a", 39));
-    nowhere.labels.insert("kind".to_owned(), "none".to_owned());
     dispatcher.publish(nowhere, at(0));
     dispatcher.publish(in_queue("batch", meta(1, "a", 38)), at(0));
     let placed = all_placed(dispatcher.place(at(0), 100));
@@ -147,11 +153,7 @@
 #[test]
 fn what_is_kept_is_given_up_when_no_urgent_work_came_for_long() {
     let mut dispatcher = fleet(&two_pools(40), DispatcherOptions::default());
-    dispatcher.publish(in_queue("urgent", meta(21, "a", 10)), at(0));
-    for run in all_placed(dispatcher.place(at(0), 100)) {
-        dispatcher.remove_run(run.run);
-        dispatcher.remove(run.task);
-    }
+    run_and_end(&mut dispatcher, [in_queue("urgent", meta(21, "a", 10))]);
     for job in 1..=10 {
         dispatcher.publish(in_queue("batch", meta(job, "a", 5)), at(1_000));
     }
@@ -190,8 +192,7 @@
             if run.task.job.0 == 7 {
                 started_at.get_or_insert(ms);
             } else {
-                dispatcher.remove_run(run.run);
-                dispatcher.remove(run.task);
+                end(&mut dispatcher, &run);
             }
         }
     }
@@ -200,20 +201,25 @@
 }
 
 #[test]
-fn other_tenants_and_equal_queues_keep_nothing_for_one_another() {
+fn nothing_is_kept_for_the_urgent_work_of_another_tenant() {
     let mut dispatcher = fleet(&two_pools(40), DispatcherOptions::default());
-    dispatcher.publish(in_queue("urgent", meta(21, "b", 10)), at(0));
-    dispatcher.publish(in_queue("main", meta(22, "a", 10)), at(0));
-    for run in all_placed(dispatcher.place(at(0), 100)) {
-        dispatcher.remove_run(run.run);
-        dispatcher.remove(run.task);
-    }
+    run_and_end(&mut dispatcher, [in_queue("urgent", meta(21, "b", 10))]);
     for job in 1..=10 {
-        dispatcher.publish(in_queue("urgent", meta(job, "a", 5)), at(500));
+        dispatcher.publish(in_queue("batch", meta(job, "a", 5)), at(500));
     }
     assert_eq!(all_placed(dispatcher.place(at(500), 100)).len(), 8);
 }
 
+#[test]
+fn nothing_is_kept_for_a_queue_that_is_no_more_urgent() {
+    let mut dispatcher = fleet(&two_pools(20), DispatcherOptions::default());
+    run_and_end(&mut dispatcher, [in_queue("urgent", meta(21, "a", 10))]);
+    for job in 1..=10 {
+        dispatcher.publish(in_queue("main", meta(job, "a", 5)), at(500));
+    }
+    assert_eq!(all_placed(dispatcher.place(at(500), 100)).len(), 4);
+}
+
 #[test]
 fn without_the_mechanism_the_ceiling_is_filled() {
     let options = DispatcherOptions {
@@ -224,11 +230,7 @@
         ..DispatcherOptions::default()
     };
     let mut dispatcher = fleet(&two_pools(40), options);
-    dispatcher.publish(in_queue("urgent", meta(21, "a", 10)), at(0));
-    for run in all_placed(dispatcher.place(at(0), 100)) {
-        dispatcher.remove_run(run.run);
-        dispatcher.remove(run.task);
-    }
+    run_and_end(&mut dispatcher, [in_queue("urgent", meta(21, "a", 10))]);
     for job in 1..=10 {
         dispatcher.publish(in_queue("batch", meta(job, "a", 5)), at(500));
     }
