--- a/crates/cypressdrum/tests/support/markdown.rs
+++ b/crates/cypressdrum/tests/support/markdown.rs
@@ -34,9 +34,15 @@
 
 /// Returns all pages that are compared with the code.
 pub fn pages() -> Vec<Page> {
-    let docs = files_below(&root().join("docs"), ".md").into_iter();
+    let root = root();
+    let docs = files_below(&root.join("docs"), ".md").into_iter();
     let mut names: Vec<String> = docs
-        .map(|path| format!("docs/{}", path.file_name().unwrap().to_string_lossy()))
+        .map(|path| {
+            path.strip_prefix(&root)
+                .unwrap()
+                .to_string_lossy()
+                .into_owned()
+        })
         .collect();
     names.extend(["README.md".to_owned(), "CONTRIBUTING.md".to_owned()]);
     names.iter().map(|name| Page::read(name)).collect()
