Count closed runs by cause, and runs that the leader stops

The counter of closed runs did not distinguish them, and nothing showed whether a runner's status had left out ends.

--- a/crates/coordinator/src/leader.rs
+++ b/crates/coordinator/src/leader.rs
@@ -351,6 +351,7 @@
     fn report_gauges(&self, state_machine: &StateMachine) {
         metrics::gauge!("cypressdrum_unfinished_jobs").set(state_machine.unfinished_jobs() as f64);
         metrics::gauge!("cypressdrum_open_runs").set(self.runs.len() as f64);
+        metrics::gauge!("cypressdrum_runs_to_stop").set(self.runs.stop_requested_count() as f64);
         metrics::gauge!("cypressdrum_sessions").set(self.sessions.len() as f64);
         metrics::gauge!("cypressdrum_runners").set(self.runners.len() as f64);
         metrics::gauge!("cypressdrum_waiting_requests").set(self.requests.len() as f64);
--- a/crates/coordinator/src/leader/orders.rs
+++ b/crates/coordinator/src/leader/orders.rs
@@ -409,6 +409,8 @@
             Some(meta) => self.scheduler.reschedule(run.run, meta, now),
             None => self.scheduler.remove_run(run.run),
         }
+        metrics::counter!("cypressdrum_runs_closed_total", "close" => close_name(&close))
+            .increment(1);
         let event = DecisionEvent::Closed {
             run: run.run,
             task: run.task,
@@ -418,7 +420,6 @@
         };
         self.decisions
             .record(state_machine.job_key(run.task.job), event);
-        metrics::counter!("cypressdrum_runs_closed_total").increment(1);
     }
 
     /// Records in the decision log that a start was sent.
@@ -433,3 +434,16 @@
             .record(state_machine.job_key(open_run.task.job), event);
     }
 }
+
+/// Returns the value of the label `close` of the counter of closed runs.
+fn close_name(close: &RunClose) -> &'static str {
+    match close {
+        RunClose::Ended(Outcome::Done) => "done",
+        RunClose::Ended(Outcome::Failed(_)) => "failed",
+        RunClose::Ended(Outcome::Stopped) => "stopped",
+        RunClose::Revoked => "revoked",
+        RunClose::Lost => "lost",
+        RunClose::Rejected => "rejected",
+        RunClose::TimedOut => "timed_out",
+    }
+}
--- a/crates/coordinator/src/leader/run_tracker.rs
+++ b/crates/coordinator/src/leader/run_tracker.rs
@@ -147,6 +147,11 @@
         self.runs.len()
     }
 
+    /// Returns the number of open runs whose stop is requested.
+    pub(super) fn stop_requested_count(&self) -> usize {
+        self.iter().filter(|run| run.stop_requested).count()
+    }
+
     /// Returns all open runs in the order of their identifiers.
     pub(super) fn iter(&self) -> impl Iterator<Item = &TrackedRun> {
         self.runs.values()
