--- a/crates/coordinator/src/leader/run_tracker.rs
+++ b/crates/coordinator/src/leader/run_tracker.rs
@@ -43,7 +43,7 @@
     /// Whether a command that closes the run is collected or proposed, but not
     /// applied.
     closing: bool,
-    /// Progress of the run. `None` if its runner reports no progress.
+    /// Progress of the run. `None` if the newest report contains no progress.
     progress: Option<ProgressHistory>,
     /// Newest checkpoint that the run saved. `None` before the first one.
     checkpoint: Option<String>,
@@ -205,19 +205,20 @@
     }
 
     /// Records that the runner has the run. Requests a stop if the run is past
-    /// its time limit.
+    /// its time limit. A report without progress is no evidence of a stall: it
+    /// discards the history.
     pub(super) fn record_active(&mut self, run: RunId, active: &ActiveRun, now: Monotonic) {
         self.record_checkpoint(run, active.checkpoint.as_ref());
         let Some(tracked) = self.runs.get_mut(&run) else {
             return;
         };
         tracked.phase = StartPhase::Active;
-        if let Some(progress) = active.progress {
-            tracked
-                .progress
-                .get_or_insert(ProgressHistory::new(progress, now))
-                .record(progress, now);
-        }
+        tracked.progress = active.progress.map(|progress| {
+            let history = tracked.progress.take();
+            let mut history = history.unwrap_or(ProgressHistory::new(progress, now));
+            history.record(progress, now);
+            history
+        });
         let limit = tracked.open_run.time_limit + TIME_LIMIT_GRACE;
         if active.age > limit && !tracked.timed_out {
             tracked.timed_out = true;
--- a/crates/coordinator/tests/coordinator/runs.rs
+++ b/crates/coordinator/tests/coordinator/runs.rs
@@ -6,7 +6,8 @@
 use coordinator::Effect;
 use transport::{OrderResult, PeerMessage};
 use types::{
-    EndpointName, JobState, OrderAnswer, Outcome, RejectionReason, RunnerId, RunnerOrder, Term,
+    EndpointName, JobState, Milliseconds, OrderAnswer, Outcome, RejectionReason, RunnerId,
+    RunnerOrder, Term,
 };
 
 /// Returns the milliseconds without a heartbeat after which a leader closes the
@@ -303,6 +304,28 @@
     assert_eq!(cluster.agents[0].started.len(), 1);
 }
 
+/// A runner reports no progress of a run while it is not known whether the run has ended.
+/// This is no evidence of a stall, for which the leader would stop the run.
+#[test]
+fn reports_without_progress_are_no_stall() {
+    const STALLED_AFTER: Milliseconds = Milliseconds(2_500);
+    let mut cluster = TestCluster::ready_by(|options| options.stalled_after = Some(STALLED_AFTER));
+    cluster.add_agent(1);
+    cluster.agents[0].progress = Some(40);
+    cluster.submit("job");
+    cluster.run(500);
+    let run = cluster.agents[0].started[0];
+    cluster.agents[0].progress = None;
+    cluster.run(2 * STALLED_AFTER.0);
+    assert!(cluster.agents[0].active.contains_key(&run));
+    cluster.agents[0].progress = Some(41);
+    cluster.run(STALLED_AFTER.0 + 1_000);
+    assert!(
+        !cluster.agents[0].active.contains_key(&run),
+        "it stalled at last"
+    );
+}
+
 /// The leader crashes after it sent a start that the runner has not received. The new
 /// leader cannot determine whether the start will arrive.
 #[test]
--- a/crates/coordinator/tests/coordinator/test_cluster/agent.rs
+++ b/crates/coordinator/tests/coordinator/test_cluster/agent.rs
@@ -39,6 +39,9 @@
     pub lose_answers: bool,
     /// Member that relays all messages of the agent.
     pub via: Option<SocketAddr>,
+    /// Progress that the heartbeats report for each active run, in percent; `None` if
+    /// they report none.
+    pub progress: Option<u8>,
     /// Milliseconds after which a run ends as done; `None` if only the test ends
     /// runs.
     pub run_duration: Option<u64>,
@@ -72,6 +75,7 @@
             held_starts: Vec::new(),
             lose_answers: false,
             via: None,
+            progress: None,
             run_duration: None,
             sequence: 0,
             next_heartbeat: now,
@@ -126,7 +130,7 @@
 
     fn report(&self, now: u64) -> RunnerReport {
         let active = self.active.iter().map(|(run, since)| ActiveRun {
-            progress: None,
+            progress: self.progress,
             checkpoint: None,
             run: *run,
             age: Milliseconds(now - since),
--- a/crates/coordinator/tests/coordinator/test_cluster/mod.rs
+++ b/crates/coordinator/tests/coordinator/test_cluster/mod.rs
@@ -91,8 +91,13 @@
     /// Starts a cluster like [`TestCluster::ready`], with a fault in its
     /// coordinators.
     pub fn ready_with(mutation: Option<coordinator::Mutation>) -> Self {
+        Self::ready_by(|options| options.mutation = mutation)
+    }
+
+    /// Starts a cluster like [`TestCluster::ready`] whose options `change` has changed.
+    pub fn ready_by(change: impl FnOnce(&mut CoordinatorOptions)) -> Self {
         let mut cluster = Self::new(3);
-        cluster.options.mutation = mutation;
+        change(&mut cluster.options);
         for server in 0..3 {
             cluster.start(server);
         }
--- a/crates/types/src/runner.rs
+++ b/crates/types/src/runner.rs
@@ -39,7 +39,8 @@
     pub draining: bool,
     /// Whether the runner stops its runs by itself at the end of the run lease.
     pub self_stop: bool,
-    /// All active runs with an identifier.
+    /// All active runs with an identifier. Includes each run that the agent knows to have
+    /// started and whose end may be missing from `ended`.
     pub active: Vec<ActiveRun>,
     /// Ended runs that the leader has not yet confirmed as committed.
     pub ended: Vec<EndedRun>,
