Derive from the record which runs a new leader stops

Cause: that an open run must be stopped was a flag in the leader's memory, set when the command that ended its task was applied. A new leader adopted the run without it.

Change: `StateMachine::is_obsolete` answers from the record whether an open run must be stopped: its task was cancelled, failed or done by another run, or its gang cannot complete. A new leader asks it for each run that it adopts. The changes use the same rule for gangs, so both cannot differ; a property test compares them. The same cause lost the stops of copies, of the rest of a gang (which then never started again) and of runners out of reach during changes of leader; all are covered. An endless gang kept the runs beside a member that ended done under any leader; they are stopped now.

--- a/crates/coordinator/src/leader.rs
+++ b/crates/coordinator/src/leader.rs
@@ -359,7 +359,8 @@
 }
 
 /// Adds the configuration, the open runs and the draining runners to a new
-/// scheduler, and returns a tracker of the runs.
+/// scheduler, and returns a tracker of the runs. Stops that an earlier leader
+/// requested because a run is obsolete are requested again.
 fn adopt_runs(
     state_machine: &StateMachine,
     scheduler: &mut Scheduler,
@@ -367,9 +368,13 @@
 ) -> RunTracker {
     scheduler.configure(state_machine.configuration().1);
     let mut runs = RunTracker::default();
-    for run in state_machine.open_runs() {
-        scheduler.adopt_run(run.clone());
-        runs.adopt(run, now);
+    for open_run in state_machine.open_runs() {
+        let run = open_run.run;
+        scheduler.adopt_run(open_run.clone());
+        runs.adopt(open_run, now);
+        if state_machine.is_obsolete(run) {
+            runs.request_stop(run);
+        }
     }
     for runner in state_machine.draining_runners() {
         scheduler.set_draining(&runner, true);
--- a/crates/state_machine/src/command.rs
+++ b/crates/state_machine/src/command.rs
@@ -302,8 +302,8 @@
         /// Open runs of the task, which must be stopped.
         open_runs: Vec<OpenRun>,
     },
-    /// Open runs must be stopped, since another run of their gang closed without
-    /// success.
+    /// Open runs must be stopped, since another run of their gang closed before the
+    /// gang was done.
     RunsObsolete(Vec<RunId>),
     /// A run was opened.
     RunOpened(OpenRun),
--- a/crates/state_machine/src/state/job.rs
+++ b/crates/state_machine/src/state/job.rs
@@ -143,6 +143,11 @@
         self.counts.done as usize == self.tasks.len()
     }
 
+    /// Returns whether every task has an open run.
+    pub fn is_each_task_running(&self) -> bool {
+        self.counts.running as usize == self.tasks.len()
+    }
+
     fn state_of(&self, task: &Task) -> TaskState {
         match task.progress {
             Progress::Done => TaskState::Done,
--- a/crates/state_machine/src/state/queries.rs
+++ b/crates/state_machine/src/state/queries.rs
@@ -1,7 +1,8 @@
 //! Queries of the state for callers, operators and the leader.
 
 use super::StateMachine;
-use super::job::{Job, TaskEntry};
+use super::job::{Job, Progress, TaskEntry};
+use crate::mutation::Mutation;
 use configuration::ClusterConfiguration;
 use std::ops::Bound;
 use types::{
@@ -128,6 +129,33 @@
         self.open_runs.get(&run).cloned()
     }
 
+    /// Returns whether an open run must be stopped: its task was cancelled, has failed
+    /// or was done by another run, or the run belongs to a gang that cannot complete,
+    /// since a run of it closed before the gang was done. `false` if the run is not
+    /// open.
+    ///
+    /// This depends on the state alone, so every leader stops the same runs. The
+    /// changes report each run when it becomes obsolete.
+    pub fn is_obsolete(&self, run: RunId) -> bool {
+        let Some(open) = self.open_runs.get(&run) else {
+            return false;
+        };
+        let job = self.jobs.get(&open.task.job);
+        let Some(entry) = job.and_then(|job| job.task(open.task)) else {
+            return false;
+        };
+        let is_gang = entry.spec.rules.gang;
+        match entry.task.progress {
+            Progress::Cancelled | Progress::Failed => true,
+            // The members of a gang end together, and one end reports the others as done.
+            Progress::Done => !is_gang,
+            Progress::Unfinished => {
+                let is_broken = is_gang && !entry.step.is_each_task_running();
+                is_broken && self.mutation != Some(Mutation::KeepRestOfGang)
+            }
+        }
+    }
+
     /// Returns what a runner needs to start an open run.
     pub fn run_spec(&self, run: RunId) -> Option<RunSpec> {
         let open = self.open_runs.get(&run)?;
--- a/crates/state_machine/src/state/run_close.rs
+++ b/crates/state_machine/src/state/run_close.rs
@@ -67,14 +67,14 @@
         });
         if decides {
             self.apply_task_outcome(task, close, failed, at, changes);
-            self.report_gang(task, close, changes);
+            self.report_gang(task, changes);
         }
     }
 
-    /// Reports the consequences of a closed run for the rest of its gang. Unless the
-    /// run succeeded, the other open runs are obsolete. When no run of the gang is
-    /// open, its tasks are reported as ready again.
-    fn report_gang(&self, task: TaskRef, close: &RunClose, changes: &mut Vec<Change>) {
+    /// Reports the consequences of a closed run for the rest of its gang: open runs
+    /// that are obsolete now, or, when no run of the gang is open, its tasks that are
+    /// ready again.
+    fn report_gang(&self, task: TaskRef, changes: &mut Vec<Change>) {
         let Some(job) = self
             .jobs
             .get(&task.job)
@@ -91,10 +91,14 @@
             let others = members.into_iter().filter(|member| *member != task);
             let ready = others.filter_map(|member| job.startable_meta(member));
             changes.extend(ready.map(Change::TaskReady));
-        } else if *close != RunClose::Ended(Outcome::Done)
-            && self.mutation != Some(Mutation::KeepRestOfGang)
-        {
-            changes.push(Change::RunsObsolete(open));
+            return;
+        }
+        let obsolete: Vec<RunId> = open
+            .into_iter()
+            .filter(|run| self.is_obsolete(*run))
+            .collect();
+        if !obsolete.is_empty() {
+            changes.push(Change::RunsObsolete(obsolete));
         }
     }
 
--- a/crates/state_machine/tests/gangs.rs
+++ b/crates/state_machine/tests/gangs.rs
@@ -5,8 +5,8 @@
 use state_machine::{Change, ClosedRun, Command, CommandReply, ReservationRejection};
 use support::{DONE, Driver, failed, job, ready_tasks_in, run_id, runner, step, task};
 use types::{
-    JobState, Reservation, RunClose, RunId, RunName, RunnerIncarnation, StepRules, StepSpec,
-    TaskState, WallTime,
+    JobState, Outcome, Reservation, RunClose, RunId, RunName, RunnerIncarnation, StepRules,
+    StepSpec, TaskState, WallTime,
 };
 
 fn gang(size: u32) -> StepSpec {
@@ -119,6 +119,48 @@
     assert_eq!(driver.view("j").state, JobState::Failed);
 }
 
+/// Guards against members that run on alone: a new leader has only the state to find them.
+#[test]
+fn runs_of_broken_gang_are_obsolete_until_they_close() {
+    let mut driver = driver_with(gang(3));
+    let runs = reserve_all(&mut driver, &[0, 1, 2]).unwrap();
+    let obsolete = |driver: &Driver| -> Vec<RunId> {
+        let runs = runs.iter().copied();
+        runs.filter(|run| driver.state_machine.is_obsolete(*run))
+            .collect()
+    };
+    assert!(obsolete(&driver).is_empty());
+    driver.close(runs[1], RunClose::Lost);
+    assert_eq!(obsolete(&driver), [runs[0], runs[2]]);
+    driver.close(runs[0], RunClose::Ended(Outcome::Stopped));
+    assert_eq!(obsolete(&driver), [runs[2]]);
+    driver.close(runs[2], RunClose::Ended(Outcome::Stopped));
+    let again = reserve_all(&mut driver, &[0, 1, 2]).unwrap();
+    assert!(!driver.state_machine.is_obsolete(again[0]));
+}
+
+#[test]
+fn runs_of_gang_that_is_done_end_by_themselves() {
+    let mut driver = driver_with(gang(2));
+    let runs = reserve_all(&mut driver, &[0, 1]).unwrap();
+    let changes = driver.close(runs[0], DONE);
+    assert!(obsolete_runs_in(&changes).is_empty());
+    assert!(!driver.state_machine.is_obsolete(runs[1]));
+}
+
+/// An endless gang is never done: after any end of a member it starts again as a whole.
+#[test]
+fn end_of_a_member_makes_the_rest_of_an_endless_gang_obsolete() {
+    let mut endless = gang(2);
+    endless.rules.endless = true;
+    let mut driver = driver_with(endless);
+    let runs = reserve_all(&mut driver, &[0, 1]).unwrap();
+    let changes = driver.close(runs[0], DONE);
+    assert_eq!(obsolete_runs_in(&changes), [runs[1]]);
+    driver.close(runs[1], RunClose::Ended(Outcome::Stopped));
+    assert_eq!(driver.ready_tasks().len(), 2);
+}
+
 #[test]
 fn successful_run_of_gang_completes_all_its_tasks() {
     let mut driver = driver_with(gang(3));
--- a/crates/state_machine/tests/properties/check.rs
+++ b/crates/state_machine/tests/properties/check.rs
@@ -17,6 +17,10 @@
         );
         let open: Vec<OpenRun> = self.open_runs.values().cloned().collect();
         assert_eq!(self.state_machine.open_runs(), open);
+        for run in &open {
+            let reported = self.obsolete_runs.contains(&run.run);
+            assert_eq!(self.replica.is_obsolete(run.run), reported);
+        }
         for name in TENANTS.map(tenant) {
             assert_eq!(self.state_machine.tenant_usage(&name), self.usage(&name));
         }
--- a/crates/state_machine/tests/properties/harness.rs
+++ b/crates/state_machine/tests/properties/harness.rs
@@ -27,6 +27,8 @@
     /// Maximum number of copies of each task that was ever reported ready.
     pub max_copies: BTreeMap<TaskRef, u32>,
     pub open_runs: BTreeMap<RunId, OpenRun>,
+    /// Open runs that a change reported as obsolete.
+    pub obsolete_runs: BTreeSet<RunId>,
     pub closed_runs: BTreeSet<RunId>,
     pub done_tasks: BTreeSet<TaskRef>,
     /// Final state and end time of each finished job.
@@ -47,6 +49,7 @@
             ready_tasks: BTreeMap::new(),
             max_copies: BTreeMap::new(),
             open_runs: BTreeMap::new(),
+            obsolete_runs: BTreeSet::new(),
             closed_runs: BTreeSet::new(),
             done_tasks: BTreeSet::new(),
             ended_jobs: BTreeMap::new(),
@@ -73,7 +76,7 @@
     /// Updates the model by a change, and checks that the model allows the change.
     fn observe(&mut self, change: &Change) {
         match change {
-            Change::RunsObsolete(_) => {}
+            Change::RunsObsolete(runs) => self.obsolete_runs.extend(runs),
             Change::TaskReady(meta) => {
                 self.max_copies.insert(meta.task, meta.max_copies);
                 assert!(self.ready_tasks.insert(meta.task, meta.clone()).is_none());
@@ -83,10 +86,12 @@
                 let reported: BTreeSet<RunId> = open_runs.iter().map(|run| run.run).collect();
                 let open = self.open_runs.values().filter(|run| run.task == *task);
                 assert_eq!(reported, open.map(|run| run.run).collect());
+                self.obsolete_runs.extend(reported);
             }
             Change::RunOpened(run) => self.observe_opened(run),
             Change::RunClosed { run, close, retry } => {
                 assert_eq!(self.open_runs.remove(&run.run).as_ref(), Some(run));
+                self.obsolete_runs.remove(&run.run);
                 assert!(self.closed_runs.insert(run.run));
                 if *close == DONE {
                     assert!(retry.is_none());
