Split the leader's orders into orders, checks and closes of runs

orders.rs had 449 lines and three subjects. The periodic checks of open runs and the closing of runs are modules of their own now; no behaviour changes.

--- a/crates/coordinator/src/leader.rs
+++ b/crates/coordinator/src/leader.rs
@@ -14,9 +14,9 @@
 //! [`run_tracker`], [`request_table`], [`proposals`], [`outbox`],
 //! [`placement`], [`audit`], [`rebuild`], [`lease_state`], [`decision_log`],
 //! [`error_budgets`], [`submit_admission`] and [`membership`]. The other
-//! modules use these components, each for one kind of input: [`keep_alives`],
-//! [`heartbeats`], [`orders`], [`requests`], [`reads`] and
-//! [`applied_entries`].
+//! modules use these components, each for one kind of input or work:
+//! [`keep_alives`], [`heartbeats`], [`orders`], [`run_checks`], [`run_closes`],
+//! [`requests`], [`reads`] and [`applied_entries`].
 
 mod applied_entries;
 mod audit;
@@ -37,6 +37,8 @@
 mod rejections;
 mod request_table;
 mod requests;
+mod run_checks;
+mod run_closes;
 mod run_tracker;
 mod runner_registry;
 mod sessions;
--- a/crates/coordinator/src/leader/orders.rs
+++ b/crates/coordinator/src/leader/orders.rs
@@ -5,55 +5,15 @@
 //! While it is uncertain whether the start arrived, the leader repeats a
 //! revocation: a revocation is idempotent, and the runner rejects a start that
 //! arrives after it.
-//!
-//! # Unresponsive runners
-//!
-//! The runs of an unresponsive runner are closed as lost once the runner must
-//! have stopped them. A runner with self-stop does so one run lease after it
-//! *sent* the heartbeat that was last confirmed. This leader receives a
-//! heartbeat after it was sent, so for its own confirmations it waits for the
-//! run lease and the margin from the reception. An earlier leader confirmed
-//! heartbeats only under its lease, which ended before this leader was elected,
-//! so for those confirmations, and for starts based on them, the wait begins at
-//! the election. The runs of a runner without self-stop are never closed by a
-//! timeout.
-//!
-//! Each reservation records in the log whether the runner has self-stop, so the
-//! rule also applies to runners from which this leader received no heartbeat.
 
 use crate::leader::Leader;
 use crate::leader::outbox::OrderContent;
-use crate::leader::run_tracker::{StartPhase, TrackedRun};
-use crate::leader::runner_registry::RunnerState;
-use crate::leader::stall_detection::StallDetector;
+use crate::leader::run_tracker::StartPhase;
 use crate::options::Mutation;
 use crate::sender::Sender;
 use state_machine::StateMachine;
 use transport::{DecisionEvent, OrderResult};
-use types::{
-    Milliseconds, Monotonic, Now, OpenRun, OrderAnswer, OrderKind, Outcome, RejectionReason,
-    RunClose, RunId, TaskMeta,
-};
-
-/// Time without an answer after which the outcome of a start is uncertain.
-const ORDER_TIMEOUT: Milliseconds = Milliseconds(2_000);
-/// Time between two revocations or two stops of one run.
-const REPEAT_INTERVAL: Milliseconds = Milliseconds(1_000);
-
-/// Action that a check of an open run requires.
-#[derive(Debug, Clone, Copy)]
-enum RunAction {
-    /// Close the run as lost: the run lease and its margin have expired.
-    CloseLost,
-    /// Close the run as rejected: no process has sent its start or will send it.
-    CloseRejected,
-    /// Send a stop or repeat it.
-    Stop,
-    /// Request a stop because the run has stalled.
-    StopStalled,
-    /// Revoke the run, because it is uncertain whether it started.
-    Revoke,
-}
+use types::{Monotonic, Now, OpenRun, OrderAnswer, OrderKind, RejectionReason, RunClose, RunId};
 
 impl Leader {
     /// Sends the starts of runs whose reservations were accepted.
@@ -196,7 +156,8 @@
         self.send_order(state_machine, &open_run, kind, now);
     }
 
-    fn send_stop(&mut self, state_machine: &StateMachine, run: RunId, now: Monotonic) {
+    /// Sends a stop of the run.
+    pub(super) fn send_stop(&mut self, state_machine: &StateMachine, run: RunId, now: Monotonic) {
         if let Some(tracked) = self.runs.get(run) {
             let open_run = tracked.open_run().clone();
             self.send_order(state_machine, &open_run, OrderKind::Stop { run }, now);
@@ -267,159 +228,15 @@
         self.close_run(run, RunClose::Rejected);
     }
 
-    fn revoke_uncertain(&mut self, state_machine: &StateMachine, run: RunId, now: Monotonic) {
-        self.runs.set_phase(run, StartPhase::Uncertain);
-        self.send_revoke(state_machine, run, now);
-    }
-
-    /// Closes a run through the log, unless its close is already proposed.
-    pub(super) fn close_run(&mut self, run: RunId, close: RunClose) {
-        if let Some(close) = self.runs.begin_close(run, close) {
-            self.proposals.add_close(close);
-        }
-    }
-
-    /// Checks all open runs for unresponsive runners, missing answers, stalls
-    /// and stops.
-    pub(super) fn check_runs(&mut self, state_machine: &StateMachine, now: Now) {
-        let actions: Vec<(RunId, RunAction)> = self
-            .runs
-            .iter()
-            .filter_map(|tracked| {
-                let action = self.next_action(state_machine, tracked, now.monotonic)?;
-                Some((tracked.open_run().run, action))
-            })
-            .collect();
-        for (run, action) in actions {
-            match action {
-                RunAction::CloseLost => self.close_run(run, RunClose::Lost),
-                RunAction::CloseRejected => self.close_run(run, RunClose::Rejected),
-                RunAction::Stop => self.send_stop(state_machine, run, now.monotonic),
-                RunAction::StopStalled => self.stop_stalled(state_machine, run, now),
-                RunAction::Revoke => self.revoke_uncertain(state_machine, run, now.monotonic),
-            }
-        }
-    }
-
-    fn next_action(
-        &self,
-        state_machine: &StateMachine,
-        tracked: &TrackedRun,
-        now: Monotonic,
-    ) -> Option<RunAction> {
-        if tracked.is_closing() {
-            return None;
-        }
-        if self.is_runner_lost(tracked.open_run(), now) {
-            return Some(RunAction::CloseLost);
-        }
-        let waited = tracked.since_order(now);
-        let is_repeat_due = waited >= REPEAT_INTERVAL;
-        match tracked.phase() {
-            // The lease expired before the start was sent, so it is never sent.
-            StartPhase::Reserved if !self.runs.is_start_queued(tracked.open_run().run) => {
-                Some(RunAction::CloseRejected)
-            }
-            StartPhase::Ordered if waited >= ORDER_TIMEOUT => Some(RunAction::Revoke),
-            StartPhase::Active if self.is_stalled(state_machine, tracked) => {
-                Some(RunAction::StopStalled)
-            }
-            StartPhase::Ordered | StartPhase::Active
-                if tracked.is_stop_requested() && is_repeat_due =>
-            {
-                Some(RunAction::Stop)
-            }
-            StartPhase::Uncertain if is_repeat_due => Some(RunAction::Revoke),
-            StartPhase::Reserved
-            | StartPhase::Ordered
-            | StartPhase::Active
-            | StartPhase::Uncertain => None,
-        }
-    }
-
-    fn is_stalled(&self, state_machine: &StateMachine, tracked: &TrackedRun) -> bool {
-        let detector = StallDetector {
-            stalled_after: self.options.stalled_after,
-            move_slow: self.options.move_slow,
-            runs: &self.runs,
-            runners: &self.runners,
-            state_machine,
-        };
-        detector.is_stalled(tracked)
-    }
-
-    /// Stops a run that has stalled. The stall counts as a failure of the runner
-    /// but not as one of the task.
-    fn stop_stalled(&mut self, state_machine: &StateMachine, run: RunId, now: Now) {
-        let Some(tracked) = self.runs.get(run) else {
-            return;
-        };
-        let open_run = tracked.open_run();
-        let (runner, task) = (&open_run.runner, open_run.task);
-        tracing::info!(%run, %runner, "run stalled, stopping it");
-        self.scheduler.record_outcome(runner, task, true, now);
-        self.runs.request_stop(run);
-        self.send_stop(state_machine, run, now.monotonic);
-    }
-
-    /// Returns the longest time without a heartbeat before a runner's runs are
-    /// closed as lost.
-    fn max_unresponsive_time(&self) -> Milliseconds {
-        if self.has_mutation(Mutation::ExpireRunsEarly) {
-            Milliseconds(self.timings.run_lease.0 / 10)
-        } else {
-            self.timings.run_lease + self.timings.run_lease_margin
-        }
-    }
-
-    /// Returns whether the run lease and its margin have expired without a
-    /// heartbeat of the runner, so that the runner must have stopped the run.
-    fn is_runner_lost(&self, run: &OpenRun, now: Monotonic) -> bool {
-        let runner = self.runners.get(&run.runner);
-        let stops_itself = run.self_stop && runner.is_none_or(RunnerState::stops_itself);
-        let earliest = self.lease.failure_detection_start();
-        let last_seen = runner.map_or(earliest, |runner| runner.last_seen().max(earliest));
-        stops_itself && now.since(last_seen) > self.max_unresponsive_time()
-    }
-
-    /// Handles the close of a run. `retry` is the task if it is to run again.
-    pub(super) fn handle_run_closed(
+    /// Records that it is uncertain whether the run started, and revokes it.
+    pub(super) fn revoke_uncertain(
         &mut self,
         state_machine: &StateMachine,
-        run: OpenRun,
-        close: RunClose,
-        retry: Option<TaskMeta>,
-        now: Now,
+        run: RunId,
+        now: Monotonic,
     ) {
-        self.runs.remove(run.run);
-        if matches!(close, RunClose::Ended(_)) {
-            self.runners.record_end(run.runner.clone(), run.run);
-        }
-        // Recorded before the task is placed again, so that the scheduler
-        // prefers another runner.
-        let is_done = close == RunClose::Ended(Outcome::Done);
-        if is_done || close.is_failure() {
-            self.scheduler
-                .record_outcome(&run.runner, run.task, close.is_failure(), now);
-        }
-        match retry {
-            Some(_) if close == RunClose::Rejected => {
-                self.release_after_delay(run.run, run.task, now.monotonic);
-            }
-            Some(meta) => self.scheduler.reschedule(run.run, meta, now),
-            None => self.scheduler.remove_run(run.run),
-        }
-        metrics::counter!("cypressdrum_runs_closed_total", "close" => close_name(&close))
-            .increment(1);
-        let event = DecisionEvent::Closed {
-            run: run.run,
-            task: run.task,
-            runner: run.runner,
-            close,
-            at: now.wall,
-        };
-        self.decisions
-            .record(state_machine.job_key(run.task.job), event);
+        self.runs.set_phase(run, StartPhase::Uncertain);
+        self.send_revoke(state_machine, run, now);
     }
 
     /// Records in the decision log that a start was sent.
@@ -434,16 +251,3 @@
             .record(state_machine.job_key(open_run.task.job), event);
     }
 }
-
-/// Returns the value of the label `close` of the counter of closed runs.
-fn close_name(close: &RunClose) -> &'static str {
-    match close {
-        RunClose::Ended(Outcome::Done) => "done",
-        RunClose::Ended(Outcome::Failed(_)) => "failed",
-        RunClose::Ended(Outcome::Stopped) => "stopped",
-        RunClose::Revoked => "revoked",
-        RunClose::Lost => "lost",
-        RunClose::Rejected => "rejected",
-        RunClose::TimedOut => "timed_out",
-    }
-}
--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -67,7 +67,7 @@
 //!    adds it to the `Outbox` (leader/outbox.rs), which packs the orders for one
 //!    agent into one message.
 //! 4. `Leader::receive_order_results` (leader/orders.rs) handles the answer. If
-//!    none arrives, `Leader::check_runs` (leader/orders.rs) revokes the run.
+//!    none arrives, `Leader::check_runs` (leader/run_checks.rs) revokes the run.
 //!
 //! A configuration change:
 //! 1. `Leader::put_configuration` or `update_configuration`
