--- a/crates/coordinator/tests/coordinator/main.rs
+++ b/crates/coordinator/tests/coordinator/main.rs
@@ -8,4 +8,5 @@
 mod requests;
 mod runs;
 mod snapshots;
+mod stops;
 mod test_cluster;
