A scan finds the first task that fits, whatever waits before it

Cause: a scan of a tenant's list examined the first task of the first `scan_depth` + 1 different needs, always from the oldest on. What it passed over decided what it saw. The needs need not be impossible: those of a full runner, needs larger than what is free, above the tenant's limit, without a licence seat, or of steps at their limit on the runner hide later tasks as well. The reservation of a runner for a starving task and the search for copies used the same scan.

Change: no limit. Heads of shapes are indexed by required labels (set trie) and below that by resources (compressed k-d trie), so that a search skips what cannot fit without visiting it. What is passed over one by one is bounded by the runner's own open runs or by the locality wait. Bounds of a list are read from the index, no longer recomputed over all its shapes. A starving task gets a runner if some runner that may pull could take it; those no runner can take are passed over. The setting dispatcher.look_ahead_tasks is accepted and has no effect.

Two tests in scheduler/tests/steps asserted the limit itself; they are replaced by two that assert that a task and a copy are found behind any number of shapes.

--- a/crates/coordinator/tests/coordinator/main.rs
+++ b/crates/coordinator/tests/coordinator/main.rs
@@ -3,6 +3,7 @@
 mod faults;
 mod first_start;
 mod golden_data;
+mod hidden_jobs;
 mod mutations;
 mod relay;
 mod requests;
--- a/crates/cypressdrum/src/daemon/options.rs
+++ b/crates/cypressdrum/src/daemon/options.rs
@@ -71,7 +71,6 @@
             ..consensus::Options::default()
         },
         scheduler: scheduler::SchedulerOptions {
-            scan_depth: scheduler.scan_depth,
             reserve_after: Milliseconds(scheduler.reserve_after_ms),
             probation_failures: scheduler.probation_failures,
             probation: Milliseconds(scheduler.probation_ms),
--- a/crates/scheduler/src/backfill_placement.rs
+++ b/crates/scheduler/src/backfill_placement.rs
@@ -2,10 +2,15 @@
 //! these reservations.
 
 use crate::backfill::Backfill;
+use crate::head::{Match, ShapeHead, TaskOrder};
 use crate::index::{ListIndex, PoolIndex, RunnerIndex};
+use crate::needs_tree::HeadSummary;
+use crate::pending::HeadQuery;
 use crate::runner::Runner;
+use crate::task::TaskStatus;
 use crate::view::View;
-use types::{Now, Resources, TaskRef};
+use indexmap::IndexSet;
+use types::{Labels, LicenceName, Now, Resources, TaskRef};
 
 /// At most one in this many runners of a pool is reserved, but always at least
 /// one may be.
@@ -25,6 +30,20 @@
     Finished,
 }
 
+/// Starving task with the runner that can be reserved for it.
+#[derive(Debug, Clone, Copy)]
+struct StarvingTask {
+    task: TaskRef,
+    runner: RunnerIndex,
+}
+
+/// What decides whether an empty runner could take a task.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+struct RunnerKind<'a> {
+    labels: &'a Labels,
+    capacity: &'a Resources,
+}
+
 impl View {
     /// Returns the task that the runner is reserved for; `None` when it is not
     /// reserved. Releases a reservation that is no longer valid.
@@ -34,7 +53,7 @@
             return Some(backfill.task);
         }
         self.backfills.release(runner);
-        self.tasks.restart_wait(backfill.task, now.monotonic);
+        self.restart_wait(backfill.task, now.monotonic);
         None
     }
 
@@ -74,58 +93,119 @@
         pool: PoolIndex,
         now: Now,
     ) -> BackfillAttempt {
-        if !self.options.policy.backfill_reservations {
+        if !self.may_reserve_runner(pool, now) || self.backfills.find_runner(task, pool).is_some() {
             return BackfillAttempt::Finished;
         }
+        let Some(runner) = self.best_runner(task, pool, now) else {
+            return BackfillAttempt::NoSuitableRunner;
+        };
+        self.reserve_for_task(runner, pool, task, now);
+        BackfillAttempt::Finished
+    }
+
+    /// Returns whether one more runner of the pool may be reserved.
+    fn may_reserve_runner(&mut self, pool: PoolIndex, now: Now) -> bool {
+        if !self.options.policy.backfill_reservations {
+            return false;
+        }
         let max_reserved = (self.pools[pool].runner_count() / RUNNERS_PER_BACKFILL).max(1);
         if self.backfills.count(pool) >= max_reserved {
             self.review_backfills(pool, now);
         }
-        let is_reserved = self.backfills.find_runner(task, pool).is_some();
-        if is_reserved || self.backfills.count(pool) >= max_reserved {
-            return BackfillAttempt::Finished;
-        }
-        let Some(runner) = self.best_runner(task, pool, now) else {
-            return BackfillAttempt::NoSuitableRunner;
-        };
+        self.backfills.count(pool) < max_reserved
+    }
+
+    fn reserve_for_task(&mut self, runner: RunnerIndex, pool: PoolIndex, task: TaskRef, now: Now) {
         let backfill = Backfill {
             task,
             reserved_at: now.monotonic,
         };
         self.backfills.reserve(runner, pool, backfill);
-        BackfillAttempt::Finished
     }
 
-    /// Reserves a runner for a starving task of a list. Without this, a tenant
-    /// that is seldom drawn would depend on the draw to get a reservation.
+    /// Reserves a runner for the first starving task of a list that some runner
+    /// could take. Without this, a tenant that is seldom drawn would depend on
+    /// the draw to get a reservation.
     pub(crate) fn reserve_for_starving_task(&mut self, index: ListIndex, now: Now) {
         let list = &self.lists[index];
         let Some(pool) = self.queues[list.queue].starting_pool() else {
             return;
         };
-        if self.is_above_share(list, pool) {
+        let may_starve =
+            !list.pending().is_empty() && self.has_waited_long(list.waiting_since(), now);
+        if !may_starve || self.is_above_share(list, pool) || !self.may_reserve_runner(pool, now) {
             return;
         }
-        for task in self.starving_tasks(index, now) {
-            if self.reserve_runner(task, pool, now) == BackfillAttempt::Finished {
-                return;
-            }
+        if let Some(starving) = self.find_starving_task(index, pool, now) {
+            self.reserve_for_task(starving.runner, pool, starving.task, now);
         }
     }
 
-    fn starving_tasks(&self, index: ListIndex, now: Now) -> Vec<TaskRef> {
+    /// Finds the first starving task of a list for which a runner of the pool
+    /// can be reserved. Returns `None` also when a runner is reserved for a task
+    /// of the list that comes before.
+    fn find_starving_task(
+        &self,
+        index: ListIndex,
+        pool: PoolIndex,
+        now: Now,
+    ) -> Option<StarvingTask> {
         let list = &self.lists[index];
-        let tenant = &self.tenants[list.tenant];
         let headroom = self.urgent_headroom(index, now.monotonic);
-        let is_allowed = |needs: &Resources| tenant.allows_with_headroom(needs, &headroom);
-        self.scanned_heads(list.pending())
-            .filter(|head| {
-                self.count_scan();
-                let needs = self.shapes.get(head.shape);
-                needs.is_some_and(|needs| is_allowed(&needs.resources))
-                    && self.starves(head.order.task, now)
+        let allowance = self.tenants[list.tenant].allowance_with_headroom(&headroom)?;
+        let reserved = self.first_reserved_task(index, pool);
+        let mut best = reserved.map(|order| Match { order, value: None });
+        for kind in self.reservable_kinds(pool, now) {
+            let largest = allowance.component_min(kind.capacity);
+            // A seat may become free at any time, so that a task without one
+            // starves as well.
+            let query = HeadQuery {
+                labels: kind.labels,
+                has_seats: |_: Option<&LicenceName>| true,
+                may_match: |heads: &HeadSummary| {
+                    heads.bounds.min.fits_in(&largest)
+                        && self.has_waited_long(heads.waiting_since, now)
+                },
+            };
+            let mut accept = |head: &ShapeHead| {
+                let needs = self.matching_shape(head, &query)?;
+                if !needs.resources.fits_in(&largest) || !self.starves(head, now) {
+                    return None;
+                }
+                let task = head.order.task;
+                let runner = self.best_runner(task, pool, now)?;
+                Some(Some(StarvingTask { task, runner }))
+            };
+            self.find_head(list.pending(), &query, &mut accept, &mut best);
+        }
+        best?.value
+    }
+
+    /// Returns the first pending task of the list that a runner of the pool is
+    /// reserved for; `None` when there is none.
+    fn first_reserved_task(&self, index: ListIndex, pool: PoolIndex) -> Option<TaskOrder> {
+        let reserved = self.backfills.tasks(pool);
+        let of_list = reserved.filter_map(|task| {
+            let entry = self.tasks.get(task)?;
+            let is_pending = entry.list == index && entry.status == TaskStatus::Pending;
+            is_pending.then(|| entry.order(task))
+        });
+        of_list.min()
+    }
+
+    /// Returns the different kinds of the pool's runners that may pull and are
+    /// not reserved.
+    fn reservable_kinds(&self, pool: PoolIndex, now: Now) -> IndexSet<RunnerKind<'_>> {
+        self.count_scans(self.pools[pool].runner_count());
+        self.pools[pool]
+            .runners()
+            .filter(|runner| self.backfills.get(*runner).is_none())
+            .filter(|runner| self.pull_rejection(*runner, now).is_none())
+            .filter_map(|runner| self.runners[runner].reported.as_ref())
+            .map(|reported| RunnerKind {
+                labels: &reported.labels,
+                capacity: &reported.capacity,
             })
-            .map(|head| head.order.task)
             .collect()
     }
 
--- a/crates/scheduler/src/explain.rs
+++ b/crates/scheduler/src/explain.rs
@@ -47,7 +47,7 @@
         if !self.list_allows(entry.list, &needs.resources, now) {
             return Some(NotPlacedReason::LimitReservedForUrgent);
         }
-        if !self.has_seats(needs, list.queue, 1) {
+        if !self.has_seats(needs.licence.as_ref(), list.queue, 1) {
             return Some(NotPlacedReason::NoSeat);
         }
         None
--- a/crates/scheduler/src/gang_placement.rs
+++ b/crates/scheduler/src/gang_placement.rs
@@ -112,8 +112,8 @@
         let first = self.tasks.get(step.task(0))?;
         let needs = self.shapes.get(first.shape)?;
         let all_needs = needs.resources.times(gang.size);
-        let is_allowed =
-            self.list_allows(gang.list, &all_needs, now) && self.has_seats(needs, queue, gang.size);
+        let is_allowed = self.list_allows(gang.list, &all_needs, now)
+            && self.has_seats(needs.licence.as_ref(), queue, gang.size);
         is_allowed.then(|| AllowedGang {
             step,
             size: gang.size,
--- a/crates/scheduler/src/limits.rs
+++ b/crates/scheduler/src/limits.rs
@@ -9,7 +9,7 @@
 use crate::index::{ListIndex, QueueIndex, RunnerIndex};
 use crate::shape::Shape;
 use crate::view::View;
-use types::{Monotonic, Now, Resources};
+use types::{LicenceName, Monotonic, Now, Resources};
 
 /// Wait after which less urgent work may use the headroom for one start, as a
 /// multiple of `reserve_after`.
@@ -56,13 +56,18 @@
             && now.since(list.waiting_since()).0 >= max_wait
     }
 
-    /// Returns whether `wanted` seats of the task's licence are available to
-    /// the queue.
+    /// Returns whether `wanted` seats of the licence are available to the queue;
+    /// tasks without a licence need none.
     ///
     /// One free seat is set aside for each waiting task of a more urgent queue,
     /// in any pool.
-    pub(crate) fn has_seats(&self, needs: &Shape, queue: QueueIndex, wanted: u32) -> bool {
-        let Some(name) = &needs.licence else {
+    pub(crate) fn has_seats(
+        &self,
+        licence: Option<&LicenceName>,
+        queue: QueueIndex,
+        wanted: u32,
+    ) -> bool {
+        let Some(name) = licence else {
             return true;
         };
         let Some(licence) = self.licences.get(name) else {
--- a/crates/scheduler/src/options.rs
+++ b/crates/scheduler/src/options.rs
@@ -7,10 +7,6 @@
 /// Limits, timeouts and policies of a [`Scheduler`](crate::Scheduler).
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct SchedulerOptions {
-    /// Number of tasks that a scan of a tenant's list examines after the first
-    /// one. Of tasks with equal needs only the first is examined and counted,
-    /// since the others do not fit where it does not.
-    pub scan_depth: usize,
     /// Time that a task waits, while smaller tasks could take its capacity,
     /// before it counts as starving and gets a backfill reservation.
     pub reserve_after: Milliseconds,
@@ -41,7 +37,6 @@
 impl Default for SchedulerOptions {
     fn default() -> Self {
         Self {
-            scan_depth: 16,
             reserve_after: Milliseconds(5_000),
             probation_failures: 8,
             probation: Milliseconds(10_000),
--- a/crates/scheduler/src/pending.rs
+++ b/crates/scheduler/src/pending.rs
@@ -1,43 +1,44 @@
 //! Tasks of one tenant in one queue, in order and grouped by shape.
 //!
 //! A search examines only the first task of each shape: where that task does
-//! not fit, no other task of the shape does.
+//! not fit, no other task of the shape does. Which shapes it examines depends on
+//! what they need and not on how many others wait before them, so that tasks
+//! that no runner can take hide none behind them.
 
 use crate::bounds::Bounds;
+use crate::head::{Match, ShapeHead, TaskOrder};
 use crate::index::ShapeIndex;
-use std::collections::{BTreeMap, BTreeSet};
-use types::{Resources, TaskRef, Urgency};
-
-/// Position of a task among those of its list: urgent tasks first, then those
-/// of the oldest job.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub(crate) struct TaskOrder {
-    pub(crate) urgency: Urgency,
-    pub(crate) task: TaskRef,
-}
-
-/// First task of one shape.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub(crate) struct ShapeHead {
-    pub(crate) order: TaskOrder,
-    pub(crate) shape: ShapeIndex,
-}
+use crate::label_index::LabelIndex;
+use crate::needs_tree::{HeadSummary, Needs, NeedsTree};
+use crate::shape::IndexedShape;
+use std::collections::btree_map::Entry;
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use types::{Labels, LicenceName, Monotonic, Resources};
 
-/// Tasks of one shape.
-#[derive(Debug, Clone)]
-struct ShapeTasks {
-    needs: Resources,
-    tasks: BTreeSet<TaskOrder>,
+/// Heads that a search examines: those whose labels a runner has, whose licence
+/// has seats, and whose needs may match.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct HeadQuery<'a, S, M> {
+    /// Labels of the runner.
+    pub(crate) labels: &'a Labels,
+    pub(crate) has_seats: S,
+    /// Returns `false` only for sets of heads none of which is accepted.
+    pub(crate) may_match: M,
 }
 
 /// Tasks in order, grouped by shape.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct PendingList {
-    by_shape: BTreeMap<ShapeIndex, ShapeTasks>,
-    heads: BTreeSet<ShapeHead>,
+    /// Tasks of each shape, with the start of their current wait. The outer map
+    /// is never iterated, so that its order cannot affect a decision.
+    by_shape: HashMap<ShapeIndex, BTreeMap<TaskOrder, Monotonic>>,
+    /// First tasks of all shapes, in order.
+    heads: BTreeSet<(TaskOrder, ShapeIndex)>,
+    /// The same tasks by the labels and the licence that the shapes require.
+    heads_by_labels: LabelIndex,
+    /// Needs of all shapes.
+    needs: NeedsTree<Needs>,
     length: usize,
-    /// `None` when there are no tasks.
-    bounds: Option<Bounds>,
 }
 
 impl PendingList {
@@ -54,78 +55,131 @@
     /// Returns bounds on the resources of the tasks; `None` when the list is
     /// empty.
     pub(crate) fn bounds(&self) -> Option<Bounds> {
-        self.bounds
+        self.needs.summary()
+    }
+
+    /// Returns the first task of the list; `None` when it is empty.
+    pub(crate) fn first(&self) -> Option<TaskOrder> {
+        self.heads.first().map(|(order, _)| *order)
     }
 
-    /// Adds a task whose shape needs the given resources. Idempotent.
-    pub(crate) fn insert(&mut self, order: TaskOrder, shape: ShapeIndex, needs: Resources) {
-        let same_shape = self.by_shape.entry(shape).or_insert_with(|| ShapeTasks {
-            needs,
-            tasks: BTreeSet::new(),
-        });
-        let old_head = same_shape.tasks.first().copied();
-        if !same_shape.tasks.insert(order) {
+    /// Adds a task whose current wait started at `waiting_since`. Idempotent.
+    pub(crate) fn insert(
+        &mut self,
+        order: TaskOrder,
+        shape: IndexedShape<'_>,
+        waiting_since: Monotonic,
+    ) {
+        let tasks = self.by_shape.entry(shape.index).or_default();
+        let old_head = tasks.first_key_value().map(|(head, _)| *head);
+        let Entry::Vacant(vacant) = tasks.entry(order) else {
             return;
-        }
-        self.bounds = Bounds::join(self.bounds, Some(Bounds::of(needs)));
+        };
+        vacant.insert(waiting_since);
         self.length += 1;
-        if old_head.is_none_or(|head| order < head) {
-            if let Some(old_order) = old_head {
-                self.heads.remove(&ShapeHead {
-                    order: old_order,
-                    shape,
-                });
+        match old_head {
+            None => self.needs.set(shape.shape.resources, shape.index, Needs),
+            Some(head) if head < order => return,
+            Some(head) => {
+                self.heads.remove(&(head, shape.index));
             }
-            self.heads.insert(ShapeHead { order, shape });
         }
+        self.set_head(order, shape, waiting_since);
     }
 
     /// Removes a task. Idempotent.
-    pub(crate) fn remove(&mut self, order: TaskOrder, shape: ShapeIndex) {
-        let Some(same_shape) = self.by_shape.get_mut(&shape) else {
+    pub(crate) fn remove(&mut self, order: TaskOrder, shape: IndexedShape<'_>) {
+        let Some(tasks) = self.by_shape.get_mut(&shape.index) else {
             return;
         };
-        if !same_shape.tasks.remove(&order) {
+        if tasks.remove(&order).is_none() {
             return;
         }
         self.length -= 1;
-        let needs = same_shape.needs;
-        let new_head = same_shape.tasks.first().copied();
-        if self.heads.remove(&ShapeHead { order, shape })
-            && let Some(order) = new_head
-        {
-            self.heads.insert(ShapeHead { order, shape });
+        let next = tasks.first_key_value().map(|(next, wait)| (*next, *wait));
+        if !self.heads.remove(&(order, shape.index)) {
+            return;
         }
-        if new_head.is_none() {
-            self.by_shape.remove(&shape);
-            self.narrow_bounds(&needs);
+        match next {
+            Some((next, waiting_since)) => self.set_head(next, shape, waiting_since),
+            None => self.remove_shape(shape),
         }
     }
 
-    /// Narrows the bounds after the last task of a shape, with these needs, was
-    /// removed.
-    fn narrow_bounds(&mut self, needs: &Resources) {
-        if self.bounds.is_some_and(|bounds| bounds.touches(needs)) {
-            let shapes = self.by_shape.values();
-            self.bounds = shapes
-                .map(|same_shape| Bounds::of(same_shape.needs))
-                .reduce(Bounds::with);
+    /// Sets the start of a task's current wait.
+    pub(crate) fn set_wait(
+        &mut self,
+        order: TaskOrder,
+        shape: IndexedShape<'_>,
+        waiting_since: Monotonic,
+    ) {
+        let Some(tasks) = self.by_shape.get_mut(&shape.index) else {
+            return;
+        };
+        let Some(wait) = tasks.get_mut(&order) else {
+            return;
+        };
+        *wait = waiting_since;
+        if tasks
+            .first_key_value()
+            .is_some_and(|(head, _)| *head == order)
+        {
+            self.set_head(order, shape, waiting_since);
         }
     }
 
+    fn set_head(&mut self, order: TaskOrder, shape: IndexedShape<'_>, waiting_since: Monotonic) {
+        let head = ShapeHead {
+            order,
+            shape: shape.index,
+            waiting_since,
+        };
+        self.heads.insert((order, shape.index));
+        self.heads_by_labels.set(shape.shape, head);
+    }
+
+    fn remove_shape(&mut self, shape: IndexedShape<'_>) {
+        self.by_shape.remove(&shape.index);
+        self.needs.remove(&shape.shape.resources, shape.index);
+        self.heads_by_labels.remove(shape.shape, shape.index);
+    }
+
+    /// Searches the heads that the query selects, as [`NeedsTree::find_first`]
+    /// does.
+    pub(crate) fn find_first<T>(
+        &self,
+        query: &HeadQuery<'_, impl Fn(Option<&LicenceName>) -> bool, impl Fn(&HeadSummary) -> bool>,
+        accept: &mut impl FnMut(&ShapeHead) -> Option<T>,
+        best: &mut Option<Match<T>>,
+    ) {
+        self.heads_by_labels
+            .for_each_group(query.labels, &mut |licence, heads| {
+                if (query.has_seats)(licence) {
+                    heads.find_first(&query.may_match, accept, best);
+                }
+            });
+    }
+
     /// Returns the first task of each shape, in order.
     pub(crate) fn heads(&self) -> impl Iterator<Item = ShapeHead> + '_ {
-        self.heads.iter().copied()
+        self.heads.iter().filter_map(|&(order, shape)| {
+            let waiting_since = *self.by_shape.get(&shape)?.get(&order)?;
+            Some(ShapeHead {
+                order,
+                shape,
+                waiting_since,
+            })
+        })
     }
 
-    /// Returns the tasks of one shape, in order.
-    pub(crate) fn tasks_of_shape(&self, shape: ShapeIndex) -> impl Iterator<Item = TaskOrder> + '_ {
-        let same_shape = self.by_shape.get(&shape).into_iter();
-        same_shape.flat_map(|same_shape| same_shape.tasks.iter().copied())
+    /// Returns whether the needs of any task fit in the amount.
+    pub(crate) fn any_fits_in(&self, amount: &Resources) -> bool {
+        self.needs.any_fits_in(amount)
     }
 
-    /// Returns the first task of the list; `None` when it is empty.
-    pub(crate) fn first(&self) -> Option<TaskOrder> {
-        self.heads.first().map(|head| head.order)
+    /// Returns the tasks of one shape, in order.
+    pub(crate) fn tasks_of_shape(&self, shape: ShapeIndex) -> impl Iterator<Item = TaskOrder> + '_ {
+        let tasks = self.by_shape.get(&shape).into_iter();
+        tasks.flat_map(|tasks| tasks.keys().copied())
     }
 }
--- a/crates/scheduler/src/reserve.rs
+++ b/crates/scheduler/src/reserve.rs
@@ -75,7 +75,7 @@
     fn choose_reserved(&self, task: TaskRef, pull: &Pull) -> Option<ChosenTask> {
         let entry = self.tasks.get(task)?;
         let needs = self.shapes.get(entry.shape)?;
-        let may_start = self.has_seats(needs, self.lists[entry.list].queue, 1)
+        let may_start = self.has_seats(needs.licence.as_ref(), self.lists[entry.list].queue, 1)
             && self.is_below_step_limit(needs, pull.runner)
             && needs.resources.fits_in(&pull.free);
         may_start.then(|| ChosenTask {
--- a/crates/scheduler/src/scan.rs
+++ b/crates/scheduler/src/scan.rs
@@ -1,12 +1,17 @@
 //! Scan of one tenant list for a task that a pull may take.
 
 use crate::eligibility::UrgentReserve;
-use crate::index::{ListIndex, ShapeIndex};
+use crate::head::{Match, ShapeHead, TaskOrder};
+use crate::index::{ListIndex, RunnerIndex, ShapeIndex};
+use crate::needs_tree::HeadSummary;
+use crate::pending::{HeadQuery, PendingList};
 use crate::pull::{Pull, StarvationSearch};
+use crate::shape::Shape;
 use crate::tenant_list::TenantList;
 use crate::view::View;
 use configuration::QueueMode;
-use types::{Now, Resources, TaskRef};
+use std::sync::Arc;
+use types::{LicenceName, Monotonic, Now, Resources, TaskRef};
 
 /// Result of a scan of one tenant list.
 #[derive(Debug, Clone, Copy, Default)]
@@ -53,99 +58,200 @@
         now: Now,
     ) -> ScanResult {
         let list = &self.lists[index];
+        let tenant = &self.tenants[list.tenant];
         let headroom = self.urgent_headroom(index, now.monotonic);
-        let mut result = ScanResult {
-            above_limit: true,
-            ..ScanResult::default()
+        let Some(allowance) = tenant.allowance_with_headroom(&headroom) else {
+            return ScanResult {
+                above_limit: true,
+                ..ScanResult::default()
+            };
         };
-        for head in self.scanned_heads(list.pending()) {
-            self.count_scan();
+        let startable = self.find_startable(list, pull, &reserve, &allowance, now);
+        let limit = startable.map(|found| found.order);
+        let starving = finds_starving
+            .then(|| self.find_starving(list, pull, &reserve, &allowance, limit, now))
+            .flatten();
+        let is_above = startable.is_none() && !list.pending().any_fits_in(&allowance);
+        let limit_allows = |limit: Resources| list.pending().any_fits_in(&limit);
+        ScanResult {
+            startable: startable.map(|found| found.value),
+            starving,
+            above_limit: is_above,
+            limited_by_headroom: is_above && tenant.allowance().is_some_and(limit_allows),
+        }
+    }
+
+    /// Finds the first pending task that may start on the runner.
+    fn find_startable(
+        &self,
+        list: &TenantList,
+        pull: &Pull,
+        reserve: &UrgentReserve,
+        allowance: &Resources,
+        now: Now,
+    ) -> Option<Match<TaskRef>> {
+        let query = HeadQuery {
+            labels: &pull.labels,
+            has_seats: |licence: Option<&LicenceName>| self.has_seats(licence, list.queue, 1),
+            may_match: |heads: &HeadSummary| {
+                heads.bounds.min.fits_in(allowance) && reserve.may_admit(&heads.bounds, pull)
+            },
+        };
+        let mut accept = |head: &ShapeHead| {
             let task = head.order.task;
-            let Some(needs) = self.shapes.get(head.shape) else {
-                continue;
-            };
-            if self.is_above_limit(list, &needs.resources, &headroom, &mut result) {
-                continue;
-            }
-            let admitted = reserve.admits(needs, pull);
-            let may_starve = finds_starving
-                && result.starving.is_none()
+            let needs = self.matching_shape(head, &query)?;
+            let may_start = needs.resources.fits_in(allowance)
+                && reserve.admits(needs, pull)
+                && self.is_eligible(task, needs, pull, now);
+            may_start.then_some(task)
+        };
+        let mut best = None;
+        self.find_head(list.pending(), &query, &mut accept, &mut best);
+        best
+    }
+
+    /// Finds the first pending task that starves and would fit on the empty
+    /// runner, among those before `limit`.
+    fn find_starving(
+        &self,
+        list: &TenantList,
+        pull: &Pull,
+        reserve: &UrgentReserve,
+        allowance: &Resources,
+        limit: Option<TaskOrder>,
+        now: Now,
+    ) -> Option<TaskRef> {
+        let query = HeadQuery {
+            labels: &pull.labels,
+            has_seats: |licence: Option<&LicenceName>| self.has_seats(licence, list.queue, 1),
+            may_match: |heads: &HeadSummary| {
+                heads.bounds.min.fits_in(allowance)
+                    && heads.bounds.min.fits_in(&pull.capacity)
+                    && self.has_waited_long(heads.waiting_since, now)
+            },
+        };
+        let mut accept = |head: &ShapeHead| {
+            let task = head.order.task;
+            let needs = self.matching_shape(head, &query)?;
+            let starves = needs.resources.fits_in(allowance)
                 && needs.resources.fits_in(&pull.capacity)
-                && self.starves(task, now);
-            // The most expensive check comes last.
-            if !(admitted || may_starve)
-                || !needs.matches(&pull.labels)
-                || !self.has_seats(needs, list.queue, 1)
-                || !self.is_eligible(task, needs, pull, now)
-            {
-                continue;
-            }
-            if admitted {
-                result.startable = Some(task);
-                break;
-            }
-            result.starving = Some(task);
+                && self.starves(head, now)
+                && !reserve.admits(needs, pull)
+                && self.is_eligible(task, needs, pull, now);
+            starves.then_some(Some(task))
+        };
+        let mut best = limit.map(|order| Match { order, value: None });
+        self.find_head(list.pending(), &query, &mut accept, &mut best);
+        best?.value
+    }
+
+    /// Returns the shape of a head; `None` when its labels or its licence rule it
+    /// out.
+    pub(crate) fn matching_shape<M>(
+        &self,
+        head: &ShapeHead,
+        query: &HeadQuery<'_, impl Fn(Option<&LicenceName>) -> bool, M>,
+    ) -> Option<&Arc<Shape>> {
+        let needs = self.shapes.get(head.shape)?;
+        let matches = needs.matches(query.labels) && (query.has_seats)(needs.licence.as_ref());
+        matches.then_some(needs)
+    }
+
+    /// Finds the first of the tasks that the query selects, that `accept`
+    /// accepts, and that comes before `best`.
+    pub(crate) fn find_head<T>(
+        &self,
+        tasks: &PendingList,
+        query: &HeadQuery<'_, impl Fn(Option<&LicenceName>) -> bool, impl Fn(&HeadSummary) -> bool>,
+        accept: &mut impl FnMut(&ShapeHead) -> Option<T>,
+        best: &mut Option<Match<T>>,
+    ) {
+        if !self.uses_indexes {
+            self.find_head_exhaustively(tasks, accept, best);
+            return;
         }
-        result
+        let counted = HeadQuery {
+            labels: query.labels,
+            has_seats: &query.has_seats,
+            may_match: |heads: &HeadSummary| {
+                self.count_scan();
+                (query.may_match)(heads)
+            },
+        };
+        tasks.find_first(&counted, accept, best);
     }
 
-    /// Returns whether a task of the list would exceed the tenant's limit or
-    /// the headroom below it, and records that in the result.
-    fn is_above_limit(
+    /// Finds the same task as [`View::find_head`] by examining the first task of
+    /// every shape.
+    fn find_head_exhaustively<T>(
         &self,
-        list: &TenantList,
-        needs: &Resources,
-        headroom: &Resources,
-        result: &mut ScanResult,
-    ) -> bool {
-        let tenant = &self.tenants[list.tenant];
-        let is_above = !tenant.allows_with_headroom(needs, headroom);
-        if is_above {
-            result.limited_by_headroom |= tenant.allows(needs);
-        } else {
-            result.above_limit = false;
+        tasks: &PendingList,
+        accept: &mut impl FnMut(&ShapeHead) -> Option<T>,
+        best: &mut Option<Match<T>>,
+    ) {
+        for head in tasks.heads() {
+            self.count_scan();
+            if best.as_ref().is_some_and(|best| best.order <= head.order) {
+                return;
+            }
+            if let Some(value) = accept(&head) {
+                let order = head.order;
+                *best = Some(Match { order, value });
+            }
         }
-        is_above
     }
 
     /// Scans a list for a running task that may have a further copy on the runner.
     pub(crate) fn scan_for_copy(&self, index: ListIndex, pull: &Pull) -> ScanResult {
         let list = &self.lists[index];
-        let bounds = list.copyable().bounds();
-        if !bounds.is_some_and(|bounds| bounds.min.fits_in(&pull.free)) {
+        let Some(allowance) = self.tenants[list.tenant].allowance() else {
             return ScanResult::default();
-        }
-        let startable = self
-            .scanned_heads(list.copyable())
-            .filter(|head| self.may_copy(list, head.shape, pull))
-            .flat_map(|head| list.copyable().tasks_of_shape(head.shape))
-            .take(self.max_scanned())
-            .map(|order| order.task)
-            .find(|task| !self.runs.has_task_on_runner(*task, pull.runner));
+        };
+        let largest = allowance.component_min(&pull.free);
+        let query = HeadQuery {
+            labels: &pull.labels,
+            has_seats: |licence: Option<&LicenceName>| self.has_seats(licence, list.queue, 1),
+            may_match: |heads: &HeadSummary| heads.bounds.min.fits_in(&largest),
+        };
+        let mut accept = |head: &ShapeHead| {
+            let needs = self.matching_shape(head, &query)?;
+            let may_copy =
+                needs.resources.fits_in(&largest) && self.is_below_step_limit(needs, pull.runner);
+            may_copy
+                .then(|| self.task_without_run_on(list.copyable(), head.shape, pull.runner))
+                .flatten()
+        };
+        let mut best = None;
+        self.find_head(list.copyable(), &query, &mut accept, &mut best);
         ScanResult {
-            startable,
+            startable: best.map(|found| found.value),
             ..ScanResult::default()
         }
     }
 
-    fn may_copy(&self, list: &TenantList, shape: ShapeIndex, pull: &Pull) -> bool {
-        self.count_scan();
-        self.shapes.get(shape).is_some_and(|needs| {
-            self.tenants[list.tenant].allows(&needs.resources)
-                && self.has_seats(needs, list.queue, 1)
-                && needs.matches(&pull.labels)
-                && self.is_below_step_limit(needs, pull.runner)
-                && needs.resources.fits_in(&pull.free)
-        })
+    /// Returns the first task of a shape that has no run on the runner. At most
+    /// as many tasks are skipped as runs are open on the runner.
+    fn task_without_run_on(
+        &self,
+        tasks: &PendingList,
+        shape: ShapeIndex,
+        runner: RunnerIndex,
+    ) -> Option<TaskRef> {
+        tasks
+            .tasks_of_shape(shape)
+            .map(|order| order.task)
+            .find(|task| !self.runs.has_task_on_runner(*task, runner))
+    }
+
+    /// Returns whether a wait is long enough to count as starving.
+    pub(crate) fn has_waited_long(&self, waiting_since: Monotonic, now: Now) -> bool {
+        now.monotonic.since(waiting_since) >= self.options.reserve_after
     }
 
     /// Returns whether a task starves: it has waited for `reserve_after` while
     /// smaller tasks could take the capacity that it needs. Among tasks of
     /// equal size only the draw decides, however long they wait.
-    pub(crate) fn starves(&self, task: TaskRef, now: Now) -> bool {
-        self.tasks.get(task).is_some_and(|entry| {
-            now.monotonic.since(entry.waiting_since) >= self.options.reserve_after
-                && self.shapes.has_smaller(entry.shape)
-        })
+    pub(crate) fn starves(&self, head: &ShapeHead, now: Now) -> bool {
+        self.has_waited_long(head.waiting_since, now) && self.shapes.has_smaller(head.shape)
     }
 }
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -175,10 +175,17 @@
         self.view.scan_cost()
     }
 
-    /// Makes scans examine lists and runners also when bounds show that nothing
-    /// fits. Lets tests prove that the bounds change no decision.
+    /// Makes scans examine lists, runners and tasks also when bounds and indexes
+    /// show that nothing fits. Lets tests prove that a leader needs them.
     pub fn scan_all(&mut self) {
         self.view.skips_by_bounds = false;
+        self.view.uses_indexes = false;
+    }
+
+    /// Makes scans examine the first task of every shape in place of the indexes.
+    /// Lets tests prove that the indexes change no decision.
+    pub fn scan_without_indexes(&mut self) {
+        self.view.uses_indexes = false;
     }
 
     /// Returns the number of published tasks, waiting and running.
--- a/crates/scheduler/src/shape.rs
+++ b/crates/scheduler/src/shape.rs
@@ -59,6 +59,13 @@
     }
 }
 
+/// Shape of a task, with its index.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct IndexedShape<'a> {
+    pub(crate) index: ShapeIndex,
+    pub(crate) shape: &'a Shape,
+}
+
 /// Maximum number of different resource needs that [`ShapeTable::has_smaller`]
 /// compares. Comparing more would cost more than an unsuccessful search for a
 /// runner.
@@ -167,4 +174,10 @@
             .as_ref()
             .map(|slot| &slot.shape)
     }
+
+    /// Returns the shape with its index; `None` when the index is not in use.
+    pub(crate) fn indexed(&self, index: ShapeIndex) -> Option<IndexedShape<'_>> {
+        let shape = self.get(index)?;
+        Some(IndexedShape { index, shape })
+    }
 }
--- a/crates/scheduler/src/task.rs
+++ b/crates/scheduler/src/task.rs
@@ -1,7 +1,7 @@
 //! Table of published tasks, those that were added to the view, with their status.
 
+use crate::head::TaskOrder;
 use crate::index::{ListIndex, ShapeIndex};
-use crate::pending::TaskOrder;
 use std::collections::{BTreeMap, BTreeSet};
 use std::ops::RangeInclusive;
 use types::{Monotonic, StepRules, TaskRef, Urgency, WallTime};
--- a/crates/scheduler/src/task_status.rs
+++ b/crates/scheduler/src/task_status.rs
@@ -4,7 +4,7 @@
 use crate::shape::Shape;
 use crate::task::{Task, TaskStatus};
 use crate::view::View;
-use types::{Now, TaskMeta, TaskRef};
+use types::{Monotonic, Now, TaskMeta, TaskRef};
 
 impl View {
     /// Adds a task unless it is published or has all the runs it may have.
@@ -72,11 +72,12 @@
         let Some(entry) = self.tasks.get(task) else {
             return;
         };
-        let shape = self.shapes.get(entry.shape);
-        let needs = shape.map(|shape| shape.resources).unwrap_or_default();
+        let Some(shape) = self.shapes.indexed(entry.shape) else {
+            return;
+        };
         let now = self.latest();
         let list = &mut self.lists[entry.list];
-        list.apply_status_change(entry.order(task), entry.shape, needs, change, now);
+        list.apply_status_change(entry.order(task), shape, entry.waiting_since, change, now);
         if change.old == TaskStatus::InGang {
             self.gangs.remove_task(task);
         }
@@ -95,6 +96,18 @@
         self.refresh_list(index);
     }
 
+    /// Sets the start of a task's current wait to `now`.
+    pub(crate) fn restart_wait(&mut self, task: TaskRef, now: Monotonic) {
+        self.tasks.restart_wait(task, now);
+        let Some(entry) = self.tasks.get(task) else {
+            return;
+        };
+        let shape = self.shapes.indexed(entry.shape);
+        if let Some(shape) = shape.filter(|_| entry.status == TaskStatus::Pending) {
+            self.lists[entry.list].set_wait(entry.order(task), shape, now);
+        }
+    }
+
     /// Updates the status of the delayed tasks that are due.
     pub(crate) fn admit_due(&mut self, now: Now) {
         while let Some(task) = self.tasks.pop_due(now.wall) {
--- a/crates/scheduler/src/tenant.rs
+++ b/crates/scheduler/src/tenant.rs
@@ -58,33 +58,42 @@
         }
     }
 
-    /// Returns whether a run with these resources stays within the resource limit.
-    pub(crate) fn allows(&self, resources: &Resources) -> bool {
-        self.usage.plus(resources).fits_in(&self.resource_limit)
+    /// Returns the largest run that stays within the resource limit; `None` when
+    /// the usage exceeds the limit, so that not even a run without needs may
+    /// start.
+    pub(crate) fn allowance(&self) -> Option<Resources> {
+        let (usage, limit) = (&self.usage, &self.resource_limit);
+        usage.fits_in(limit).then(|| limit.minus(usage))
     }
 
-    /// Returns whether a run with these resources stays within the resource
-    /// limit and leaves `headroom` of it free.
+    /// Returns the largest run that stays within the resource limit and leaves
+    /// `headroom` of it free; `None` as in [`Tenant::allowance`].
     ///
     /// Headroom is required only of a kind of resource of which the tenant uses
     /// at least half of its limit.
-    pub(crate) fn allows_with_headroom(&self, needs: &Resources, headroom: &Resources) -> bool {
+    pub(crate) fn allowance_with_headroom(&self, headroom: &Resources) -> Option<Resources> {
+        let allowance = self.allowance()?;
         let (usage, limit) = (&self.usage, &self.resource_limit);
-        self.allows(needs)
-            && kind_allows(usage.slots, needs.slots, headroom.slots, limit.slots)
-            && kind_allows(
-                usage.cpu_milli,
-                needs.cpu_milli,
-                headroom.cpu_milli,
-                limit.cpu_milli,
-            )
-            && kind_allows(
-                usage.memory_mib,
-                needs.memory_mib,
-                headroom.memory_mib,
-                limit.memory_mib,
-            )
-            && kind_allows(usage.gpus, needs.gpus, headroom.gpus, limit.gpus)
+        let required = Resources {
+            slots: required_headroom(usage.slots, headroom.slots, limit.slots),
+            cpu_milli: required_headroom(usage.cpu_milli, headroom.cpu_milli, limit.cpu_milli),
+            memory_mib: required_headroom(usage.memory_mib, headroom.memory_mib, limit.memory_mib),
+            gpus: required_headroom(usage.gpus, headroom.gpus, limit.gpus),
+        };
+        Some(allowance.minus(&required))
+    }
+
+    /// Returns whether a run with these resources stays within the resource limit.
+    pub(crate) fn allows(&self, needs: &Resources) -> bool {
+        self.allowance()
+            .is_some_and(|allowance| needs.fits_in(&allowance))
+    }
+
+    /// Returns whether a run with these resources stays within the resource
+    /// limit and leaves `headroom` of it free.
+    pub(crate) fn allows_with_headroom(&self, needs: &Resources, headroom: &Resources) -> bool {
+        self.allowance_with_headroom(headroom)
+            .is_some_and(|allowance| needs.fits_in(&allowance))
     }
 
     /// Returns whether every kind of resource is used up to the resource limit.
@@ -108,13 +117,8 @@
     }
 }
 
-/// Checks one kind of resource for [`Tenant::allows_with_headroom`].
-fn kind_allows(usage: u32, needs: u32, headroom: u32, limit: u32) -> bool {
-    let (usage, limit) = (u64::from(usage), u64::from(limit));
-    let headroom = if usage * 2 < limit {
-        0
-    } else {
-        u64::from(headroom)
-    };
-    needs == 0 || usage + u64::from(needs) + headroom <= limit
+/// Returns the headroom that is required of one kind of resource.
+fn required_headroom(usage: u32, headroom: u32, limit: u32) -> u32 {
+    let uses_half = u64::from(usage) * 2 >= u64::from(limit);
+    if uses_half { headroom } else { 0 }
 }
--- a/crates/scheduler/src/tenant_list.rs
+++ b/crates/scheduler/src/tenant_list.rs
@@ -2,12 +2,14 @@
 
 use crate::decision::NotPlacedReason;
 use crate::demand::Demand;
-use crate::index::{QueueIndex, ShapeIndex, TenantIndex};
-use crate::pending::{PendingList, TaskOrder};
+use crate::head::TaskOrder;
+use crate::index::{QueueIndex, TenantIndex};
+use crate::pending::PendingList;
 use crate::pull::RunKind;
+use crate::shape::IndexedShape;
 use crate::task::{StatusChange, TaskStatus};
 use std::collections::BTreeSet;
-use types::{Monotonic, Resources, TaskRef};
+use types::{Monotonic, TaskRef};
 
 /// Tasks of one tenant in one queue.
 #[derive(Debug, Clone)]
@@ -86,29 +88,41 @@
     }
 
     /// Applies the change of a task's status to the demand and the task lists.
+    /// `waiting_since` is the start of the task's current wait.
     pub(crate) fn apply_status_change(
         &mut self,
         order: TaskOrder,
-        shape: ShapeIndex,
-        needs: Resources,
+        shape: IndexedShape<'_>,
+        waiting_since: Monotonic,
         change: StatusChange,
         now: Monotonic,
     ) {
+        let needs = &shape.shape.resources;
         if change.starts_waiting() {
             if self.pending.is_empty() {
                 self.waiting_since = now;
             }
-            self.demand.add_waiting(&needs, now);
+            self.demand.add_waiting(needs, now);
         }
         if change.stops_waiting() {
-            self.demand.remove_waiting(&needs);
+            self.demand.remove_waiting(needs);
         }
         self.remove_task(order, shape, change.old);
-        self.insert_task(order, shape, needs, change.new);
+        self.insert_task(order, shape, waiting_since, change.new);
         self.above_limit = false;
     }
 
-    fn remove_task(&mut self, order: TaskOrder, shape: ShapeIndex, status: TaskStatus) {
+    /// Sets the start of a pending task's current wait.
+    pub(crate) fn set_wait(
+        &mut self,
+        order: TaskOrder,
+        shape: IndexedShape<'_>,
+        waiting_since: Monotonic,
+    ) {
+        self.pending.set_wait(order, shape, waiting_since);
+    }
+
+    fn remove_task(&mut self, order: TaskOrder, shape: IndexedShape<'_>, status: TaskStatus) {
         match status {
             TaskStatus::Pending => self.pending.remove(order, shape),
             TaskStatus::Copyable => self.copyable.remove(order, shape),
@@ -122,13 +136,13 @@
     fn insert_task(
         &mut self,
         order: TaskOrder,
-        shape: ShapeIndex,
-        needs: Resources,
+        shape: IndexedShape<'_>,
+        waiting_since: Monotonic,
         status: TaskStatus,
     ) {
         match status {
-            TaskStatus::Pending => self.pending.insert(order, shape, needs),
-            TaskStatus::Copyable => self.copyable.insert(order, shape, needs),
+            TaskStatus::Pending => self.pending.insert(order, shape, waiting_since),
+            TaskStatus::Copyable => self.copyable.insert(order, shape, waiting_since),
             TaskStatus::Shadowed => {
                 self.shadowed.insert(order.task);
             }
--- a/crates/scheduler/src/view.rs
+++ b/crates/scheduler/src/view.rs
@@ -8,7 +8,6 @@
 use crate::index::{ListIndex, PoolIndex, QueueIndex, RunnerIndex, TenantIndex};
 use crate::licence::LicenceTable;
 use crate::options::SchedulerOptions;
-use crate::pending::{PendingList, ShapeHead};
 use crate::pool::Pool;
 use crate::pull::RunKind;
 use crate::queue::Queue;
@@ -50,6 +49,9 @@
     /// Whether lists and runners are skipped when bounds show that nothing
     /// fits. The decisions are the same either way.
     pub(crate) skips_by_bounds: bool,
+    /// Whether a scan of a list finds tasks by their indexes. The decisions are
+    /// the same either way.
+    pub(crate) uses_indexes: bool,
     /// Latest time that was passed to a step.
     latest: Monotonic,
     list_by_pair: BTreeMap<(QueueIndex, TenantIndex), ListIndex>,
@@ -79,6 +81,7 @@
             review_cursor: 0,
             next_backfill_search: Monotonic::default(),
             skips_by_bounds: true,
+            uses_indexes: true,
             latest: Monotonic::default(),
             list_by_pair: BTreeMap::new(),
             scan_cost: Cell::new(0),
@@ -113,19 +116,6 @@
             .set(self.scan_cost.get().saturating_add(scanned));
     }
 
-    /// Returns the first tasks of the shapes that a scan of a list examines.
-    pub(crate) fn scanned_heads<'a>(
-        &self,
-        tasks: &'a PendingList,
-    ) -> impl Iterator<Item = ShapeHead> + use<'a> {
-        tasks.heads().take(self.max_scanned())
-    }
-
-    /// Returns the maximum number of tasks that a scan of a list examines.
-    pub(crate) fn max_scanned(&self) -> usize {
-        self.options.scan_depth.saturating_add(1)
-    }
-
     /// Returns the index of a tenant's list in a queue, creating it if new.
     pub(crate) fn list_index(&mut self, queue: &QueueName, tenant: &TenantId) -> ListIndex {
         let queue = self.queues.get_or_insert(queue);
--- a/crates/settings/src/coordinator.rs
+++ b/crates/settings/src/coordinator.rs
@@ -223,9 +223,10 @@
 /// Table `dispatcher`: options of the scheduler.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct SchedulerSettings {
-    /// Key `look_ahead_tasks`: number of tasks that a scan of a tenant's list examines
-    /// after the first one. Default 16.
-    pub scan_depth: usize,
+    /// Key `look_ahead_tasks`: without effect. It limited how many tasks of a tenant
+    /// were looked at past one that does not fit; all are now. The key is accepted and
+    /// checked so that existing files stay valid. Default 16.
+    pub look_ahead_tasks: usize,
     /// Key `hold_after_ms`: waiting time, in milliseconds, after which a runner is
     /// reserved for a task that does not fit. Default 5000.
     pub reserve_after_ms: u64,
@@ -257,7 +258,7 @@
 impl SchedulerSettings {
     fn read(reader: &mut Reader) -> Self {
         Self {
-            scan_depth: reader.ranged("dispatcher.look_ahead_tasks", 16, 0..=100_000),
+            look_ahead_tasks: reader.ranged("dispatcher.look_ahead_tasks", 16, 0..=100_000),
             reserve_after_ms: reader.ranged("dispatcher.hold_after_ms", 5_000, 0..=3_600_000),
             probation_failures: reader.ranged("dispatcher.probation_failures", 8, 1..=100_000),
             probation_ms: reader.ranged("dispatcher.probation_ms", 10_000, 0..=86_400_000),
