Set no seat aside for tasks that nothing can run

What callers would see: less urgent tasks that need a licence never start, although seats and runners are free, while more urgent tasks that no runner can take wait for the same licence.

Cause: a seat was set aside for each waiting task of a more urgent queue, whether or not any runner could take it.

Change: seats are set aside for tasks that some responsive runner could take when empty, and for gangs that the runners together could take. The common case, fewer waiting tasks than free seats, costs what it did.

--- a/crates/scheduler/src/gang.rs
+++ b/crates/scheduler/src/gang.rs
@@ -18,7 +18,17 @@
 impl Gang {
     /// Returns whether all tasks of the gang may start.
     fn is_complete(&self) -> bool {
-        self.tasks.len() == self.size as usize
+        self.startable_count() == self.size as usize
+    }
+
+    /// Returns the number of tasks that may start.
+    pub(crate) fn startable_count(&self) -> usize {
+        self.tasks.len()
+    }
+
+    /// Returns the first task that may start, of the gang of `step`.
+    pub(crate) fn first_task(&self, step: StepRef) -> Option<TaskRef> {
+        self.tasks.first().map(|task| step.task(*task))
     }
 }
 
@@ -62,6 +72,12 @@
         gang.is_some_and(|gang| gang.tasks.contains(&task.task))
     }
 
+    /// Returns the gangs of a tenant list, oldest first.
+    pub(crate) fn of_list(&self, list: ListIndex) -> impl Iterator<Item = (StepRef, &Gang)> {
+        let gangs = self.gangs.iter().map(|(step, gang)| (*step, gang));
+        gangs.filter(move |(_, gang)| gang.list == list)
+    }
+
     /// Returns the complete gangs by tenant list, oldest first.
     pub(crate) fn complete_by_list(&self) -> BTreeMap<ListIndex, Vec<StepRef>> {
         let mut by_list: BTreeMap<ListIndex, Vec<StepRef>> = BTreeMap::new();
--- a/crates/scheduler/src/gang_placement.rs
+++ b/crates/scheduler/src/gang_placement.rs
@@ -19,13 +19,13 @@
 
 /// Runner that may take tasks of a gang.
 #[derive(Debug, Clone)]
-struct Candidate {
+pub(crate) struct Candidate {
     runner: RunnerIndex,
     rack: RackName,
     /// Number of the gang's tasks that fit now.
     fits: usize,
     /// Number of the gang's tasks that would fit on the empty runner.
-    fits_empty: usize,
+    pub(crate) fits_empty: usize,
 }
 
 /// Complete gang that its queue, resource limit and licence allow to start.
@@ -152,7 +152,9 @@
         candidates
     }
 
-    fn gang_candidate(&self, runner: RunnerIndex, needs: &Shape) -> Option<Candidate> {
+    /// Returns the runner as a candidate for a gang's tasks; `None` when it lacks
+    /// a label.
+    pub(crate) fn gang_candidate(&self, runner: RunnerIndex, needs: &Shape) -> Option<Candidate> {
         let state = &self.runners[runner];
         let last = state.reported.as_ref()?;
         let max_tasks = needs
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -54,6 +54,7 @@
 mod runner;
 mod scan;
 pub mod scheduler;
+mod seats;
 mod shape;
 mod step;
 mod table;
--- a/crates/scheduler/src/limits.rs
+++ b/crates/scheduler/src/limits.rs
@@ -1,15 +1,15 @@
 //! Limits on what may start: tenants' resource limits with the headroom of more
-//! urgent work, seats of licences, and runs of one step on a runner.
+//! urgent work, and runs of one step on a runner.
 //!
 //! A resource limit counts a tenant's runs in all pools. If work of a less
 //! urgent queue used all of it, a short task of a more urgent queue would wait
 //! although its own pool is empty. Therefore less urgent work leaves headroom
 //! below the limit: the unmet recent demand of its tenant's more urgent queues.
 
-use crate::index::{ListIndex, QueueIndex, RunnerIndex};
+use crate::index::{ListIndex, RunnerIndex};
 use crate::shape::Shape;
 use crate::view::View;
-use types::{LicenceName, Monotonic, Now, Resources};
+use types::{Monotonic, Now, Resources};
 
 /// Wait after which less urgent work may use the headroom for one start, as a
 /// multiple of `reserve_after`.
@@ -56,31 +56,6 @@
             && now.since(list.waiting_since()).0 >= max_wait
     }
 
-    /// Returns whether `wanted` seats of the licence are available to the queue;
-    /// tasks without a licence need none.
-    ///
-    /// One free seat is set aside for each waiting task of a more urgent queue,
-    /// in any pool.
-    pub(crate) fn has_seats(
-        &self,
-        licence: Option<&LicenceName>,
-        queue: QueueIndex,
-        wanted: u32,
-    ) -> bool {
-        let Some(name) = licence else {
-            return true;
-        };
-        let Some(licence) = self.licences.get(name) else {
-            return false;
-        };
-        let priority = self.queues[queue].priority;
-        let more_urgent = licence.waiting_in(|other| {
-            let other = &self.queues[other];
-            other.starting_pool().is_some() && other.priority < priority
-        });
-        licence.free() as usize >= more_urgent.saturating_add(wanted as usize)
-    }
-
     /// Returns whether the runner has fewer open runs of the task's step than
     /// the step allows.
     pub(crate) fn is_below_step_limit(&self, needs: &Shape, runner: RunnerIndex) -> bool {
--- a/crates/scheduler/src/pending.rs
+++ b/crates/scheduler/src/pending.rs
@@ -177,6 +177,11 @@
         self.needs.any_fits_in(amount)
     }
 
+    /// Returns the number of tasks of one shape.
+    pub(crate) fn count_of_shape(&self, shape: ShapeIndex) -> usize {
+        self.by_shape.get(&shape).map_or(0, BTreeMap::len)
+    }
+
     /// Returns the tasks of one shape, in order.
     pub(crate) fn tasks_of_shape(&self, shape: ShapeIndex) -> impl Iterator<Item = TaskOrder> + '_ {
         let tasks = self.by_shape.get(&shape).into_iter();
--- /dev/null
+++ b/crates/scheduler/src/seats.rs
@@ -0,0 +1,162 @@
+//! Seats of a licence that less urgent work leaves to more urgent work.
+//!
+//! One free seat is set aside for each waiting task of a more urgent queue, in
+//! any pool. A task that no runner could take even when empty gets none:
+//! otherwise enough of them would keep all seats from less urgent work for good.
+
+use crate::head::ShapeHead;
+use crate::index::{ListIndex, PoolIndex, QueueIndex, RunnerIndex, ShapeIndex};
+use crate::needs_tree::HeadSummary;
+use crate::pending::HeadQuery;
+use crate::runner::Reported;
+use crate::shape::Shape;
+use crate::view::View;
+use indexmap::IndexSet;
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use types::{Labels, LicenceName, Resources};
+
+/// What decides whether an empty runner could take a task.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+struct RunnerKind {
+    labels: Arc<Labels>,
+    capacity: Resources,
+}
+
+impl View {
+    /// Returns whether `wanted` seats of the licence are available to the queue;
+    /// tasks without a licence need none.
+    pub(crate) fn has_seats(
+        &self,
+        licence: Option<&LicenceName>,
+        queue: QueueIndex,
+        wanted: u32,
+    ) -> bool {
+        let Some(name) = licence else {
+            return true;
+        };
+        let Some(licence) = self.licences.get(name) else {
+            return false;
+        };
+        let Some(spare) = licence.free().checked_sub(wanted) else {
+            return false;
+        };
+        let priority = self.queues[queue].priority;
+        let is_more_urgent = |other: QueueIndex| {
+            let other = &self.queues[other];
+            other.starting_pool().is_some() && other.priority < priority
+        };
+        let spare = spare as usize;
+        licence.waiting_in(is_more_urgent) <= spare
+            || self.count_placeable(name, is_more_urgent, spare) <= spare
+    }
+
+    /// Returns the number of waiting tasks of the licence, in the queues that
+    /// `include` selects, that some runner could take when empty. Stops counting
+    /// once the number exceeds `limit`.
+    fn count_placeable(
+        &self,
+        licence: &LicenceName,
+        include: impl Fn(QueueIndex) -> bool,
+        limit: usize,
+    ) -> usize {
+        let mut count = 0;
+        for index in (0..self.queues.len()).filter(|index| include(*index)) {
+            let queue = &self.queues[index];
+            let Some(pool) = queue.starting_pool() else {
+                continue;
+            };
+            let kinds = self.present_kinds(pool);
+            for &list in &queue.lists {
+                count += self.count_placeable_tasks(list, licence, &kinds);
+                count += self.count_placeable_gang_tasks(list, licence, pool);
+                if count > limit {
+                    return count;
+                }
+            }
+        }
+        count
+    }
+
+    /// Returns the different kinds of the pool's responsive runners.
+    fn present_kinds(&self, pool: PoolIndex) -> IndexSet<RunnerKind> {
+        self.count_scans(self.pools[pool].runner_count());
+        self.responsive_runners(pool)
+            .map(|(_, last)| RunnerKind {
+                labels: Arc::clone(&last.labels),
+                capacity: last.capacity,
+            })
+            .collect()
+    }
+
+    fn count_placeable_tasks(
+        &self,
+        list: ListIndex,
+        licence: &LicenceName,
+        kinds: &IndexSet<RunnerKind>,
+    ) -> usize {
+        let tasks = self.lists[list].pending();
+        let mut shapes: BTreeSet<ShapeIndex> = BTreeSet::new();
+        for kind in kinds {
+            let query = HeadQuery {
+                labels: &kind.labels,
+                has_seats: |other: Option<&LicenceName>| other == Some(licence),
+                may_match: |heads: &HeadSummary| {
+                    self.count_scan();
+                    heads.bounds.min.fits_in(&kind.capacity)
+                },
+            };
+            let mut record = |head: &ShapeHead| {
+                shapes.insert(head.shape);
+                None::<()>
+            };
+            tasks.find_first(&query, &mut record, &mut None);
+        }
+        shapes
+            .iter()
+            .map(|shape| tasks.count_of_shape(*shape))
+            .sum()
+    }
+
+    fn count_placeable_gang_tasks(
+        &self,
+        list: ListIndex,
+        licence: &LicenceName,
+        pool: PoolIndex,
+    ) -> usize {
+        let gangs = self.gangs.of_list(list);
+        let placeable = gangs.filter(|(step, gang)| {
+            let first = gang.first_task(*step);
+            let entry = first.and_then(|task| self.tasks.get(task));
+            let needs = entry.and_then(|entry| self.shapes.get(entry.shape));
+            needs.is_some_and(|needs| {
+                needs.licence.as_ref() == Some(licence)
+                    && self.max_gang_size(needs, pool) >= gang.size as usize
+            })
+        });
+        placeable.map(|(_, gang)| gang.startable_count()).sum()
+    }
+
+    /// Returns how many tasks of a gang the pool's runners could take together
+    /// when empty.
+    fn max_gang_size(&self, needs: &Shape, pool: PoolIndex) -> usize {
+        self.count_scans(self.pools[pool].runner_count());
+        self.responsive_runners(pool)
+            .filter_map(|(runner, _)| self.gang_candidate(runner, needs))
+            .map(|candidate| candidate.fits_empty)
+            .fold(0, usize::saturating_add)
+    }
+
+    /// Returns the pool's runners that this leader has a recent heartbeat of.
+    fn responsive_runners(
+        &self,
+        pool: PoolIndex,
+    ) -> impl Iterator<Item = (RunnerIndex, &Reported)> {
+        let max_age = self.options.unresponsive_after;
+        self.pools[pool].runners().filter_map(move |runner| {
+            let last = self.runners[runner].reported.as_ref()?;
+            let is_recent = self.latest().since(last.received_at) <= max_age;
+            is_recent.then_some((runner, last))
+        })
+    }
+}
--- a/crates/scheduler/tests/licences.rs
+++ b/crates/scheduler/tests/licences.rs
@@ -102,6 +102,69 @@
     assert_eq!(all_placed(scheduler.place(at(0), 10)).len(), 1);
 }
 
+/// Guards against less urgent work that never starts: seats were set aside for
+/// more urgent tasks that no runner could take.
+#[test]
+fn urgent_tasks_that_no_runner_can_take_keep_no_seat_free() {
+    let mut scheduler = scheduler(&document_with(2));
+    heartbeat_both(&mut scheduler, 1, 0);
+    for job in 1..=100 {
+        let mut impossible = licensed_task(job, "live");
+        if job % 2 == 0 {
+            impossible.resources = slots(9 + u32::try_from(job).unwrap());
+        } else {
+            let label = ("kind".to_owned(), format!("absent-{job}"));
+            impossible.labels.extend([label]);
+        }
+        scheduler.publish(impossible, at(0));
+    }
+    scheduler.publish(licensed_task(1_000, "main"), at(0));
+    scheduler.publish(licensed_task(1_001, "main"), at(0));
+    let placed = all_placed(scheduler.place(at(0), 10));
+    let tasks: Vec<_> = placed.iter().map(|one| one.task).collect();
+    assert_eq!(tasks, [task(1_000), task(1_001)]);
+}
+
+/// A seat stays set aside for an urgent task that waits for a full runner.
+#[test]
+fn urgent_task_that_waits_for_capacity_keeps_one_seat_free() {
+    let mut scheduler = scheduler(&document_with(2));
+    heartbeat_both(&mut scheduler, 1, 0);
+    let mut whole_runner = meta(1, "b", 8);
+    whole_runner.queue = queue("live");
+    scheduler.publish(whole_runner, at(0));
+    assert_eq!(all_placed(scheduler.place(at(0), 10)).len(), 1);
+    scheduler.publish(licensed_task(2, "live"), at(0));
+    let mut impossible = licensed_task(3, "live");
+    impossible.resources = slots(9);
+    scheduler.publish(impossible, at(0));
+    for job in 1_000..1_003 {
+        scheduler.publish(licensed_task(job, "main"), at(0));
+    }
+    let placed = all_placed(scheduler.place(at(10), 10));
+    assert_eq!(placed.len(), 1);
+    assert_eq!(placed[0].task, task(1_000));
+}
+
+/// The same for the members of a gang.
+#[test]
+fn urgent_gang_keeps_seats_free_only_if_runners_could_take_all_of_it() {
+    for (needs, expected) in [(8, 1), (4, 2)] {
+        let mut scheduler = scheduler(&document_with(2));
+        heartbeat_both(&mut scheduler, 1, 0);
+        for index in 0..2 {
+            let mut member = licensed_task(1, "live");
+            member.task.task = index;
+            member.step_tasks = 2;
+            member.rules.gang = true;
+            member.resources = slots(needs);
+            scheduler.publish(member, at(0));
+        }
+        scheduler.publish(licensed_task(1_000, "main"), at(0));
+        assert_eq!(all_placed(scheduler.place(at(0), 10)).len(), expected);
+    }
+}
+
 #[test]
 fn adopted_run_uses_seat() {
     let document = document_with(1);
