Explain that no runner can meet a task's needs, and since when

Cause: explain said "no runner of the pool has room" of a task larger than every runner, and "no runner with room carries the labels asked for" also where none has the labels at all.

Change: while no runner that reports could take a waiting task even when empty, explain says "no runner of the pool can meet its needs, at least since T" (wall time in milliseconds). T is the start of the wait or the last heartbeat of a runner that could, whichever is later. Runners are known from heartbeats alone, so a new leader's T is not before its election: hence "at least". The wire and the decision log are unchanged.

--- a/crates/coordinator/src/leader/reads.rs
+++ b/crates/coordinator/src/leader/reads.rs
@@ -122,6 +122,12 @@
     }
 
     fn waiting_reason(&self, task: TaskRef, now: Now) -> String {
+        if let Some(since) = self.scheduler.unmet_since(task, now) {
+            return format!(
+                "no runner of the pool can meet its needs, at least since {}",
+                since.0
+            );
+        }
         match self.scheduler.explain(task, now) {
             Some(reason) => reason.to_string(),
             None => "it is about to be placed".to_owned(),
--- a/crates/coordinator/tests/coordinator/hidden_jobs.rs
+++ b/crates/coordinator/tests/coordinator/hidden_jobs.rs
@@ -2,7 +2,7 @@
 
 use crate::runs::with_runner;
 use crate::test_cluster::{TestCluster, jobs};
-use transport::Operation;
+use transport::{Operation, OperationReply};
 use types::JobSpec;
 
 /// Number of jobs with different needs that no runner can meet.
@@ -57,3 +57,17 @@
     cluster.submit("later");
     run_until_started(&mut cluster, "later");
 }
+
+#[test]
+fn explanation_says_that_no_runner_can_meet_the_needs() {
+    let mut cluster = with_runner();
+    let submit = Operation::Submit(unmet_job(0));
+    cluster.request(submit).unwrap();
+    cluster.run(300);
+    let explain = Operation::Explain(jobs::key("unmet-0"));
+    let Ok(OperationReply::Explained { lines }) = cluster.request(explain) else {
+        panic!("the leader did not explain the job");
+    };
+    let expected = "no runner of the pool can meet its needs, at least since ";
+    assert!(lines[0].contains(expected), "{lines:?}");
+}
--- a/crates/scheduler/src/explain.rs
+++ b/crates/scheduler/src/explain.rs
@@ -9,7 +9,7 @@
 use crate::tenant_list::TenantList;
 use crate::view::View;
 use configuration::QueueMode;
-use types::{Now, TaskRef};
+use types::{Now, TaskRef, WallTime};
 
 impl View {
     /// Returns why a task is not running; `None` when the view does not have the
@@ -39,6 +39,35 @@
             .or_else(|| self.reason_of_share(list, pool))
     }
 
+    /// Returns since when, as far as this leader knows, no runner that reports
+    /// can meet the needs of a task, even when it is empty; `None` when one can,
+    /// when the task is not waiting, or when the pool has no runner at all.
+    ///
+    /// A leader knows of runners from their heartbeats alone. For a task that
+    /// waited before its election, the time is not before the election.
+    pub(crate) fn unmet_since(&self, task: TaskRef, now: Now) -> Option<WallTime> {
+        let entry = self.tasks.get(task)?;
+        let pool = starting_pool(&self.queues[self.lists[entry.list].queue]).ok()?;
+        let needs = self.shapes.get(entry.shape)?;
+        if !entry.status.is_waiting() || self.pools[pool].runner_count() == 0 {
+            return None;
+        }
+        let mut since = entry.waiting_since;
+        for runner in self.pools[pool].runners() {
+            let state = &self.runners[runner];
+            if !state.could_run(needs) {
+                continue;
+            }
+            if self.pull_rejection(runner, now) != Some(PullRejection::Unresponsive) {
+                return None;
+            }
+            let last = state.reported.as_ref();
+            since = since.max(last.map_or(since, |last| last.received_at));
+        }
+        let elapsed = now.monotonic.since(since);
+        Some(WallTime(now.wall.0.saturating_sub(elapsed.0)))
+    }
+
     fn reason_of_limits(&self, entry: &Task, needs: &Shape, now: Now) -> Option<NotPlacedReason> {
         let list = &self.lists[entry.list];
         if !self.tenants[list.tenant].allows(&needs.resources) {
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -115,6 +115,13 @@
         self.view.explain(task, now)
     }
 
+    /// Returns since when, as far as this leader knows, no runner that reports
+    /// can meet the needs of a waiting task, even when it is empty; `None` when
+    /// one can, or when the pool has no runner at all.
+    pub fn unmet_since(&self, task: TaskRef, now: Now) -> Option<WallTime> {
+        self.view.unmet_since(task, now)
+    }
+
     /// Returns the state of all runners that have reported to this leader.
     pub fn runners(&self, now: Now) -> Vec<RunnerView> {
         self.view.runner_views(now.monotonic)
