Keep the right to bootstrap on the disk over restarts

Cause: that it may bootstrap stood in its settings alone, which grant it at the first start only; the restarted process had BootstrapRule::Never for good.

Change: a new identity records the right until a cluster is saved in its place, with the fields that the file already has. A restart derives it from the disk. At most one disk ever has it, and one disk leads to one proposal at most, so no second cluster can form, also if a disk is lost.

Not covered, known red: the first seed killed before its first write is on disk, or its disk lost before its proposal is accepted.

Measured: coordinator/tests/interrupted_start, the kills of each process, of two and of all at each time at which messages are sent failed before and pass now.

--- a/crates/coordinator/src/core/bootstrap.rs
+++ b/crates/coordinator/src/core/bootstrap.rs
@@ -15,12 +15,13 @@
     /// Bootstraps a cluster if all initial voters are present and the bootstrap
     /// rule selects this process.
     pub(super) fn bootstrap_cluster(&mut self, now: Now, effects: &mut Vec<Effect>) {
-        let Some(voters) = self.identification.choose_voters(
-            &self.own,
-            self.options.initial_coordinators,
-            self.options.bootstrap_rule,
-            now.monotonic,
-        ) else {
+        let configured = self.options.bootstrap_rule;
+        let rule = self.identification.bootstrap_rule(&self.own, configured);
+        let expected = self.options.initial_coordinators;
+        let Some(voters) =
+            self.identification
+                .choose_voters(&self.own, expected, rule, now.monotonic)
+        else {
             return;
         };
         let cluster = ClusterId(self.random.random());
--- a/crates/coordinator/src/core/joining.rs
+++ b/crates/coordinator/src/core/joining.rs
@@ -18,7 +18,8 @@
             return;
         }
         if !self.identification.has_identity() {
-            self.identification.save_new(effects);
+            let rule = self.options.bootstrap_rule;
+            self.identification.save_new(&self.own, rule, effects);
             return;
         }
         if !self.identification.begin_round(now.monotonic) {
--- a/crates/coordinator/src/identity/bootstrap.rs
+++ b/crates/coordinator/src/identity/bootstrap.rs
@@ -19,6 +19,13 @@
 //! receives an announcement from an empty coordinator that the proposal does
 //! not name. One case is not covered: too many coordinators are started and
 //! cannot reach each other.
+//!
+//! Under [`BootstrapRule::At`] only the process at one socket proposes, and only
+//! on the disk of its first start: the right to propose is saved with the new
+//! identity, before any message is sent, and ends with the write that saves a
+//! cluster. A restart keeps it, since it keeps the disk; a lost disk ends it.
+//! So there is one proposal at most, whatever is killed and whichever disk is
+//! lost.
 
 use crate::options::BootstrapRule;
 use consensus::Membership;
--- a/crates/coordinator/src/identity/identification.rs
+++ b/crates/coordinator/src/identity/identification.rs
@@ -222,9 +222,36 @@
         self.save_cluster(proposal, effects);
     }
 
-    /// Saves a new identity without a cluster.
-    pub(crate) fn save_new(&mut self, effects: &mut Vec<Effect>) {
-        self.save(None, Membership::default(), effects);
+    /// Saves a new identity without a cluster. If `rule` lets this process
+    /// bootstrap the cluster, the identity records that.
+    pub(crate) fn save_new(
+        &mut self,
+        own: &Address,
+        rule: BootstrapRule,
+        effects: &mut Vec<Effect>,
+    ) {
+        let mut initial = Membership::default();
+        if rule == BootstrapRule::At(own.socket) {
+            initial.voters.insert(own.node, own.socket);
+        }
+        self.save(None, initial, effects);
+    }
+
+    /// Returns the rule that holds for this process.
+    ///
+    /// A process that may bootstrap the cluster keeps the right over restarts, at
+    /// which its options no longer grant it. The right is part of the identity
+    /// on its disk. It is lost with that disk, and the write that saves a cluster
+    /// ends it, so that one disk leads to one proposal at most.
+    pub(crate) fn bootstrap_rule(&self, own: &Address, configured: BootstrapRule) -> BootstrapRule {
+        let holds_right = self.saved.as_ref().is_some_and(|identity| {
+            identity.cluster.is_none()
+                && identity.initial.voters.get(&identity.node) == Some(&own.socket)
+        });
+        match configured {
+            BootstrapRule::Never if holds_right => BootstrapRule::At(own.socket),
+            BootstrapRule::Never | BootstrapRule::Exact | BootstrapRule::At(_) => configured,
+        }
     }
 
     /// Saves the identity with the cluster that this process bootstraps or joins.
--- a/crates/coordinator/src/options.rs
+++ b/crates/coordinator/src/options.rs
@@ -60,9 +60,11 @@
     Exact,
     /// The process at this socket, if at least the initial coordinators are
     /// present; the others join. For deployments whose processes know one common
-    /// socket but not the number of coordinators.
+    /// socket but not the number of coordinators. The process keeps the right on
+    /// its disk until it belongs to a cluster.
     At(SocketAddr),
-    /// No process: the cluster exists, even if it is unavailable at present.
+    /// No process, unless this one has kept the right of [`BootstrapRule::At`] on
+    /// its disk: the cluster exists, even if it is unavailable at present.
     Never,
 }
 
--- a/crates/coordinator/tests/coordinator/main.rs
+++ b/crates/coordinator/tests/coordinator/main.rs
@@ -4,6 +4,7 @@
 mod first_start;
 mod golden_data;
 mod hidden_jobs;
+mod interrupted_start;
 mod mutations;
 mod relay;
 mod requests;
--- a/crates/storage/src/identity.rs
+++ b/crates/storage/src/identity.rs
@@ -15,6 +15,7 @@
     /// Cluster that the node belongs to, or `None` before it joins one.
     pub cluster: Option<ClusterId>,
     /// Voters agreed on at the cluster's first start; empty for a node that
-    /// joined later.
+    /// joined later. Before the node belongs to a cluster: the node itself if it
+    /// may bootstrap one, otherwise empty.
     pub initial: Membership,
 }
