Rule gangs out that the runners have no room for, before runners are chosen

What callers would see: a leader that is busy with gangs that no runners can take, and late starts of everything else.

Change: tasks of gangs are indexed like pending ones. For each list of gangs, an upper bound on how many tasks of a shape the runners could take, now and when empty, rules out gangs that can neither be placed nor get runners reserved.

--- a/crates/scheduler/src/gang_placement.rs
+++ b/crates/scheduler/src/gang_placement.rs
@@ -60,9 +60,11 @@
             let Some(list) = self.draw_gang_list(&waiting) else {
                 return;
             };
+            let room = self.gang_room(list, now);
             for step in waiting.remove(&list).unwrap_or_default() {
-                let size = self.gangs.get(step).map_or(0, |gang| gang.size);
-                if decisions.len() + size as usize <= limit {
+                let size = self.gangs.get(step).map_or(0, |gang| gang.size as usize);
+                let is_within_limit = decisions.len() + size <= limit;
+                if is_within_limit && self.may_place_gang(step, &room, now) {
                     decisions.extend(self.place_gang(step, now));
                 }
             }
@@ -140,6 +142,7 @@
     }
 
     fn gang_candidates(&mut self, gang: &AllowedGang, now: Now) -> Vec<Candidate> {
+        self.count_scans(self.pools[gang.pool].runner_count());
         let runners: Vec<RunnerIndex> = self.pools[gang.pool].runners().collect();
         let mut candidates = Vec::new();
         for runner in runners {
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -32,6 +32,7 @@
 mod explain;
 mod gang;
 mod gang_placement;
+mod gang_room;
 mod head;
 mod health;
 mod heartbeat;
--- a/crates/scheduler/src/tenant_list.rs
+++ b/crates/scheduler/src/tenant_list.rs
@@ -35,6 +35,8 @@
     pending: PendingList,
     /// Running tasks that may have a further copy.
     copyable: PendingList,
+    /// Tasks of gangs that may start together with the others.
+    in_gang: PendingList,
     /// Tasks that a queue in shadow mode has decided on.
     shadowed: BTreeSet<TaskRef>,
     waiting_since: Monotonic,
@@ -53,6 +55,7 @@
             last_reason: None,
             pending: PendingList::default(),
             copyable: PendingList::default(),
+            in_gang: PendingList::default(),
             shadowed: BTreeSet::new(),
             waiting_since: now,
         }
@@ -68,6 +71,11 @@
         &self.copyable
     }
 
+    /// Returns the tasks of gangs that may start together with the others.
+    pub(crate) fn in_gang(&self) -> &PendingList {
+        &self.in_gang
+    }
+
     /// Returns the tasks that may have a run of the given kind.
     pub(crate) fn startable(&self, kind: RunKind) -> &PendingList {
         match kind {
@@ -126,10 +134,11 @@
         match status {
             TaskStatus::Pending => self.pending.remove(order, shape),
             TaskStatus::Copyable => self.copyable.remove(order, shape),
+            TaskStatus::InGang => self.in_gang.remove(order, shape),
             TaskStatus::Shadowed => {
                 self.shadowed.remove(&order.task);
             }
-            TaskStatus::Delayed | TaskStatus::InGang | TaskStatus::Bound => {}
+            TaskStatus::Delayed | TaskStatus::Bound => {}
         }
     }
 
@@ -143,10 +152,11 @@
         match status {
             TaskStatus::Pending => self.pending.insert(order, shape, waiting_since),
             TaskStatus::Copyable => self.copyable.insert(order, shape, waiting_since),
+            TaskStatus::InGang => self.in_gang.insert(order, shape, waiting_since),
             TaskStatus::Shadowed => {
                 self.shadowed.insert(order.task);
             }
-            TaskStatus::Delayed | TaskStatus::InGang | TaskStatus::Bound => {}
+            TaskStatus::Delayed | TaskStatus::Bound => {}
         }
     }
 }
--- a/crates/scheduler/tests/cost.rs
+++ b/crates/scheduler/tests/cost.rs
@@ -108,3 +108,60 @@
     assert_eq!(placed[0].task, task(9_999));
     assert!(all_placed(scheduler.place(at(60), 512)).is_empty());
 }
+
+/// Guards against a leader that is busy with gangs that no runners can take.
+#[test]
+fn scan_cost_does_not_grow_with_impossible_gangs() {
+    let with_gangs = |gangs: u32| {
+        let mut scheduler = scheduler_with(240, 0);
+        for job in 1..=gangs {
+            for index in 0..2 {
+                let mut member = meta(u64::from(job), "t0", 1);
+                member.task.task = index;
+                member.step_tasks = 2;
+                member.rules.gang = true;
+                member.resources = needs(16_000 + job);
+                scheduler.publish(member, at(0));
+            }
+        }
+        scan_cost_of_placement(&mut scheduler)
+    };
+    let few = with_gangs(10);
+    let many = with_gangs(1_000);
+    assert!(
+        many <= 2 * few,
+        "{few} scans with 10 gangs, {many} with 1000"
+    );
+}
+
+/// The same for tasks without a gang, one list and one pull of an empty runner.
+#[test]
+fn scan_cost_of_reserve_does_not_grow_with_unmet_needs() {
+    let with_unmet = |unmet: u32| {
+        let mut scheduler = scheduler_with(0, 0);
+        let mut empty = nearly_full_runner(0);
+        empty.free = empty.capacity;
+        scheduler.heartbeat(&empty, at(0));
+        for job in 1..=unmet {
+            let mut task = meta(u64::from(job), "t0", 1);
+            task.resources = needs(16_000 + job);
+            if job % 2 == 0 {
+                let label = ("kind".to_owned(), format!("absent-{job}"));
+                task.labels.extend([label]);
+            }
+            scheduler.publish(task, at(0));
+        }
+        let mut fitting = meta(1_000_000, "t0", 1);
+        fitting.resources = needs(250);
+        scheduler.publish(fitting, at(0));
+        let before = scheduler.scan_cost();
+        assert!(scheduler.reserve(&runner("r0"), at(0)).is_some());
+        scheduler.scan_cost() - before
+    };
+    let few = with_unmet(100);
+    let many = with_unmet(10_000);
+    assert!(
+        many <= 2 * few,
+        "{few} scans with 100 unmet needs, {many} with 10000"
+    );
+}
--- a/crates/scheduler/tests/indexes.rs
+++ b/crates/scheduler/tests/indexes.rs
@@ -27,6 +27,8 @@
     licensed: bool,
     copies: u32,
     max_per_runner: Option<u32>,
+    /// Number of tasks of the gang; 1 for a task that is no gang.
+    gang: u32,
 }
 
 #[derive(Debug, Clone)]
@@ -56,6 +58,7 @@
         prop::bool::weighted(0.3),
         1..3_u32,
         prop::option::weighted(0.2, 1..3_u32),
+        prop_oneof![3 => Just(1), 1 => 2..5_u32],
     );
     let needs = (1..12_u32, 1..12_u32);
     (0..TENANTS.len(), any::<bool>(), needs, labels, rules).prop_map(
@@ -70,6 +73,7 @@
             licensed: rules.1,
             copies: rules.2,
             max_per_runner: rules.3,
+            gang: rules.4,
         },
     )
 }
@@ -108,8 +112,11 @@
     }
 }
 
-fn task_meta(job: u64, random: &RandomTask) -> TaskMeta {
+fn task_meta(job: u64, index: u32, random: &RandomTask) -> TaskMeta {
     let mut new = meta(job, TENANTS[random.tenant], 1);
+    new.task.task = index;
+    new.step_tasks = random.gang;
+    new.rules.gang = random.gang > 1;
     new.resources = resources(random.cpu, random.memory);
     new.urgency = if random.urgent {
         Urgency::Urgent
@@ -123,7 +130,7 @@
     new.rules.preferred_rack = random.rack.map(rack);
     new.rules.licence = random.licensed.then(licence);
     new.rules.max_per_runner = random.max_per_runner;
-    new.max_copies = random.copies;
+    new.max_copies = if new.rules.gang { 1 } else { random.copies };
     new
 }
 
@@ -161,9 +168,11 @@
         let now = at(number * STEP_MS);
         let new = match step {
             Step::Publish(random) => {
-                let new = task_meta(number, random);
-                metas.push(new.clone());
-                scheduler.publish(new, now);
+                for index in 0..random.gang {
+                    let new = task_meta(number, index, random);
+                    metas.push(new.clone());
+                    scheduler.publish(new, now);
+                }
                 Vec::new()
             }
             Step::Place => scheduler.place(now, 64),
