Place a gang that is larger than the limit of a placement

What callers would see: a gang of more than 512 tasks is accepted and never starts.

Cause: a gang is placed as a whole by one placement or not at all, and a placement stops at the number of reservations that may still be in flight, 512 at most.

Change: the first gang of a placement may exceed the limit.

Measured: scheduler/tests/gangs, gang_larger_than_limit_of_placement_is_placed failed before (nothing placed) and passes now; all tests of the scheduler pass.

--- a/crates/scheduler/src/gang_placement.rs
+++ b/crates/scheduler/src/gang_placement.rs
@@ -53,7 +53,8 @@
 
 impl View {
     /// Places complete gangs as long as the number of decisions stays within
-    /// `limit`.
+    /// `limit`. The first gang may exceed it, since one that is larger than any
+    /// limit would never start otherwise.
     pub(crate) fn place_gangs(&mut self, now: Now, limit: usize, decisions: &mut Vec<Decision>) {
         let mut waiting = self.gangs.complete_by_list();
         while !waiting.is_empty() {
@@ -63,8 +64,8 @@
             let room = self.gang_room(list, now);
             for step in waiting.remove(&list).unwrap_or_default() {
                 let size = self.gangs.get(step).map_or(0, |gang| gang.size as usize);
-                let is_within_limit = decisions.len() + size <= limit;
-                if is_within_limit && self.may_place_gang(step, &room, now) {
+                let is_within_limit = decisions.is_empty() || decisions.len() + size <= limit;
+                if limit > 0 && is_within_limit && self.may_place_gang(step, &room, now) {
                     decisions.extend(self.place_gang(step, now));
                 }
             }
--- a/crates/scheduler/tests/gangs.rs
+++ b/crates/scheduler/tests/gangs.rs
@@ -46,6 +46,20 @@
     names.collect()
 }
 
+/// Guards against gangs that never start because they have more tasks than one
+/// placement may place.
+#[test]
+fn gang_larger_than_limit_of_placement_is_placed() {
+    let mut scheduler = scheduler(&document(&[("a", 100)]));
+    scheduler.heartbeat(&report("r1", 1, 8, 8), at(0));
+    publish_gang(&mut scheduler, 1, 5, 1);
+    publish_gang(&mut scheduler, 2, 2, 1);
+    let placed = all_placed(scheduler.place(at(0), 4));
+    assert_eq!(placed.len(), 5);
+    assert_eq!(all_placed(scheduler.place(at(10), 4)).len(), 2);
+    assert_eq!(scheduler.place(at(20), 0), []);
+}
+
 #[test]
 fn gang_is_placed_on_several_runners_in_one_placement() {
     let mut scheduler = scheduler(&document(&[("a", 100)]));
