--- a/crates/coordinator/tests/coordinator/main.rs
+++ b/crates/coordinator/tests/coordinator/main.rs
@@ -5,6 +5,7 @@
 mod golden_data;
 mod hidden_jobs;
 mod interrupted_start;
+mod lost_runs;
 mod mutations;
 mod relay;
 mod requests;
--- a/crates/coordinator/tests/coordinator/snapshots.rs
+++ b/crates/coordinator/tests/coordinator/snapshots.rs
@@ -1,7 +1,9 @@
 //! Schedule of snapshots: members write a large state in turn, and a leader
 //! transfers leadership before it writes one.
 
+use crate::test_cluster::{TestCluster, document, jobs};
 use coordinator::snapshots::{SnapshotDue, SnapshotSchedule, VoterTurn};
+use std::collections::BTreeSet;
 use types::{LogIndex, NodeId};
 
 const EVERY: u64 = 100;
@@ -104,3 +106,48 @@
         "voter 1 has the turn"
     );
 }
+
+/// The entries that the member missed have been compacted from the leader's log.
+#[test]
+fn offline_member_catches_up_by_snapshot() {
+    let mut cluster = TestCluster::new(3);
+    cluster.options.snapshot_every = 20;
+    cluster.options.consensus.retained_entries = 5;
+    (0..3).for_each(|server| cluster.start(server));
+    cluster.run(4_000);
+    cluster.put_configuration(1, document::document());
+    cluster.run(100);
+    let offline = (cluster.leader().unwrap() + 1) % 3;
+    cluster.kill(offline);
+    for number in 0..60 {
+        cluster.submit(&format!("job-{number}"));
+    }
+    cluster.start(offline);
+    cluster.run(2_000);
+    let state_machine = cluster.core(offline).state_machine().unwrap();
+    assert!(state_machine.job(&jobs::key("job-59")).is_some());
+    assert_eq!(state_machine, cluster.state_machine());
+}
+
+/// If all members wrote their snapshots at the same index, no quorum would sync new
+/// entries meanwhile.
+#[test]
+fn members_write_snapshots_at_different_indexes() {
+    let mut cluster = TestCluster::new(3);
+    cluster.options.snapshot_every = 20;
+    for server in 0..3 {
+        cluster.start(server);
+    }
+    cluster.run(4_000);
+    let put = cluster.put_configuration(1, document::document());
+    cluster.run(200);
+    assert!(cluster.replies[&put].is_ok());
+    for number in 0..60 {
+        cluster.submit(&format!("job-{number}"));
+    }
+    cluster.run(200);
+    let written = cluster.snapshots.len();
+    assert!(written >= 6, "{written}");
+    let distinct: BTreeSet<_> = cluster.snapshots.iter().collect();
+    assert_eq!(distinct.len(), written, "{:?}", cluster.snapshots);
+}
