Know a job by its identifier, and derive from the configuration only who may see it

Cause: the record knew a job by tenant and identifier, and the adapter took the tenant from the route and the key of the call. So which job an identifier names followed from the configuration in force, while runners know tasks by the identifier alone. Ruled out: a forgotten job (3 s after its end), a change of the leader (none in the record).

Change: a job that is submitted by an entry (host and path prefix of a route) is known by its identifier among all such jobs; the check is made when the command is applied. The record keeps the entry. Who may see and end a job is a JobAccess, derived from the configuration of the moment: the tenant of the key, jobs without a key, and at a public route the jobs of its place.

--- a/crates/coordinator/src/leader/applied_entries.rs
+++ b/crates/coordinator/src/leader/applied_entries.rs
@@ -70,7 +70,9 @@
                 }
             }
             Command::Submit { .. }
+            | Command::SubmitByEntry { .. }
             | Command::Cancel { .. }
+            | Command::CancelAccessible { .. }
             | Command::PutConfiguration { .. }
             | Command::UpdateConfiguration { .. }
             | Command::SetRunnerDraining { .. }
--- a/crates/coordinator/src/leader/reads.rs
+++ b/crates/coordinator/src/leader/reads.rs
@@ -44,6 +44,11 @@
             Operation::ListJobs(filter) => Ok(list_jobs(state_machine, &filter)),
             Operation::Explain(key) => self.explain(state_machine, &key, now),
             Operation::GetJobState(key) => get_job_state(state_machine, &key),
+            Operation::GetAccessibleJobState { job, access } => {
+                let state = state_machine.accessible_job_state(&job, &access);
+                let unknown = || not_found(format!("job {job} is not known"));
+                state.map(OperationReply::JobState).ok_or_else(unknown)
+            }
             Operation::CountJobs(queue) => Ok(OperationReply::Count(
                 state_machine.unfinished_of_queue(&queue),
             )),
@@ -66,7 +71,9 @@
                 Ok(OperationReply::Decisions(entries))
             }
             Operation::Submit(_)
+            | Operation::SubmitByEntry { .. }
             | Operation::Cancel(_)
+            | Operation::CancelAccessible { .. }
             | Operation::PutConfiguration { .. }
             | Operation::UpdateConfiguration { .. }
             | Operation::DrainRunner { .. }
--- a/crates/coordinator/src/leader/rejections.rs
+++ b/crates/coordinator/src/leader/rejections.rs
@@ -63,6 +63,7 @@
         CommandRejection::Full { retry_after, .. } => {
             (RejectionCode::Overloaded, Some(retry_after), Vec::new())
         }
+        CommandRejection::IdentifierInUse { .. } => (RejectionCode::Forbidden, None, Vec::new()),
         CommandRejection::InvalidConfiguration { problems } => {
             (RejectionCode::Invalid, None, problems)
         }
--- a/crates/coordinator/src/leader/requests.rs
+++ b/crates/coordinator/src/leader/requests.rs
@@ -4,11 +4,13 @@
 
 use crate::leader::Leader;
 use crate::leader::proposals::ProposalOrigin;
-use crate::leader::rejections::{not_found, overloaded, reject_problems, rejection_from};
+use crate::leader::rejections::{
+    answer_from_reply, not_found, overloaded, reject_problems, rejection_from,
+};
 use crate::leader::request_table::PendingRequest;
 use crate::sender::Sender;
 use configuration::{ClusterConfiguration, ConfigurationUpdate, validate};
-use state_machine::{ClosedRun, Command, CommandRejection, StateMachine};
+use state_machine::{ClosedRun, Command, CommandRejection, CommandReply, StateMachine};
 use transport::{
     MemberView, Operation, OperationReply, Rejection, RejectionCode, Request, RequestId,
 };
@@ -71,9 +73,30 @@
         let at = now.wall;
         match operation {
             Operation::Submit(spec) => self.submit(state_machine, spec, pending, now),
+            Operation::SubmitByEntry {
+                spec,
+                entry,
+                access,
+            } => {
+                if let Some(reply) = state_machine.reply_to_resent_by_entry(&spec, &access) {
+                    let reply = reply.unwrap_or_else(CommandReply::Rejected);
+                    return Some(answer_from_reply(reply, false));
+                }
+                let tenant = spec.tenant.clone();
+                let command = Command::SubmitByEntry {
+                    spec,
+                    entry,
+                    access,
+                    at,
+                };
+                self.propose_submit(state_machine, &tenant, command, pending, now)
+            }
             Operation::Cancel(selector) => {
                 self.propose_request(Command::Cancel { selector, at }, pending)
             }
+            Operation::CancelAccessible { job, access } => {
+                self.propose_request(Command::CancelAccessible { job, access, at }, pending)
+            }
             Operation::PutConfiguration { version, document } => {
                 self.put_configuration(version, document, pending, now)
             }
@@ -127,12 +150,25 @@
             let known = true;
             return Some(Ok(OperationReply::Submitted { number, known }));
         }
-        if let Err(rejection) = self.admit_submit(state_machine, &spec.tenant, now) {
+        let at = now.wall;
+        let command = Command::Submit { spec, at };
+        self.propose_submit(state_machine, &key.tenant, command, pending, now)
+    }
+
+    /// Proposes the submit of a new job if the rate limit of its tenant admits it.
+    fn propose_submit(
+        &mut self,
+        state_machine: &StateMachine,
+        tenant: &TenantId,
+        command: Command,
+        pending: PendingRequest,
+        now: Now,
+    ) -> ImmediateAnswer {
+        if let Err(rejection) = self.admit_submit(state_machine, tenant, now) {
             metrics::counter!("cypressdrum_requests_refused_total").increment(1);
             return Some(Err(rejection));
         }
-        let at = now.wall;
-        self.propose_request(Command::Submit { spec, at }, pending)
+        self.propose_request(command, pending)
     }
 
     /// Checks a submit against the rate limit of its tenant.
--- a/crates/gateway/src/core/access.rs
+++ b/crates/gateway/src/core/access.rs
@@ -41,7 +41,9 @@
 /// Returns the quota against which an operation counts.
 pub fn quota_owner(operation: &Operation) -> QuotaOwner {
     let tenant = match operation {
-        Operation::Submit(spec) => Some(&spec.tenant),
+        Operation::Submit(spec) | Operation::SubmitByEntry { spec, .. } => Some(&spec.tenant),
+        Operation::GetAccessibleJobState { access, .. }
+        | Operation::CancelAccessible { access, .. } => access.tenants.first(),
         Operation::GetJob(key) | Operation::GetJobState(key) | Operation::Explain(key) => {
             Some(&key.tenant)
         }
--- a/crates/gateway/src/shell/http.rs
+++ b/crates/gateway/src/shell/http.rs
@@ -117,6 +117,9 @@
 fn operation_name(operation: &Operation) -> &'static str {
     match operation {
         Operation::Submit(_) => "submit",
+        Operation::SubmitByEntry { .. } => "submit_by_entry",
+        Operation::GetAccessibleJobState { .. } => "get_accessible_job_state",
+        Operation::CancelAccessible { .. } => "cancel_accessible",
         Operation::GetJob(_) => "get_job",
         Operation::GetJobState(_) => "get_job_state",
         Operation::ListJobs(_) => "list_jobs",
--- a/crates/state_machine/src/command.rs
+++ b/crates/state_machine/src/command.rs
@@ -5,8 +5,9 @@
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 use types::{
-    ConfigurationVersion, JobKey, JobNumber, JobSpec, JobState, Milliseconds, OpenRun, QueueName,
-    Reservation, RunClose, RunId, RunnerId, TaskMeta, TaskRef, TenantId, WallTime,
+    ConfigurationVersion, EntryAddress, JobAccess, JobId, JobKey, JobNumber, JobSpec, JobState,
+    Milliseconds, OpenRun, QueueName, Reservation, RunClose, RunId, RunnerId, TaskMeta, TaskRef,
+    TenantId, WallTime,
 };
 
 /// Command of the replicated log. The `at` of a variant is the wall time of the
@@ -85,6 +86,28 @@
         /// Wall time of the proposing leader.
         at: WallTime,
     },
+    /// Submits a job by an entry. Idempotent by the job's identifier, which is unique
+    /// among all jobs submitted by entries: the tenant of a caller follows from the
+    /// configuration and may differ when the job is sent again.
+    SubmitByEntry {
+        /// Job as the caller sent it.
+        spec: JobSpec,
+        /// Entry by which the caller sent it.
+        entry: EntryAddress,
+        /// Jobs that the caller may see.
+        access: JobAccess,
+        /// Wall time of the proposing leader.
+        at: WallTime,
+    },
+    /// Cancels the job with this identifier that the caller may end, if there is one.
+    CancelAccessible {
+        /// Identifier of the job.
+        job: JobId,
+        /// Jobs that the caller may end.
+        access: JobAccess,
+        /// Wall time of the proposing leader.
+        at: WallTime,
+    },
 }
 
 impl Command {
@@ -260,6 +283,12 @@
         /// All validation errors.
         problems: Vec<ConfigurationError>,
     },
+    /// A job that the caller may not see has the same identifier.
+    #[error("the identifier {job} is in use")]
+    IdentifierInUse {
+        /// Identifier of both jobs.
+        job: JobId,
+    },
 }
 
 /// Reason why a reservation was rejected.
--- a/crates/state_machine/src/error.rs
+++ b/crates/state_machine/src/error.rs
@@ -53,6 +53,9 @@
     /// A stored task's step or position does not exist in its job.
     #[error("a stored task does not exist in its job")]
     UnknownTask,
+    /// An entry belongs to no stored job, or two jobs with entries have one identifier.
+    #[error("an entry has no job of its own, or two jobs with entries have one identifier")]
+    Entry,
     /// An open run belongs to no known task.
     #[error("an open run belongs to no known task")]
     RunWithoutTask,
--- a/crates/state_machine/src/state.rs
+++ b/crates/state_machine/src/state.rs
@@ -91,7 +91,16 @@
     ) -> Result<CommandReply, CommandRejection> {
         match command {
             Command::Submit { spec, at } => self.submit(spec, *at, changes),
+            Command::SubmitByEntry {
+                spec,
+                entry,
+                access,
+                at,
+            } => self.submit_by_entry(spec, entry, access, *at, changes),
             Command::Cancel { selector, at } => Ok(self.cancel(selector, *at, changes)),
+            Command::CancelAccessible { job, access, at } => {
+                Ok(self.cancel_accessible(job, access, *at, changes))
+            }
             Command::Reserve { reservations, at } => Ok(self.reserve(reservations, *at, changes)),
             Command::CloseRuns { runs, at } => Ok(self.close_runs(runs, *at, changes)),
             Command::PutConfiguration {
--- a/crates/state_machine/src/state/cancel.rs
+++ b/crates/state_machine/src/state/cancel.rs
@@ -2,7 +2,7 @@
 
 use super::StateMachine;
 use crate::{CancelSelector, Change, CommandReply};
-use types::{JobNumber, JobState, QueueName, TenantId, WallTime};
+use types::{JobAccess, JobId, JobKey, JobNumber, JobState, QueueName, TenantId, WallTime};
 
 impl StateMachine {
     /// Cancels the selected jobs that are not in a final state. Finished jobs are
@@ -28,6 +28,29 @@
                 selected = self.unfinished_numbers(tenant, queue.as_ref());
             }
         }
+        self.cancel_jobs(selected, unknown, at, changes)
+    }
+
+    /// Cancels the job with this identifier that the caller may end. The reply counts no
+    /// job if there is none.
+    pub(super) fn cancel_accessible(
+        &mut self,
+        job: &JobId,
+        access: &JobAccess,
+        at: WallTime,
+        changes: &mut Vec<Change>,
+    ) -> CommandReply {
+        let selected = self.find_accessible(job, access);
+        self.cancel_jobs(selected, Vec::new(), at, changes)
+    }
+
+    fn cancel_jobs(
+        &mut self,
+        selected: impl IntoIterator<Item = JobNumber>,
+        unknown: Vec<JobKey>,
+        at: WallTime,
+        changes: &mut Vec<Change>,
+    ) -> CommandReply {
         let mut cancelled = 0;
         let mut finished = 0;
         for number in selected {
--- a/crates/state_machine/src/state/indexes.rs
+++ b/crates/state_machine/src/state/indexes.rs
@@ -4,7 +4,7 @@
 use super::usage::Usage;
 use std::collections::{BTreeMap, BTreeSet};
 use types::{
-    JobKey, JobNumber, LicenceName, OpenRun, QueueName, RunId, TaskRef, TenantId, WallTime,
+    JobId, JobKey, JobNumber, LicenceName, OpenRun, QueueName, RunId, TaskRef, TenantId, WallTime,
 };
 
 /// Lowest run identifier.
@@ -18,6 +18,8 @@
 pub(crate) struct Indexes {
     /// Numbers of jobs by key.
     pub numbers: BTreeMap<JobKey, JobNumber>,
+    /// Numbers of the jobs that were submitted by entries, by identifier.
+    pub numbers_by_entry: BTreeMap<JobId, JobNumber>,
     /// Stored jobs by tenant, finished ones included.
     pub of_tenant: BTreeMap<TenantId, BTreeSet<JobNumber>>,
     /// Jobs not in a final state, by tenant and queue.
@@ -80,6 +82,9 @@
     /// Adds a job to all indexes that its state requires.
     pub fn insert_job(&mut self, number: JobNumber, job: &Job) {
         self.numbers.insert(job.key(), number);
+        if job.entry.is_some() {
+            self.numbers_by_entry.insert(job.spec.job.clone(), number);
+        }
         self.of_tenant
             .entry(job.spec.tenant.clone())
             .or_default()
@@ -94,6 +99,9 @@
     /// Removes a forgotten job and its closed runs.
     pub fn remove_job(&mut self, number: JobNumber, job: &Job) {
         self.numbers.remove(&job.key());
+        if job.entry.is_some() {
+            self.numbers_by_entry.remove(&job.spec.job);
+        }
         if let Some(numbers) = self.of_tenant.get_mut(&job.spec.tenant) {
             numbers.remove(&number);
             if numbers.is_empty() {
--- a/crates/state_machine/src/state/job.rs
+++ b/crates/state_machine/src/state/job.rs
@@ -4,8 +4,8 @@
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use types::{
-    JobKey, JobNumber, JobSpec, JobState, JobView, RunId, StepSpec, StepView, TaskMeta, TaskRef,
-    TaskState, WallTime,
+    EntryAddress, JobKey, JobNumber, JobSpec, JobState, JobView, RunId, StepSpec, StepView,
+    TaskMeta, TaskRef, TaskState, WallTime,
 };
 
 /// Progress of a task. Whether an unfinished task is blocked, ready or running
@@ -165,6 +165,8 @@
 pub(crate) struct Job {
     /// Job as submitted.
     pub spec: JobSpec,
+    /// Entry by which the job was submitted; `None` for a job submitted without one.
+    pub entry: Option<EntryAddress>,
     /// State that callers see.
     pub state: JobState,
     /// Reason of the failure; `None` unless the job failed.
@@ -189,7 +191,7 @@
 
 impl Job {
     /// Creates a waiting job without runs.
-    pub fn new(spec: JobSpec, submitted_at: WallTime) -> Self {
+    pub fn new(spec: JobSpec, entry: Option<EntryAddress>, submitted_at: WallTime) -> Self {
         let steps: Box<[Step]> = spec.steps.iter().map(Step::new).collect();
         Self {
             state: JobState::Waiting,
@@ -203,6 +205,7 @@
             unfinished_steps: u16::try_from(steps.len()).unwrap_or(u16::MAX),
             steps,
             spec,
+            entry,
         }
     }
 
--- a/crates/state_machine/src/state/jobs.rs
+++ b/crates/state_machine/src/state/jobs.rs
@@ -7,8 +7,8 @@
 use crate::{Change, CommandRejection, CommandReply};
 use configuration::{ClusterConfiguration, QueueMode, QueueSettings, TenantSettings};
 use types::{
-    JobKey, JobNumber, JobSpec, JobState, Milliseconds, OpenRun, QueueName, TaskRef, TenantId,
-    WallTime,
+    EntryAddress, JobAccess, JobKey, JobNumber, JobSpec, JobState, Milliseconds, OpenRun,
+    QueueName, TaskRef, TenantId, WallTime,
 };
 
 /// Time after which a caller may retry that was rejected for too many unfinished
@@ -40,16 +40,64 @@
             return self.reply_to_resent(*number, key, spec);
         }
         let spec = self.check_submission(spec)?;
+        Ok(self.store_job(Job::new(spec, None, at), changes))
+    }
+
+    /// Accepts a job that is submitted by an entry, or acknowledges a resent one again.
+    pub(super) fn submit_by_entry(
+        &mut self,
+        spec: &JobSpec,
+        entry: &EntryAddress,
+        access: &JobAccess,
+        at: WallTime,
+        changes: &mut Vec<Change>,
+    ) -> Result<CommandReply, CommandRejection> {
+        if let Some(reply) = self.reply_to_resent_by_entry(spec, access) {
+            return reply;
+        }
+        let spec = self.check_submission(spec)?;
+        Ok(self.store_job(Job::new(spec, Some(entry.clone()), at), changes))
+    }
+
+    /// Returns the reply to a job submitted by an entry whose identifier is known; `None`
+    /// if it is not known.
+    ///
+    /// The identifier alone decides whether the job is known. The tenant of the caller
+    /// and the queue follow from the configuration in force and may have changed since
+    /// the job was accepted. They decide whether the caller may see the stored job, and
+    /// so whether it is acknowledged.
+    pub fn reply_to_resent_by_entry(
+        &self,
+        spec: &JobSpec,
+        access: &JobAccess,
+    ) -> Option<Result<CommandReply, CommandRejection>> {
+        let key = JobKey {
+            tenant: spec.tenant.clone(),
+            job: spec.job.clone(),
+        };
+        let of_tenant = || self.job_number(&key);
+        if let Some(number) = self.find_accessible(&spec.job, access).or_else(of_tenant) {
+            return Some(self.reply_to_resent(number, key, spec));
+        }
+        let is_used = self.indexes.numbers_by_entry.contains_key(&spec.job);
+        is_used.then(|| {
+            Err(CommandRejection::IdentifierInUse {
+                job: spec.job.clone(),
+            })
+        })
+    }
+
+    /// Stores a new job and reports its tasks that may start.
+    fn store_job(&mut self, job: Job, changes: &mut Vec<Change>) -> CommandReply {
         let number = self.last_number.next();
         self.last_number = number;
-        let job = Job::new(spec, at);
         self.indexes.insert_job(number, &job);
         changes.extend(startable_changes(&job, job.tasks(number)));
         self.jobs.insert(number, job);
-        Ok(CommandReply::Submitted {
+        CommandReply::Submitted {
             number,
             known: false,
-        })
+        }
     }
 
     /// Acknowledges a resent job if its content equals that of the stored job.
--- a/crates/state_machine/src/state/queries.rs
+++ b/crates/state_machine/src/state/queries.rs
@@ -6,9 +6,9 @@
 use configuration::ClusterConfiguration;
 use std::ops::Bound;
 use types::{
-    ConfigurationVersion, JobKey, JobNumber, JobSpec, JobState, JobView, LicenceName, OpenRun,
-    QueueName, Resources, RunId, RunName, RunSpec, RunnerId, TaskMeta, TaskRef, TaskState,
-    TenantId, WallTime,
+    ConfigurationVersion, JobAccess, JobId, JobKey, JobNumber, JobSpec, JobState, JobView,
+    LicenceName, OpenRun, QueueName, Resources, RunId, RunName, RunSpec, RunnerId, TaskMeta,
+    TaskRef, TaskState, TenantId, WallTime,
 };
 
 /// Status of one task of a job.
@@ -63,6 +63,30 @@
         self.indexes.numbers.get(key).copied()
     }
 
+    /// Returns the number of the job with this identifier that the caller may see.
+    pub fn find_accessible(&self, job: &JobId, access: &JobAccess) -> Option<JobNumber> {
+        let by_entry = self.indexes.numbers_by_entry.get(job).copied();
+        let accessible = by_entry.filter(|number| self.is_accessible(*number, access));
+        let of_tenant = |tenant: &TenantId| {
+            self.job_number(&JobKey {
+                tenant: tenant.clone(),
+                job: job.clone(),
+            })
+        };
+        accessible.or_else(|| access.tenants.iter().find_map(of_tenant))
+    }
+
+    fn is_accessible(&self, number: JobNumber, access: &JobAccess) -> bool {
+        let job = self.jobs.get(&number);
+        job.is_some_and(|job| access.allows(&job.spec.tenant, job.entry.as_ref()))
+    }
+
+    /// Returns the state of the job with this identifier that the caller may see.
+    pub fn accessible_job_state(&self, job: &JobId, access: &JobAccess) -> Option<JobState> {
+        let number = self.find_accessible(job, access)?;
+        self.jobs.get(&number).map(|job| job.state)
+    }
+
     fn find_job(&self, key: &JobKey) -> Option<&Job> {
         self.jobs.get(&self.job_number(key)?)
     }
--- a/crates/state_machine/src/state/snapshot.rs
+++ b/crates/state_machine/src/state/snapshot.rs
@@ -11,11 +11,17 @@
 use std::borrow::Cow;
 use std::collections::{BTreeMap, BTreeSet};
 use types::{
-    ConfigurationVersion, JobNumber, JobSpec, JobState, OpenRun, RunId, RunnerId, TaskRef, WallTime,
+    ConfigurationVersion, EntryAddress, JobNumber, JobSpec, JobState, OpenRun, RunId, RunnerId,
+    TaskRef, WallTime,
 };
 
-/// Format version of snapshots; a snapshot of any other version is rejected.
-pub const SNAPSHOT_VERSION: u32 = 4;
+/// Highest format version of snapshots; a snapshot of a higher one is rejected.
+pub const SNAPSHOT_VERSION: u32 = 5;
+
+/// Format version of snapshots without jobs that were submitted by entries: the body
+/// ends before the entries. A state without such jobs is still written in it, so that
+/// earlier builds can read it.
+const VERSION_WITHOUT_ENTRIES: u32 = 4;
 
 /// Length of the format version, which precedes the body in little-endian order.
 const VERSION_BYTES: usize = size_of::<u32>();
@@ -34,6 +40,9 @@
     highest_forgotten_run: Option<RunId>,
 }
 
+/// Entries by which jobs were submitted; follows the body since [`SNAPSHOT_VERSION`].
+type StoredEntries = BTreeMap<JobNumber, EntryAddress>;
+
 /// Job in a snapshot. The order of the fields is the stored format.
 #[derive(Serialize, Deserialize)]
 struct StoredJob<'a> {
@@ -85,8 +94,25 @@
             draining_runners: Cow::Borrowed(&self.draining_runners),
             highest_forgotten_run: self.highest_forgotten_run,
         };
-        let bytes = SNAPSHOT_VERSION.to_le_bytes().to_vec();
-        postcard::to_extend(&stored, bytes).map_err(StateMachineError::Snapshot)
+        let entries = self.entries();
+        let version = if entries.is_empty() {
+            VERSION_WITHOUT_ENTRIES
+        } else {
+            SNAPSHOT_VERSION
+        };
+        let bytes = version.to_le_bytes().to_vec();
+        let bytes = postcard::to_extend(&stored, bytes).map_err(StateMachineError::Snapshot)?;
+        if entries.is_empty() {
+            return Ok(bytes);
+        }
+        postcard::to_extend(&entries, bytes).map_err(StateMachineError::Snapshot)
+    }
+
+    /// Returns the entries by which jobs were submitted.
+    fn entries(&self) -> StoredEntries {
+        let jobs = self.jobs.iter();
+        jobs.filter_map(|(number, job)| Some((*number, job.entry.clone()?)))
+            .collect()
     }
 
     /// Restores a state from the bytes of a snapshot.
@@ -96,9 +122,13 @@
     /// Returns an error for bytes of another format version, bytes that are not a
     /// snapshot, and a snapshot whose parts contradict each other.
     pub fn restore(bytes: &[u8]) -> Result<Self, StateMachineError> {
-        let body = check_version(bytes)?;
+        let (version, body) = check_version(bytes)?;
         let (stored, rest) =
             postcard::take_from_bytes::<StoredState>(body).map_err(StateMachineError::Snapshot)?;
+        let (entries, rest) = match version {
+            VERSION_WITHOUT_ENTRIES => (StoredEntries::new(), rest),
+            _ => postcard::take_from_bytes(rest).map_err(StateMachineError::Snapshot)?,
+        };
         if !rest.is_empty() {
             return Err(SnapshotInconsistency::TrailingBytes.into());
         }
@@ -124,6 +154,9 @@
         for job in stored.jobs {
             state_machine.restore_job(job)?;
         }
+        for (number, entry) in entries {
+            state_machine.restore_entry(number, entry)?;
+        }
         for run in stored.open_runs {
             state_machine.restore_run(run.into_owned())?;
         }
@@ -158,6 +191,7 @@
         }
         let mut job = Job::new(
             self.share_names(stored.spec.into_owned())?,
+            None,
             stored.submitted_at,
         );
         job.state = stored.state;
@@ -195,6 +229,22 @@
         Ok(spec)
     }
 
+    /// Restores the entry by which a job was submitted.
+    fn restore_entry(
+        &mut self,
+        number: JobNumber,
+        entry: EntryAddress,
+    ) -> Result<(), StateMachineError> {
+        let job = self.jobs.get_mut(&number);
+        let job = job.ok_or(SnapshotInconsistency::Entry)?;
+        job.entry = Some(entry);
+        let id = job.spec.job.clone();
+        match self.indexes.numbers_by_entry.insert(id, number) {
+            None => Ok(()),
+            Some(_) => Err(SnapshotInconsistency::Entry.into()),
+        }
+    }
+
     fn restore_run(&mut self, run: OpenRun) -> Result<(), StateMachineError> {
         let job = self.jobs.get_mut(&run.task.job);
         let job = job.ok_or(SnapshotInconsistency::RunWithoutTask)?;
@@ -211,19 +261,19 @@
     }
 }
 
-/// Checks the format version and returns the bytes that follow it.
-fn check_version(bytes: &[u8]) -> Result<&[u8], StateMachineError> {
+/// Checks the format version, and returns it with the bytes that follow it.
+fn check_version(bytes: &[u8]) -> Result<(u32, &[u8]), StateMachineError> {
     let (version, body) = bytes
         .split_first_chunk::<VERSION_BYTES>()
         .ok_or(SnapshotInconsistency::NoVersion)?;
     let found = u32::from_le_bytes(*version);
-    if found != SNAPSHOT_VERSION {
+    if !(VERSION_WITHOUT_ENTRIES..=SNAPSHOT_VERSION).contains(&found) {
         return Err(StateMachineError::Version {
             found,
             supported: SNAPSHOT_VERSION,
         });
     }
-    Ok(body)
+    Ok((found, body))
 }
 
 fn store_job(number: JobNumber, job: &Job) -> StoredJob<'_> {
--- a/crates/state_machine/tests/golden_commands.rs
+++ b/crates/state_machine/tests/golden_commands.rs
@@ -9,7 +9,7 @@
     run, update,
 };
 use state_machine::{CancelSelector, ClosedRun, Command};
-use types::{ConfigurationVersion, Outcome, RunClose, Urgency, WallTime};
+use types::{ConfigurationVersion, EntryAddress, JobAccess, Outcome, RunClose, Urgency, WallTime};
 
 const RECORDED: &str = include_str!("golden/commands.txt");
 const AT: WallTime = WallTime(1_700_000_000_333);
@@ -53,6 +53,36 @@
         .collect()
 }
 
+/// Returns samples of the commands on jobs that are submitted by entries.
+fn entry_commands() -> Vec<Sample<Command>> {
+    let entry = EntryAddress::new("one.example/hazel/");
+    let access = JobAccess {
+        tenants: vec![name("acorn"), name("aspen")],
+        open_entry: Some(entry.clone()),
+    };
+    let closed = JobAccess {
+        open_entry: None,
+        ..access.clone()
+    };
+    let submit = Command::SubmitByEntry {
+        spec: plain_job(),
+        entry,
+        access,
+        at: AT,
+    };
+    let cancel = Command::CancelAccessible {
+        job: name("birch-5"),
+        access: closed,
+        at: AT,
+    };
+    let samples = ["submit.by-entry", "cancel.accessible"]
+        .into_iter()
+        .zip([submit, cancel]);
+    samples
+        .map(|(name, value)| Sample { name, value })
+        .collect()
+}
+
 /// Returns one run for each reason to close it, alternately with and without a
 /// checkpoint.
 fn closed_runs() -> Vec<ClosedRun> {
@@ -113,7 +143,13 @@
 }
 
 fn samples() -> Vec<Sample<Command>> {
-    let groups = [submits(), cancels(), configurations(), other_commands()];
+    let groups = [
+        submits(),
+        cancels(),
+        entry_commands(),
+        configurations(),
+        other_commands(),
+    ];
     groups.into_iter().flatten().collect()
 }
 
@@ -139,6 +175,8 @@
         SetRunnerDraining,
         Forget,
         UpdateConfiguration,
+        SubmitByEntry,
+        CancelAccessible,
     })
     .assert_covered(commands);
     variants!(CancelSelector { Jobs, Tenant }).assert_covered(&selectors());
--- a/crates/state_machine/tests/snapshot.rs
+++ b/crates/state_machine/tests/snapshot.rs
@@ -28,6 +28,13 @@
     driver.close(run, DONE);
     driver.reserve(task(3, 0, 0)).unwrap();
     driver.cancel(CancelSelector::Jobs(vec![key("a", "cancelled")]));
+    let spec = job("entered", vec![step("s", 1, &[])]);
+    driver.state_machine.apply(&Command::SubmitByEntry {
+        access: JobAccess::default(),
+        entry: EntryAddress::new("one.example/"),
+        spec,
+        at: driver.at,
+    });
     driver.state_machine.apply(&Command::SetRunnerDraining {
         runner: runner("leaving"),
         draining: true,
@@ -51,18 +58,18 @@
 #[test]
 fn snapshot_of_other_version_or_wrong_length_is_rejected() {
     let bytes = populated_driver().state_machine.snapshot().unwrap();
-    let mut newer = bytes.clone();
-    newer[0] += 1;
-    assert!(matches!(
-        StateMachine::restore(&newer),
-        Err(StateMachineError::Version { found: 5, .. })
-    ));
-    let mut older = bytes.clone();
-    older[0] -= 1;
-    assert!(matches!(
-        StateMachine::restore(&older),
-        Err(StateMachineError::Version { found: 3, .. })
-    ));
+    assert_eq!(bytes[0], 5);
+    for other in [3, 6] {
+        let mut changed = bytes.clone();
+        changed[0] = other;
+        assert!(matches!(
+            StateMachine::restore(&changed),
+            Err(StateMachineError::Version { found, .. }) if found == u32::from(other)
+        ));
+    }
+    let mut without_entries = bytes.clone();
+    without_entries[0] = 4;
+    assert!(StateMachine::restore(&without_entries).is_err());
     let mut longer = bytes.clone();
     longer.push(0);
     assert!(StateMachine::restore(&longer).is_err());
--- a/crates/transport/src/message.rs
+++ b/crates/transport/src/message.rs
@@ -2,7 +2,10 @@
 //!
 //! Postcard encodes variants and fields by their position. Adding, removing or
 //! moving one changes the message format and requires a new
-//! [`PROTOCOL_VERSION`](crate::PROTOCOL_VERSION).
+//! [`PROTOCOL_VERSION`](crate::PROTOCOL_VERSION). The exception is an
+//! [`Operation`](crate::Operation) added after all others: every message of an earlier
+//! build stays as it is. A coordinator of an earlier build cannot read the new operation,
+//! so coordinators are replaced before the gateways that send it.
 
 use crate::membership::{Bootstrap, Members};
 use crate::request::{Reply, Request};
--- a/crates/transport/src/request.rs
+++ b/crates/transport/src/request.rs
@@ -5,8 +5,8 @@
 use serde::{Deserialize, Serialize};
 use state_machine::CancelSelector;
 use types::{
-    ConfigurationVersion, JobKey, JobNumber, JobSpec, JobState, Milliseconds, QueueName, RunnerId,
-    TenantId,
+    ConfigurationVersion, EntryAddress, JobAccess, JobId, JobKey, JobNumber, JobSpec, JobState,
+    Milliseconds, QueueName, RunnerId, TenantId,
 };
 
 /// Number of a request, unique within one gateway process.
@@ -113,6 +113,31 @@
         /// text that was sent.
         update: ConfigurationUpdate,
     },
+    /// Submits a job by an entry, where its identifier is unique among all jobs submitted
+    /// by entries.
+    SubmitByEntry {
+        /// Job as the caller sent it.
+        spec: JobSpec,
+        /// Entry by which the caller sent it.
+        entry: EntryAddress,
+        /// Jobs that the caller may see.
+        access: JobAccess,
+    },
+    /// Reads the state of the job with this identifier that the caller may see.
+    GetAccessibleJobState {
+        /// Identifier of the job.
+        job: JobId,
+        /// Jobs that the caller may see.
+        access: JobAccess,
+    },
+    /// Cancels the job with this identifier that the caller may end. The reply counts no
+    /// job if there is none.
+    CancelAccessible {
+        /// Identifier of the job.
+        job: JobId,
+        /// Jobs that the caller may end.
+        access: JobAccess,
+    },
 }
 
 /// Selection of the jobs in a list.
--- a/crates/transport/tests/golden/operations.rs
+++ b/crates/transport/tests/golden/operations.rs
@@ -5,7 +5,9 @@
 use configuration::LeftOutQueues;
 use state_machine::CancelSelector;
 use transport::{JobFilter, Operation, PeerMessage, Request, RequestId};
-use types::{ConfigurationVersion, JobNumber, JobState, Milliseconds, Urgency};
+use types::{
+    ConfigurationVersion, EntryAddress, JobAccess, JobNumber, JobState, Milliseconds, Urgency,
+};
 
 pub fn selectors() -> [CancelSelector; 2] {
     [
@@ -65,6 +67,45 @@
     ]
 }
 
+/// Returns samples of the operations on jobs that are submitted by entries.
+fn entry_operations() -> Vec<Sample<Operation>> {
+    let access = JobAccess {
+        tenants: vec![name("acorn"), name("aspen")],
+        open_entry: Some(EntryAddress::new("one.example/hazel/")),
+    };
+    let closed = JobAccess {
+        open_entry: None,
+        ..access.clone()
+    };
+    let submit = Operation::SubmitByEntry {
+        spec: job(Urgency::Normal),
+        entry: EntryAddress::new("one.example/hazel/"),
+        access: access.clone(),
+    };
+    let get_state = Operation::GetAccessibleJobState {
+        job: name("birch-7"),
+        access,
+    };
+    let cancel = Operation::CancelAccessible {
+        job: name("birch-8"),
+        access: closed,
+    };
+    vec![
+        Sample {
+            name: "request.submit-by-entry",
+            value: submit,
+        },
+        Sample {
+            name: "request.get-accessible-job-state",
+            value: get_state,
+        },
+        Sample {
+            name: "request.cancel-accessible",
+            value: cancel,
+        },
+    ]
+}
+
 fn configuration_operations() -> Vec<Sample<Operation>> {
     let put = Operation::PutConfiguration {
         version: ConfigurationVersion(122),
@@ -155,6 +196,7 @@
 pub fn operations() -> Vec<Sample<Operation>> {
     let groups = [
         job_operations(),
+        entry_operations(),
         configuration_operations(),
         cluster_operations(),
     ];
--- a/crates/transport/tests/golden_messages.rs
+++ b/crates/transport/tests/golden_messages.rs
@@ -127,6 +127,9 @@
         Decisions,
         UpdateConfiguration,
         ConfirmUpdate,
+        SubmitByEntry,
+        GetAccessibleJobState,
+        CancelAccessible,
     })
     .assert_covered(values(&operations::operations()));
     variants!(CancelSelector { Jobs, Tenant }).assert_covered(&operations::selectors());
--- a/crates/types/src/id.rs
+++ b/crates/types/src/id.rs
@@ -84,7 +84,8 @@
     TenantId
 );
 name_type!(
-    /// Identifier of a job, chosen by its caller and unique within its tenant.
+    /// Identifier of a job, chosen by its caller and unique within its tenant; for a job
+    /// that was submitted by an entry, also among all such jobs.
     JobId
 );
 name_type!(
@@ -205,6 +206,36 @@
     }
 }
 
+/// Address by which callers submit and read jobs, such as a host with the prefix of a
+/// path. The text is compared and not interpreted.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(from = "String", into = "String")]
+pub struct EntryAddress(Arc<str>);
+
+impl EntryAddress {
+    /// Creates an address from its text.
+    pub fn new(text: impl AsRef<str>) -> Self {
+        Self(Arc::from(text.as_ref()))
+    }
+
+    /// Returns the address as text.
+    pub fn as_str(&self) -> &str {
+        &self.0
+    }
+}
+
+impl From<String> for EntryAddress {
+    fn from(text: String) -> Self {
+        Self::new(text)
+    }
+}
+
+impl From<EntryAddress> for String {
+    fn from(address: EntryAddress) -> Self {
+        address.0.as_ref().to_owned()
+    }
+}
+
 /// Reference to a task: its job, position of its step in the job, position in the step.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct TaskRef {
--- a/crates/types/src/job.rs
+++ b/crates/types/src/job.rs
@@ -1,8 +1,8 @@
 //! Jobs, steps and tasks as callers submit them, and the states returned to callers.
 
 use crate::{
-    JobId, Labels, LicenceName, Milliseconds, QueueName, RackName, Resources, StepName, TenantId,
-    WallTime,
+    EntryAddress, JobId, Labels, LicenceName, Milliseconds, QueueName, RackName, Resources,
+    StepName, TenantId, WallTime,
 };
 use serde::{Deserialize, Serialize};
 
@@ -93,6 +93,28 @@
     pub licence: Option<LicenceName>,
 }
 
+/// Jobs that a caller may see and end, under the configuration in force when it calls.
+///
+/// Which job an identifier names does not depend on this: the identifier of a job that
+/// was submitted by an entry is unique among all such jobs, whatever their tenants.
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct JobAccess {
+    /// Tenants whose jobs the caller may see and end.
+    pub tenants: Vec<TenantId>,
+    /// Entry that is open to all callers: the caller may also see and end the jobs that
+    /// were submitted by it. `None` for a caller that uses no such entry.
+    pub open_entry: Option<EntryAddress>,
+}
+
+impl JobAccess {
+    /// Returns whether the caller may see and end a job of this tenant that was submitted
+    /// by this entry.
+    pub fn allows(&self, tenant: &TenantId, entry: Option<&EntryAddress>) -> bool {
+        let is_open = self.open_entry.is_some() && self.open_entry.as_ref() == entry;
+        is_open || self.tenants.contains(tenant)
+    }
+}
+
 /// State of a job, derived from its tasks or set by a cancellation.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -16,11 +16,13 @@
 pub use address::{Address, Role};
 pub use error::InvalidName;
 pub use id::{
-    ClusterId, ConfigurationVersion, EndpointName, HeartbeatSequence, JobId, JobKey, JobNumber,
-    KeyId, LicenceName, LogIndex, NodeId, OrderSequence, PoolName, QueueName, RackName, RunId,
-    RunnerId, RunnerIncarnation, StepName, TaskRef, TenantId, Term, ZoneName,
+    ClusterId, ConfigurationVersion, EndpointName, EntryAddress, HeartbeatSequence, JobId, JobKey,
+    JobNumber, KeyId, LicenceName, LogIndex, NodeId, OrderSequence, PoolName, QueueName, RackName,
+    RunId, RunnerId, RunnerIncarnation, StepName, TaskRef, TenantId, Term, ZoneName,
+};
+pub use job::{
+    JobAccess, JobSpec, JobState, JobView, StepRules, StepSpec, StepView, TaskState, Urgency,
 };
-pub use job::{JobSpec, JobState, JobView, StepRules, StepSpec, StepView, TaskState, Urgency};
 pub use resources::{Labels, Resources};
 pub use run::{ActiveRun, EndedRun, Outcome, RunClose, RunName, RunSpec, UnnamedRun};
 pub use runner::{OrderAnswer, OrderKind, RejectionReason, RunnerOrder, RunnerReport};
