Log and count runners that go on probation

A runner that takes no work could be on probation, on trial, reserved or out of room, and nothing but explain for one task told these apart. The leader now logs which runner goes on probation and counts it.

--- a/crates/coordinator/src/leader/orders.rs
+++ b/crates/coordinator/src/leader/orders.rs
@@ -222,8 +222,8 @@
             && let Some(tracked) = self.runs.get(run)
         {
             let open_run = tracked.open_run();
-            self.scheduler
-                .record_outcome(&open_run.runner, open_run.task, true, now);
+            let (runner, task) = (open_run.runner.clone(), open_run.task);
+            self.record_outcome(&runner, task, true, now);
         }
         self.close_run(run, RunClose::Rejected);
     }
--- a/crates/coordinator/src/leader/run_checks.rs
+++ b/crates/coordinator/src/leader/run_checks.rs
@@ -123,7 +123,8 @@
         let open_run = tracked.open_run();
         let (runner, task) = (&open_run.runner, open_run.task);
         tracing::info!(%run, %runner, "run stalled, stopping it");
-        self.scheduler.record_outcome(runner, task, true, now);
+        let runner = runner.clone();
+        self.record_outcome(&runner, task, true, now);
         self.runs.request_stop(run);
         self.send_stop(state_machine, run, now.monotonic);
     }
--- a/crates/coordinator/src/leader/run_closes.rs
+++ b/crates/coordinator/src/leader/run_closes.rs
@@ -3,7 +3,7 @@
 use crate::leader::Leader;
 use state_machine::StateMachine;
 use transport::DecisionEvent;
-use types::{Now, OpenRun, Outcome, RunClose, RunId, TaskMeta};
+use types::{Now, OpenRun, Outcome, RunClose, RunId, RunnerId, TaskMeta, TaskRef};
 
 impl Leader {
     /// Closes a run through the log, unless its close is already proposed.
@@ -30,8 +30,7 @@
         // prefers another runner.
         let is_done = close == RunClose::Ended(Outcome::Done);
         if is_done || close.is_failure() {
-            self.scheduler
-                .record_outcome(&run.runner, run.task, close.is_failure(), now);
+            self.record_outcome(&run.runner, run.task, close.is_failure(), now);
         }
         match retry {
             Some(_) if close == RunClose::Rejected => {
@@ -52,6 +51,20 @@
         self.decisions
             .record(state_machine.job_key(run.task.job), event);
     }
+
+    /// Records the outcome of a run for the health of its runner.
+    pub(super) fn record_outcome(
+        &mut self,
+        runner: &RunnerId,
+        task: TaskRef,
+        failed: bool,
+        now: Now,
+    ) {
+        if self.scheduler.record_outcome(runner, task, failed, now) {
+            tracing::info!(%runner, "runner went on probation");
+            metrics::counter!("cypressdrum_probations_total").increment(1);
+        }
+    }
 }
 
 /// Returns the value of the label `close` of the counter of closed runs.
--- a/crates/scheduler/src/heartbeat.rs
+++ b/crates/scheduler/src/heartbeat.rs
@@ -71,20 +71,20 @@
     }
 
     /// Records the outcome of a run for its runner's health and, if it failed,
-    /// for the placement of its task.
+    /// for the placement of its task. Returns whether the runner goes on probation.
     pub(crate) fn record_outcome(
         &mut self,
         runner: &RunnerId,
         task: TaskRef,
         failed: bool,
         now: Monotonic,
-    ) {
+    ) -> bool {
         let Some(index) = self.runners.find(runner) else {
-            return;
+            return false;
         };
         if !failed {
             self.runners[index].health.record_done(now);
-            return;
+            return false;
         }
         if self.runs.has_task(task) || self.tasks.contains(task) {
             self.failed_on.entry(task).or_default().insert(index);
@@ -96,13 +96,14 @@
         };
         let health = &mut self.runners[index].health;
         let reached_threshold = health.record_failed(task.job, threshold, now);
-        if self.options.policy.probation
+        let starts_probation = self.options.policy.probation
             && reached_threshold
-            && self.may_go_on_probation(index, now)
-        {
+            && self.may_go_on_probation(index, now);
+        if starts_probation {
             let duration = self.options.probation;
             self.runners[index].health.start_probation(now, duration);
         }
+        starts_probation
     }
 
     /// Returns whether one more runner of the pool may go on probation. If runs
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -103,10 +103,17 @@
         self.view.runners[index].drained_by_operator = draining;
     }
 
-    /// Records the outcome of a run for the health of its runner.
-    pub fn record_outcome(&mut self, runner: &RunnerId, task: TaskRef, failed: bool, now: Now) {
+    /// Records the outcome of a run for the health of its runner. Returns whether the
+    /// runner goes on probation because of it.
+    pub fn record_outcome(
+        &mut self,
+        runner: &RunnerId,
+        task: TaskRef,
+        failed: bool,
+        now: Now,
+    ) -> bool {
         self.view
-            .record_outcome(runner, task, failed, now.monotonic);
+            .record_outcome(runner, task, failed, now.monotonic)
     }
 
     /// Returns why a ready task is not running; `None` when the view does not
