End a runner's trial by time, and count only the runs of the trial

Cause: on trial a runner took a run only if it had none, and the trial ended by a run that ended done. A lasting run from before the probation kept the runner from being empty, and a lasting run on trial never ends done. Ruled out in a test of the scheduler alone, which has neither seats, shares, an urgent share nor reservations.

Change: only runs opened in the trial count, each keeps others away for 2 s at most, and one that a heartbeat lists as active after that ends the trial as a success does. A job must start within 3 s.

--- a/crates/scheduler/src/availability.rs
+++ b/crates/scheduler/src/availability.rs
@@ -35,8 +35,7 @@
         if at.since(last.received_at) > self.options.unresponsive_after {
             return Some(PullRejection::Unresponsive);
         }
-        let has_trial_run = state.health.on_trial(at) && state.has_run_of_current_incarnation();
-        if state.health.on_probation(at) || has_trial_run {
+        if state.health.on_probation(at) || state.awaits_trial_run(at) {
             return Some(PullRejection::OnProbation);
         }
         None
--- a/crates/scheduler/src/health.rs
+++ b/crates/scheduler/src/health.rs
@@ -11,8 +11,8 @@
 pub(crate) struct Health {
     /// Different jobs with a failed run since the last success, oldest first.
     failed_jobs: VecDeque<JobNumber>,
-    /// End of the probation, after which the runner is on trial until its first
-    /// success; `None` when it is neither on probation nor on trial.
+    /// End of the probation, after which the runner is on trial until a run succeeds
+    /// or outlives the trial; `None` when it is neither on probation nor on trial.
     probation_until: Option<Monotonic>,
     /// Outcomes of the most recent runs, oldest first.
     recent: VecDeque<RecentOutcome>,
@@ -38,6 +38,12 @@
     /// Records a successful run, which ends the trial after a probation.
     pub(crate) fn record_done(&mut self, now: Monotonic) {
         self.record_outcome(now, None);
+        self.end_trial();
+    }
+
+    /// Ends the trial after a probation: the runner works, so its earlier failures no
+    /// longer count.
+    pub(crate) fn end_trial(&mut self) {
         self.failed_jobs.clear();
         self.probation_until = None;
     }
@@ -90,9 +96,10 @@
         self.probation_until.is_some_and(|until| now < until)
     }
 
-    /// Returns whether probation is over but no run has succeeded since. Such a
-    /// runner may have one run at a time.
-    pub(crate) fn on_trial(&self, now: Monotonic) -> bool {
-        self.probation_until.is_some_and(|until| now >= until)
+    /// Returns when the trial began: at the end of the probation, unless a run has
+    /// succeeded since. A runner on trial starts one run at a time. `None` when it is
+    /// not on trial.
+    pub(crate) fn trial_began_at(&self, now: Monotonic) -> Option<Monotonic> {
+        self.probation_until.filter(|until| now >= *until)
     }
 }
--- a/crates/scheduler/src/open_runs.rs
+++ b/crates/scheduler/src/open_runs.rs
@@ -34,7 +34,7 @@
         let (tenant, task) = (run.tenant, run.task);
         self.tenants[tenant].add_run(&run.resources, run.pool);
         self.lists[run.list].demand.add_run(&run.resources, now);
-        self.runners[run.runner].bind(id, run.incarnation, run.resources);
+        self.runners[run.runner].bind(id, run.incarnation, run.resources, now);
         if let Some(licence) = &run.licence {
             self.licences.acquire_seat(licence);
         }
--- a/crates/scheduler/src/runner.rs
+++ b/crates/scheduler/src/runner.rs
@@ -15,6 +15,11 @@
 /// restarts.
 const CAPACITY_TIMEOUT: Milliseconds = Milliseconds(30_000);
 
+/// Longest time for which a run on trial keeps others from its runner. A job that only
+/// this runner can run must start within 3 s, so a trial may not wait for the end of a
+/// run that takes long or lasts.
+const TRIAL_TIME: Milliseconds = Milliseconds(2_000);
+
 /// Content of a runner's last heartbeat.
 #[derive(Debug, Clone)]
 pub(crate) struct Reported {
@@ -37,6 +42,7 @@
 struct BoundRun {
     resources: Resources,
     incarnation: RunnerIncarnation,
+    opened_at: Monotonic,
     /// Whether the runner's last heartbeat lists the run as active or ended.
     listed: bool,
 }
@@ -73,6 +79,9 @@
             self_stop: report.self_stop,
             received_at: now,
         });
+        if self.has_passed_trial(report, now) {
+            self.health.end_trial();
+        }
         let active = report.active.iter().map(|run| run.run);
         let listed: BTreeSet<RunId> = active
             .chain(report.ended.iter().map(|ended| ended.run))
@@ -91,10 +100,17 @@
     }
 
     /// Adds an open run.
-    pub(crate) fn bind(&mut self, run: RunId, incarnation: RunnerIncarnation, usage: Resources) {
+    pub(crate) fn bind(
+        &mut self,
+        run: RunId,
+        incarnation: RunnerIncarnation,
+        usage: Resources,
+        now: Monotonic,
+    ) {
         let bound = BoundRun {
             resources: usage,
             incarnation,
+            opened_at: now,
             listed: false,
         };
         if self.uses_resources(&bound) {
@@ -143,9 +159,30 @@
         self.bound.len()
     }
 
-    /// Returns whether an open run belongs to the current incarnation.
-    pub(crate) fn has_run_of_current_incarnation(&self) -> bool {
-        self.bound.values().any(|bound| self.uses_resources(bound))
+    /// Returns whether the runner is on trial and a run of its trial may still show
+    /// whether it works. A run from before the trial says nothing about that, and one
+    /// that has been open for [`TRIAL_TIME`] keeps no other run away.
+    pub(crate) fn awaits_trial_run(&self, now: Monotonic) -> bool {
+        self.trial_runs(now)
+            .any(|(_, bound)| now.since(bound.opened_at) < TRIAL_TIME)
+    }
+
+    /// Returns whether a heartbeat shows that a run has been active for [`TRIAL_TIME`] of
+    /// a trial. Such a run stands in for a success, which a run that lasts never has.
+    fn has_passed_trial(&self, report: &RunnerReport, now: Monotonic) -> bool {
+        let is_active = |run: &RunId| report.active.iter().any(|active| active.run == *run);
+        self.trial_runs(now)
+            .filter(|(_, bound)| now.since(bound.opened_at) >= TRIAL_TIME)
+            .any(|(run, _)| is_active(run))
+    }
+
+    /// Returns the open runs of the current incarnation that were opened in the trial.
+    fn trial_runs(&self, now: Monotonic) -> impl Iterator<Item = (&RunId, &BoundRun)> {
+        let began_at = self.health.trial_began_at(now);
+        self.bound.iter().filter(move |(_, bound)| {
+            let is_of_trial = began_at.is_some_and(|began_at| bound.opened_at >= began_at);
+            is_of_trial && self.uses_resources(bound)
+        })
     }
 
     /// Returns the resources available to new runs: the reported free resources
