Count no late failure of a lasting run against its runner

Cause: failures of different jobs count until a success, and a runner with only lasting runs has none. PROTOCOL.md says of lasting tasks that they may fail at any time.

Test: late_failures_of_lasting_runs_do_not_count_against_their_runner in scheduler/tests/probation, red before.

--- a/crates/scheduler/src/heartbeat.rs
+++ b/crates/scheduler/src/heartbeat.rs
@@ -89,6 +89,9 @@
         if self.runs.has_task(task) || self.tasks.contains(task) {
             self.failed_on.entry(task).or_default().insert(index);
         }
+        if self.is_late_failure_of_lasting_run(index, task, now) {
+            return false;
+        }
         let threshold = if self.options.policy.probation {
             self.options.probation_failures
         } else {
@@ -106,6 +109,21 @@
         starts_probation
     }
 
+    /// Returns whether the task lasts until its job is cancelled, and its run on the runner
+    /// has been active for long. Such a run may fail at any time, which says nothing about
+    /// its runner.
+    fn is_late_failure_of_lasting_run(
+        &self,
+        runner: RunnerIndex,
+        task: TaskRef,
+        now: Monotonic,
+    ) -> bool {
+        let entry = self.tasks.get(task);
+        let is_lasting = entry.is_some_and(|entry| entry.rules.endless);
+        let mut runs = self.runs.of_task_on_runner(task, runner);
+        is_lasting && runs.any(|run| self.runners[runner].has_outlasted_trial(run, now))
+    }
+
     /// Returns whether one more runner of the pool may go on probation. If runs
     /// fail on many runners, the runners are not the cause and must remain
     /// available.
--- a/crates/scheduler/src/run.rs
+++ b/crates/scheduler/src/run.rs
@@ -96,9 +96,20 @@
 
     /// Returns whether the task has an open run on the runner.
     pub(crate) fn has_task_on_runner(&self, task: TaskRef, runner: RunnerIndex) -> bool {
-        let runs = self.by_task.get(&task).into_iter().flatten();
-        runs.filter_map(|run| self.runs.get(run))
-            .any(|run| run.runner == runner)
+        self.of_task_on_runner(task, runner).next().is_some()
+    }
+
+    /// Returns the open runs of the task on the runner.
+    pub(crate) fn of_task_on_runner(
+        &self,
+        task: TaskRef,
+        runner: RunnerIndex,
+    ) -> impl Iterator<Item = RunId> + '_ {
+        let runs = self.by_task.get(&task).into_iter().flatten().copied();
+        runs.filter(move |run| {
+            let run = self.runs.get(run);
+            run.is_some_and(|run| run.runner == runner)
+        })
     }
 
     /// Returns the number of open runs of one step on a runner.
--- a/crates/scheduler/src/runner.rs
+++ b/crates/scheduler/src/runner.rs
@@ -176,6 +176,12 @@
             .any(|(run, _)| is_active(run))
     }
 
+    /// Returns whether an open run has lasted for [`TRIAL_TIME`] or longer.
+    pub(crate) fn has_outlasted_trial(&self, run: RunId, now: Monotonic) -> bool {
+        let bound = self.bound.get(&run);
+        bound.is_some_and(|bound| now.since(bound.opened_at) >= TRIAL_TIME)
+    }
+
     /// Returns the open runs of the current incarnation that were opened in the trial.
     fn trial_runs(&self, now: Monotonic) -> impl Iterator<Item = (&RunId, &BoundRun)> {
         let began_at = self.health.trial_began_at(now);
--- a/crates/scheduler/tests/probation.rs
+++ b/crates/scheduler/tests/probation.rs
@@ -141,3 +141,34 @@
     fail_jobs(&mut scheduler, 20..21, end);
     assert!(scheduler.runners(at(end))[0].on_probation);
 }
+
+/// Guards against lasting tasks that put their runner on probation: they may fail at any
+/// time, and a runner with only such tasks has no success that clears their failures.
+#[test]
+fn late_failures_of_lasting_runs_do_not_count_against_their_runner() {
+    let mut scheduler = scheduler(&document(&[("a", 100)]));
+    for name in ["r1", "r2", "r3"] {
+        scheduler.heartbeat(&report(name, 1, 16, 16), at(0));
+    }
+    for job in 1..=FAILURES {
+        scheduler.publish(lasting(job), at(0));
+        placed(scheduler.reserve(&runner("r1"), at(0))).unwrap();
+    }
+    fail_jobs(&mut scheduler, 1..FAILURES + 1, TRIAL_MS);
+    assert!(!scheduler.runners(at(TRIAL_MS))[0].on_probation);
+}
+
+/// A runner that fails all it starts fails lasting tasks as well.
+#[test]
+fn early_failures_of_lasting_runs_count_against_their_runner() {
+    let mut scheduler = scheduler(&document(&[("a", 100)]));
+    for name in ["r1", "r2", "r3"] {
+        scheduler.heartbeat(&report(name, 1, 16, 16), at(0));
+    }
+    for job in 1..=FAILURES {
+        scheduler.publish(lasting(job), at(0));
+        placed(scheduler.reserve(&runner("r1"), at(0))).unwrap();
+    }
+    fail_jobs(&mut scheduler, 1..FAILURES + 1, TRIAL_MS - 1);
+    assert!(scheduler.runners(at(TRIAL_MS))[0].on_probation);
+}
