Reserve runners only for what can be foreseen to fit, and bound what a reservation blocks

Nothing else started, with 47 of 48 accelerators idle.

Cause: runners were reserved for a gang that they would hold if they were empty, without asking whether they can become empty; and when a reservation had ended, the next gang reserved them before any other task could take one. Ruled out in a test of the scheduler alone: limits, seats, shares and the urgent reserve.

Change: runs that may go on for longer than a reservation lasts leave their resources to no reservation (EASY backfilling: no estimate, no reservation). While less than half of a pool has been in use for 2.5 s, no reservation there holds back a task that has waited for 2.5 s. A new leader learns from the record which adopted runs last. Seats are set aside by the same estimate. Runners are grouped by kind in one place now in place of two.

--- a/crates/coordinator/src/leader.rs
+++ b/crates/coordinator/src/leader.rs
@@ -372,7 +372,8 @@
     let mut runs = RunTracker::default();
     for open_run in state_machine.open_runs() {
         let run = open_run.run;
-        scheduler.adopt_run(open_run.clone());
+        let is_lasting = state_machine.is_endless(open_run.task);
+        scheduler.adopt_run(open_run.clone(), is_lasting);
         runs.adopt(open_run, now);
         if state_machine.is_obsolete(run) {
             runs.request_stop(run);
--- a/crates/scheduler/src/availability.rs
+++ b/crates/scheduler/src/availability.rs
@@ -1,7 +1,7 @@
 //! Checks whether a runner may pull, and builds its pull.
 
 use crate::index::RunnerIndex;
-use crate::pull::Pull;
+use crate::pull::{Pull, PullScope};
 use crate::view::View;
 use std::sync::Arc;
 use types::Now;
@@ -56,6 +56,7 @@
             labels: Arc::clone(&last.labels),
             rack: last.rack.clone(),
             endpoint: last.endpoint.clone(),
+            scope: PullScope::All,
         })
     }
 }
--- a/crates/scheduler/src/backfill_placement.rs
+++ b/crates/scheduler/src/backfill_placement.rs
@@ -7,10 +7,11 @@
 use crate::needs_tree::HeadSummary;
 use crate::pending::HeadQuery;
 use crate::runner::Runner;
+use crate::runner_kind::RunnerKind;
 use crate::task::TaskStatus;
 use crate::view::View;
 use indexmap::IndexSet;
-use types::{Labels, LicenceName, Now, Resources, TaskRef};
+use types::{LicenceName, Milliseconds, Monotonic, Now, Resources, TaskRef};
 
 /// At most one in this many runners of a pool is reserved, but always at least
 /// one may be.
@@ -37,13 +38,6 @@
     runner: RunnerIndex,
 }
 
-/// What decides whether an empty runner could take a task.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
-struct RunnerKind<'a> {
-    labels: &'a Labels,
-    capacity: &'a Resources,
-}
-
 impl View {
     /// Returns the task that the runner is reserved for; `None` when it is not
     /// reserved. Releases a reservation that is no longer valid.
@@ -65,17 +59,35 @@
             return false;
         };
         let queue = &self.queues[self.lists[entry.list].queue];
-        let reserve_after = self.options.reserve_after.0;
-        let max_length = reserve_after.saturating_mul(MAX_BACKFILL_FACTOR);
         let state = &self.runners[runner];
         entry.status.is_waiting()
             && queue.starts_tasks()
-            && now.monotonic.since(backfill.reserved_at).0 <= max_length
+            && now.monotonic.since(backfill.reserved_at) <= self.max_backfill_duration()
             && self.list_allows(entry.list, &needs.resources, now)
             && self.pull_rejection(runner, now).is_none()
             && state.pool().is_some()
             && state.pool() == queue.pool
             && state.could_run(needs)
+            && needs
+                .resources
+                .fits_in(&self.foreseeable(runner, now.monotonic))
+    }
+
+    /// Returns the resources of a runner that can be expected to be free before a
+    /// reservation of it ends.
+    ///
+    /// As in EASY backfilling (Lifka, "The ANL/IBM SP Scheduling System", 1995), a
+    /// reservation needs an estimate of when its capacity becomes free. Runs without a
+    /// foreseeable end leave their resources to no reservation, which would hold
+    /// back others for as long as they last.
+    pub(crate) fn foreseeable(&self, runner: RunnerIndex, now: Monotonic) -> Resources {
+        self.runners[runner].foreseeable(self.max_backfill_duration(), now)
+    }
+
+    /// Returns the maximum duration of a reservation.
+    fn max_backfill_duration(&self) -> Milliseconds {
+        let reserve_after = self.options.reserve_after.0;
+        Milliseconds(reserve_after.saturating_mul(MAX_BACKFILL_FACTOR))
     }
 
     /// Releases the reservations of a pool that are no longer valid.
@@ -156,11 +168,11 @@
         let reserved = self.first_reserved_task(index, pool);
         let mut best = reserved.map(|order| Match { order, value: None });
         for kind in self.reservable_kinds(pool, now) {
-            let largest = allowance.component_min(kind.capacity);
+            let largest = allowance.component_min(&kind.foreseeable);
             // A seat may become free at any time, so that a task without one
             // starves as well.
             let query = HeadQuery {
-                labels: kind.labels,
+                labels: &kind.labels,
                 has_seats: |_: Option<&LicenceName>| true,
                 may_match: |heads: &HeadSummary| {
                     heads.bounds.min.fits_in(&largest)
@@ -195,18 +207,13 @@
 
     /// Returns the different kinds of the pool's runners that may pull and are
     /// not reserved.
-    fn reservable_kinds(&self, pool: PoolIndex, now: Now) -> IndexSet<RunnerKind<'_>> {
+    fn reservable_kinds(&self, pool: PoolIndex, now: Now) -> IndexSet<RunnerKind> {
         self.count_scans(self.pools[pool].runner_count());
-        self.pools[pool]
+        let reservable = self.pools[pool]
             .runners()
             .filter(|runner| self.backfills.get(*runner).is_none())
-            .filter(|runner| self.pull_rejection(*runner, now).is_none())
-            .filter_map(|runner| self.runners[runner].reported.as_ref())
-            .map(|reported| RunnerKind {
-                labels: &reported.labels,
-                capacity: &reported.capacity,
-            })
-            .collect()
+            .filter(|runner| self.pull_rejection(*runner, now).is_none());
+        self.runner_kinds(reservable, now.monotonic)
     }
 
     /// Returns the unreserved runner that lacks the fewest resources for the
@@ -218,6 +225,11 @@
             .runners()
             .filter(|runner| self.backfills.get(*runner).is_none())
             .filter(|runner| self.runners[*runner].could_run(needs))
+            .filter(|runner| {
+                needs
+                    .resources
+                    .fits_in(&self.foreseeable(*runner, now.monotonic))
+            })
             .filter(|runner| self.pull_rejection(*runner, now).is_none())
             .filter(|runner| self.is_below_step_limit(needs, *runner))
             .min_by_key(|runner| missing_per_thousand(&needs.resources, &self.runners[*runner]))
--- a/crates/scheduler/src/gang.rs
+++ b/crates/scheduler/src/gang.rs
@@ -3,7 +3,7 @@
 use crate::index::ListIndex;
 use crate::step::StepRef;
 use std::collections::{BTreeMap, BTreeSet};
-use types::TaskRef;
+use types::{Monotonic, TaskRef};
 
 /// Startable tasks of one gang.
 #[derive(Debug, Clone)]
@@ -11,6 +11,9 @@
     pub(crate) list: ListIndex,
     /// Number of tasks of the step, startable or not.
     pub(crate) size: u32,
+    /// Time before which no runners are searched to reserve, since the last search found
+    /// too few.
+    pub(crate) next_search: Monotonic,
     /// Positions, within the step, of the tasks that may start.
     tasks: BTreeSet<u32>,
 }
@@ -49,11 +52,19 @@
         let gang = self.gangs.entry(StepRef::of(task)).or_insert_with(|| Gang {
             list,
             size,
+            next_search: Monotonic::default(),
             tasks: BTreeSet::new(),
         });
         gang.tasks.insert(task.task);
     }
 
+    /// Sets the time before which no runners are searched to reserve for the gang.
+    pub(crate) fn set_next_search(&mut self, step: StepRef, at: Monotonic) {
+        if let Some(gang) = self.gangs.get_mut(&step) {
+            gang.next_search = at;
+        }
+    }
+
     /// Removes a task that may no longer start.
     pub(crate) fn remove_task(&mut self, task: TaskRef) {
         let step = StepRef::of(task);
--- a/crates/scheduler/src/gang_placement.rs
+++ b/crates/scheduler/src/gang_placement.rs
@@ -15,7 +15,7 @@
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::sync::Arc;
-use types::{Milliseconds, Now, RackName, TaskRef};
+use types::{Milliseconds, Monotonic, Now, RackName, TaskRef};
 
 /// Runner that may take tasks of a gang.
 #[derive(Debug, Clone)]
@@ -25,7 +25,10 @@
     /// Number of the gang's tasks that fit now.
     fits: usize,
     /// Number of the gang's tasks that would fit on the empty runner.
-    pub(crate) fits_empty: usize,
+    fits_empty: usize,
+    /// Number of the gang's tasks that can be expected to fit within the time of a
+    /// reservation.
+    pub(crate) fits_foreseeable: usize,
 }
 
 /// Complete gang that its queue, resource limit and licence allow to start.
@@ -37,8 +40,12 @@
     pool: PoolIndex,
     needs: Arc<Shape>,
     same_rack: bool,
-    /// Time since the gang's first task started to wait.
+    /// Time at which the gang's first task started to wait.
+    waiting_since: Monotonic,
+    /// Time since then.
     waited: Milliseconds,
+    /// Time before which no runners are searched to reserve.
+    next_search: Monotonic,
 }
 
 impl AllowedGang {
@@ -94,8 +101,7 @@
         };
         let candidates = self.gang_candidates(&gang, now);
         let Some(runners) = self.choose_gang_runners(&gang, &candidates) else {
-            let policy = &self.options.policy;
-            if gang.waited >= self.options.reserve_after && policy.backfill_reservations {
+            if self.may_search_for_gang(&gang, now) {
                 self.reserve_for_gang(&gang, &candidates, now);
             }
             return Vec::new();
@@ -108,6 +114,13 @@
             .collect()
     }
 
+    /// Returns whether runners may be searched to reserve for the gang.
+    fn may_search_for_gang(&self, gang: &AllowedGang, now: Now) -> bool {
+        self.options.policy.backfill_reservations
+            && gang.waited >= self.options.reserve_after
+            && now.monotonic >= gang.next_search
+    }
+
     /// Returns the gang if its queue, resource limit and licence let it start.
     fn allowed_gang(&self, step: StepRef, gang: &Gang, now: Now) -> Option<AllowedGang> {
         let queue = self.lists[gang.list].queue;
@@ -123,7 +136,9 @@
             pool,
             needs: Arc::clone(needs),
             same_rack: first.rules.same_rack,
+            waiting_since: first.waiting_since,
             waited: now.monotonic.since(first.waiting_since),
+            next_search: gang.next_search,
         })
     }
 
@@ -145,12 +160,14 @@
     fn gang_candidates(&mut self, gang: &AllowedGang, now: Now) -> Vec<Candidate> {
         self.count_scans(self.pools[gang.pool].runner_count());
         let runners: Vec<RunnerIndex> = self.pools[gang.pool].runners().collect();
+        let goes_first =
+            self.is_overdue(gang.waiting_since, now) && self.is_underused(gang.pool, now);
         let mut candidates = Vec::new();
         for runner in runners {
             let reserved = self.reserved_task(runner, now);
             let reserved_for_other = reserved.is_some_and(|task| StepRef::of(task) != gang.step);
-            if !reserved_for_other && self.pull_rejection(runner, now).is_none() {
-                candidates.extend(self.gang_candidate(runner, &gang.needs));
+            if (!reserved_for_other || goes_first) && self.pull_rejection(runner, now).is_none() {
+                candidates.extend(self.gang_candidate(runner, &gang.needs, now.monotonic));
             }
         }
         candidates
@@ -158,7 +175,12 @@
 
     /// Returns the runner as a candidate for a gang's tasks; `None` when it lacks
     /// a label.
-    pub(crate) fn gang_candidate(&self, runner: RunnerIndex, needs: &Shape) -> Option<Candidate> {
+    pub(crate) fn gang_candidate(
+        &self,
+        runner: RunnerIndex,
+        needs: &Shape,
+        now: Monotonic,
+    ) -> Option<Candidate> {
         let state = &self.runners[runner];
         let last = state.reported.as_ref()?;
         let max_tasks = needs
@@ -169,11 +191,15 @@
             rack: last.rack.clone(),
             fits: needs.resources.count_in(&state.free()).min(max_tasks),
             fits_empty: needs.resources.count_in(&last.capacity).min(max_tasks),
+            fits_foreseeable: needs
+                .resources
+                .count_in(&self.foreseeable(runner, now))
+                .min(max_tasks),
         })
     }
 
     /// Reserves runners that together can take the gang, in order of how many
-    /// of its tasks fit now.
+    /// of its tasks fit now. Releases them if they cannot be expected to become free.
     fn reserve_for_gang(&mut self, gang: &AllowedGang, candidates: &[Candidate], now: Now) {
         let is_other_gang_reserved = self
             .backfills
@@ -183,8 +209,16 @@
         if is_other_gang_reserved || max_tasks_when_empty < gang.len() {
             return;
         }
-        let mut order: Vec<&Candidate> = candidates.iter().filter(|c| c.fits_empty > 0).collect();
-        order.sort_by_key(|candidate| Reverse((candidate.fits, candidate.fits_empty)));
+        let max_tasks: usize = candidates.iter().map(|c| c.fits_foreseeable).sum();
+        if max_tasks < gang.len() {
+            self.backfills.release_step(gang.step, gang.pool);
+            let next_search = now.monotonic + self.options.reserve_after;
+            self.gangs.set_next_search(gang.step, next_search);
+            return;
+        }
+        let fitting = candidates.iter().filter(|c| c.fits_foreseeable > 0);
+        let mut order: Vec<&Candidate> = fitting.collect();
+        order.sort_by_key(|candidate| Reverse((candidate.fits, candidate.fits_foreseeable)));
         let backfill = Backfill {
             task: gang.first_task(),
             reserved_at: now.monotonic,
@@ -194,7 +228,7 @@
             if reserved >= gang.len() {
                 return;
             }
-            reserved += candidate.fits_empty;
+            reserved += candidate.fits_foreseeable;
             self.backfills
                 .reserve(candidate.runner, gang.pool, backfill);
         }
--- a/crates/scheduler/src/gang_room.rs
+++ b/crates/scheduler/src/gang_room.rs
@@ -109,6 +109,7 @@
         room.now >= size
             || (room.when_empty >= size
                 && self.has_waited_long(first.waiting_since, now)
+                && now.monotonic >= gang.next_search
                 && self.may_reserve_for_gang(step, gang.list))
     }
 
--- a/crates/scheduler/src/heartbeat.rs
+++ b/crates/scheduler/src/heartbeat.rs
@@ -15,6 +15,25 @@
 /// unresponsive.
 const REMOVE_AFTER: Milliseconds = Milliseconds(600_000);
 
+/// Resources of a pool's runners that are not draining.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct PoolUsage {
+    capacity: Resources,
+    used: Resources,
+}
+
+impl PoolUsage {
+    /// Returns whether less than half of each kind of resource is in use.
+    pub(crate) fn is_under_half(&self) -> bool {
+        let (used, all) = (&self.used, &self.capacity);
+        let is_under = |used: u32, all: u32| all == 0 || used < all.div_ceil(2);
+        is_under(used.slots, all.slots)
+            && is_under(used.cpu_milli, all.cpu_milli)
+            && is_under(used.memory_mib, all.memory_mib)
+            && is_under(used.gpus, all.gpus)
+    }
+}
+
 impl View {
     /// Applies a runner's heartbeat unless a newer one was applied.
     pub(crate) fn apply_heartbeat(&mut self, report: &RunnerReport, now: Now) {
@@ -42,12 +61,24 @@
         self.update_capacity(pool, now.monotonic);
     }
 
-    /// Recomputes the capacity of a pool, which tenants' shares refer to.
+    /// Recomputes the capacity of a pool, which tenants' shares refer to, and how much of
+    /// it is in use.
     fn update_capacity(&mut self, pool: PoolIndex, now: Monotonic) {
-        let runners = self.pools[pool].runners();
-        let present = runners.filter_map(|runner| self.runners[runner].present(now));
-        let capacity = present.fold(Resources::ZERO, |sum, last| sum.plus(&last.capacity));
+        let mut capacity = Resources::ZERO;
+        let mut usage = PoolUsage::default();
+        for runner in self.pools[pool].runners() {
+            let state = &self.runners[runner];
+            let Some(last) = state.present(now) else {
+                continue;
+            };
+            capacity = capacity.plus(&last.capacity);
+            if !state.is_draining() {
+                usage.capacity = usage.capacity.plus(&last.capacity);
+                usage.used = usage.used.plus(&last.capacity.minus(&state.free()));
+            }
+        }
         self.pools[pool].capacity = capacity;
+        self.record_usage(pool, &usage, now);
     }
 
     /// Removes runners without open runs whose last heartbeat is at least
--- a/crates/scheduler/src/open_runs.rs
+++ b/crates/scheduler/src/open_runs.rs
@@ -1,13 +1,14 @@
 //! Opens and closes runs, and updates the tables that count them.
 
 use crate::run::Run;
+use crate::run_duration::RunDuration;
 use crate::task::TaskStatus;
 use crate::view::View;
 use types::{OpenRun, RunId, TaskRef};
 
 impl View {
     /// Adds a run that is open in the replicated state. Idempotent.
-    pub(crate) fn adopt_run(&mut self, open: OpenRun) {
+    pub(crate) fn adopt_run(&mut self, open: OpenRun, is_lasting: bool) {
         if self.runs.contains(open.run) {
             return;
         }
@@ -22,6 +23,7 @@
             runner: self.runners.get_or_insert(&open.runner),
             incarnation: open.incarnation,
             resources: open.resources,
+            duration: RunDuration::of_open_run(&open, is_lasting),
             licence: open.licence,
         };
         self.open_run(open.run, run);
@@ -34,7 +36,7 @@
         let (tenant, task) = (run.tenant, run.task);
         self.tenants[tenant].add_run(&run.resources, run.pool);
         self.lists[run.list].demand.add_run(&run.resources, now);
-        self.runners[run.runner].bind(id, run.incarnation, run.resources, now);
+        self.runners[run.runner].bind(id, &run, now);
         if let Some(licence) = &run.licence {
             self.licences.acquire_seat(licence);
         }
--- a/crates/scheduler/src/pool.rs
+++ b/crates/scheduler/src/pool.rs
@@ -2,7 +2,7 @@
 
 use crate::index::{QueueIndex, RunnerIndex};
 use std::collections::{BTreeMap, BTreeSet};
-use types::{RackName, Resources};
+use types::{Monotonic, RackName, Resources};
 
 /// Pool of runners and the queues that they serve.
 #[derive(Debug, Clone, Default)]
@@ -12,6 +12,8 @@
     /// Total capacity of the pool's present runners; tenants' shares are
     /// percentages of it.
     pub(crate) capacity: Resources,
+    /// Time since which less than half of the pool has been in use; `None` while more is.
+    pub(crate) underused_since: Option<Monotonic>,
     runners: BTreeSet<RunnerIndex>,
     racks: BTreeMap<RackName, BTreeSet<RunnerIndex>>,
 }
--- a/crates/scheduler/src/pull.rs
+++ b/crates/scheduler/src/pull.rs
@@ -19,6 +19,16 @@
     pub(crate) labels: Arc<Labels>,
     pub(crate) rack: RackName,
     pub(crate) endpoint: Option<EndpointName>,
+    pub(crate) scope: PullScope,
+}
+
+/// Which waiting tasks a pull may take.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum PullScope {
+    /// Any task.
+    All,
+    /// Only overdue tasks, which a reservation of the runner does not hold back.
+    Overdue,
 }
 
 /// Whether a pull also searches for tasks that starve.
--- a/crates/scheduler/src/reserve.rs
+++ b/crates/scheduler/src/reserve.rs
@@ -3,8 +3,9 @@
 use crate::backfill_placement::BackfillAttempt;
 use crate::decision::{Decision, DecisionKind};
 use crate::index::{ListIndex, RunnerIndex};
-use crate::pull::{Pull, RunKind, StarvationSearch};
+use crate::pull::{Pull, PullScope, RunKind, StarvationSearch};
 use crate::run::Run;
+use crate::run_duration::RunDuration;
 use crate::task::TaskStatus;
 use crate::view::View;
 use configuration::QueueMode;
@@ -63,8 +64,9 @@
             return None;
         }
         let chosen = match self.reserved_task(runner, now) {
-            Some(task) if self.gangs.contains(task) => return None,
-            Some(task) => self.choose_reserved(task, &pull)?,
+            Some(task) => self
+                .choose_reserved(task, &pull)
+                .or_else(|| self.choose_overdue(&pull, now))?,
             None => self
                 .choose(RunKind::Only, &pull, search, now)
                 .or_else(|| self.choose_copy(&pull, search, now))?,
@@ -72,7 +74,12 @@
         self.bind_chosen(chosen, &pull, now)
     }
 
+    /// Chooses the task for which the runner is reserved, if it may start now. A gang is
+    /// placed as a whole and not by a pull.
     fn choose_reserved(&self, task: TaskRef, pull: &Pull) -> Option<ChosenTask> {
+        if self.gangs.contains(task) {
+            return None;
+        }
         let entry = self.tasks.get(task)?;
         let needs = self.shapes.get(entry.shape)?;
         let may_start = self.has_seats(needs.licence.as_ref(), self.lists[entry.list].queue, 1)
@@ -84,6 +91,19 @@
         })
     }
 
+    /// Chooses an overdue task for a runner that is reserved for another one, if the pool
+    /// is underused.
+    fn choose_overdue(&mut self, pull: &Pull, now: Now) -> Option<ChosenTask> {
+        if !self.is_underused(pull.pool, now) {
+            return None;
+        }
+        let pull = Pull {
+            scope: PullScope::Overdue,
+            ..pull.clone()
+        };
+        self.choose(RunKind::Only, &pull, StarvationSearch::Disabled, now)
+    }
+
     /// Chooses among the queues of the most urgent priority that has a task.
     fn choose(
         &mut self,
@@ -134,7 +154,8 @@
             self.next_backfill_search = now.monotonic + BACKFILL_SEARCH_INTERVAL;
         }
         let task = result.below_share.or(result.above_share)?;
-        self.is_free_for(task, pull.runner).then_some(ChosenTask {
+        let may_start = pull.scope == PullScope::Overdue || self.is_free_for(task, pull.runner);
+        may_start.then_some(ChosenTask {
             task,
             runnable_tenants,
         })
@@ -231,6 +252,7 @@
             incarnation: pull.incarnation,
             resources: needs.resources,
             licence: needs.licence.clone(),
+            duration: RunDuration::of_step(&entry.rules),
         };
         self.open_run(reservation.run, run);
         if let Some(reserved) = self.backfills.find_runner(reservation.task, pull.pool) {
--- a/crates/scheduler/src/run.rs
+++ b/crates/scheduler/src/run.rs
@@ -1,6 +1,7 @@
 //! Table of open runs.
 
 use crate::index::{ListIndex, PoolIndex, RunnerIndex, TenantIndex};
+use crate::run_duration::RunDuration;
 use crate::step::StepRef;
 use std::collections::BTreeMap;
 use types::{LicenceName, Resources, RunId, RunnerIncarnation, TaskRef, Term};
@@ -17,6 +18,7 @@
     pub(crate) incarnation: RunnerIncarnation,
     pub(crate) resources: Resources,
     pub(crate) licence: Option<LicenceName>,
+    pub(crate) duration: RunDuration,
 }
 
 /// Open runs, and the sequence of new run identifiers.
--- a/crates/scheduler/src/runner.rs
+++ b/crates/scheduler/src/runner.rs
@@ -2,6 +2,8 @@
 
 use crate::health::Health;
 use crate::index::PoolIndex;
+use crate::run::Run;
+use crate::run_duration::RunDuration;
 use crate::shape::Shape;
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
@@ -42,6 +44,7 @@
 struct BoundRun {
     resources: Resources,
     incarnation: RunnerIncarnation,
+    duration: RunDuration,
     opened_at: Monotonic,
     /// Whether the runner's last heartbeat lists the run as active or ended.
     listed: bool,
@@ -100,16 +103,12 @@
     }
 
     /// Adds an open run.
-    pub(crate) fn bind(
-        &mut self,
-        run: RunId,
-        incarnation: RunnerIncarnation,
-        usage: Resources,
-        now: Monotonic,
-    ) {
+    pub(crate) fn bind(&mut self, id: RunId, run: &Run, now: Monotonic) {
+        let usage = run.resources;
         let bound = BoundRun {
             resources: usage,
-            incarnation,
+            incarnation: run.incarnation,
+            duration: run.duration,
             opened_at: now,
             listed: false,
         };
@@ -117,7 +116,7 @@
             self.bound_sum = self.bound_sum.plus(&usage);
             self.unlisted_sum = self.unlisted_sum.plus(&usage);
         }
-        self.bound.insert(run, bound);
+        self.bound.insert(id, bound);
     }
 
     /// Removes a closed run.
@@ -203,6 +202,26 @@
         by_report.component_min(&by_open_runs)
     }
 
+    /// Returns the resources that can be expected to be free within `horizon` if no
+    /// further run starts: the capacity less the resources of the runs that may go on for
+    /// longer.
+    pub(crate) fn foreseeable(&self, horizon: Milliseconds, now: Monotonic) -> Resources {
+        let Some(reported) = &self.reported else {
+            return Resources::ZERO;
+        };
+        let goes_on = |bound: &&BoundRun| {
+            let remaining = bound.duration.remaining(bound.opened_at, now);
+            remaining.is_none_or(|remaining| remaining > horizon)
+        };
+        self.bound
+            .values()
+            .filter(|bound| self.uses_resources(bound))
+            .filter(goes_on)
+            .fold(reported.capacity, |free, bound| {
+                free.minus(&bound.resources)
+            })
+    }
+
     /// Returns whether the runner or an operator has set it to draining.
     pub(crate) fn is_draining(&self) -> bool {
         self.drained_by_operator || self.reported.as_ref().is_some_and(|last| last.draining)
--- a/crates/scheduler/src/scan.rs
+++ b/crates/scheduler/src/scan.rs
@@ -5,7 +5,7 @@
 use crate::index::{ListIndex, RunnerIndex, ShapeIndex};
 use crate::needs_tree::HeadSummary;
 use crate::pending::{HeadQuery, PendingList};
-use crate::pull::{Pull, StarvationSearch};
+use crate::pull::{Pull, PullScope, StarvationSearch};
 use crate::shape::Shape;
 use crate::tenant_list::TenantList;
 use crate::view::View;
@@ -90,17 +90,24 @@
         allowance: &Resources,
         now: Now,
     ) -> Option<Match<TaskRef>> {
+        let is_in_scope = |since: Monotonic| match pull.scope {
+            PullScope::All => true,
+            PullScope::Overdue => self.is_overdue(since, now),
+        };
         let query = HeadQuery {
             labels: &pull.labels,
             has_seats: |licence: Option<&LicenceName>| self.has_seats(licence, list.queue, 1),
             may_match: |heads: &HeadSummary| {
-                heads.bounds.min.fits_in(allowance) && reserve.may_admit(&heads.bounds, pull)
+                heads.bounds.min.fits_in(allowance)
+                    && is_in_scope(heads.waiting_since)
+                    && reserve.may_admit(&heads.bounds, pull)
             },
         };
         let mut accept = |head: &ShapeHead| {
             let task = head.order.task;
             let needs = self.matching_shape(head, &query)?;
             let may_start = needs.resources.fits_in(allowance)
+                && is_in_scope(head.waiting_since)
                 && reserve.admits(needs, pull)
                 && self.is_eligible(task, needs, pull, now);
             may_start.then_some(task)
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -43,9 +43,10 @@
     }
 
     /// Adds a run that is open in the replicated state. Called after an
-    /// election, before the run's task is published. Idempotent.
-    pub fn adopt_run(&mut self, run: OpenRun) {
-        self.view.adopt_run(run);
+    /// election, before the run's task is published. `is_lasting` tells whether the run
+    /// goes on until its job is cancelled. Idempotent.
+    pub fn adopt_run(&mut self, run: OpenRun, is_lasting: bool) {
+        self.view.adopt_run(run, is_lasting);
     }
 
     /// Performs one pull for one runner. Draws uniformly among the runnable
--- a/crates/scheduler/src/seats.rs
+++ b/crates/scheduler/src/seats.rs
@@ -1,27 +1,19 @@
 //! Seats of a licence that less urgent work leaves to more urgent work.
 //!
 //! One free seat is set aside for each waiting task of a more urgent queue, in
-//! any pool. A task that no runner could take even when empty gets none:
+//! any pool. A task that no runner could take in a foreseeable time gets none:
 //! otherwise enough of them would keep all seats from less urgent work for good.
 
 use crate::head::ShapeHead;
 use crate::index::{ListIndex, PoolIndex, QueueIndex, RunnerIndex, ShapeIndex};
 use crate::needs_tree::HeadSummary;
 use crate::pending::HeadQuery;
-use crate::runner::Reported;
+use crate::runner_kind::RunnerKind;
 use crate::shape::Shape;
 use crate::view::View;
 use indexmap::IndexSet;
 use std::collections::BTreeSet;
-use std::sync::Arc;
-use types::{Labels, LicenceName, Resources};
-
-/// What decides whether an empty runner could take a task.
-#[derive(Debug, Clone, PartialEq, Eq, Hash)]
-struct RunnerKind {
-    labels: Arc<Labels>,
-    capacity: Resources,
-}
+use types::LicenceName;
 
 impl View {
     /// Returns whether `wanted` seats of the licence are available to the queue;
@@ -52,7 +44,7 @@
     }
 
     /// Returns the number of waiting tasks of the licence, in the queues that
-    /// `include` selects, that some runner could take when empty. Stops counting
+    /// `include` selects, that some runner could take in a foreseeable time. Stops counting
     /// once the number exceeds `limit`.
     fn count_placeable(
         &self,
@@ -81,12 +73,7 @@
     /// Returns the different kinds of the pool's responsive runners.
     fn present_kinds(&self, pool: PoolIndex) -> IndexSet<RunnerKind> {
         self.count_scans(self.pools[pool].runner_count());
-        self.responsive_runners(pool)
-            .map(|(_, last)| RunnerKind {
-                labels: Arc::clone(&last.labels),
-                capacity: last.capacity,
-            })
-            .collect()
+        self.runner_kinds(self.responsive_runners(pool), self.latest())
     }
 
     fn count_placeable_tasks(
@@ -103,7 +90,7 @@
                 has_seats: |other: Option<&LicenceName>| other == Some(licence),
                 may_match: |heads: &HeadSummary| {
                     self.count_scan();
-                    heads.bounds.min.fits_in(&kind.capacity)
+                    heads.bounds.min.fits_in(&kind.foreseeable)
                 },
             };
             let mut record = |head: &ShapeHead| {
@@ -138,25 +125,21 @@
     }
 
     /// Returns how many tasks of a gang the pool's runners could take together
-    /// when empty.
+    /// in a foreseeable time.
     fn max_gang_size(&self, needs: &Shape, pool: PoolIndex) -> usize {
         self.count_scans(self.pools[pool].runner_count());
         self.responsive_runners(pool)
-            .filter_map(|(runner, _)| self.gang_candidate(runner, needs))
-            .map(|candidate| candidate.fits_empty)
+            .filter_map(|runner| self.gang_candidate(runner, needs, self.latest()))
+            .map(|candidate| candidate.fits_foreseeable)
             .fold(0, usize::saturating_add)
     }
 
     /// Returns the pool's runners that this leader has a recent heartbeat of.
-    fn responsive_runners(
-        &self,
-        pool: PoolIndex,
-    ) -> impl Iterator<Item = (RunnerIndex, &Reported)> {
+    fn responsive_runners(&self, pool: PoolIndex) -> impl Iterator<Item = RunnerIndex> {
         let max_age = self.options.unresponsive_after;
-        self.pools[pool].runners().filter_map(move |runner| {
-            let last = self.runners[runner].reported.as_ref()?;
-            let is_recent = self.latest().since(last.received_at) <= max_age;
-            is_recent.then_some((runner, last))
+        self.pools[pool].runners().filter(move |runner| {
+            let last = self.runners[*runner].reported.as_ref();
+            last.is_some_and(|last| self.latest().since(last.received_at) <= max_age)
         })
     }
 }
--- a/crates/scheduler/tests/support/mod.rs
+++ b/crates/scheduler/tests/support/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code)]
 
+pub mod fleet;
+
 use configuration::{
     ClusterConfiguration, ErrorBudget, PoolSettings, QueueMode, QueueSettings, TenantSettings,
 };
