Let a task that has waited use a runner's urgent reserve in bounded time

Cause: the only way past the reserve was the reservation for starving tasks, and a task counts as starving only if smaller needs are known.

Change: a task that has waited for 2.5 s may use the reserve, at once while less than half of its pool has been in use for 2.5 s, else one a second in each pool. More urgent tasks that fit are chosen before it in the same pull.

--- a/crates/scheduler/src/pool.rs
+++ b/crates/scheduler/src/pool.rs
@@ -14,6 +14,9 @@
     pub(crate) capacity: Resources,
     /// Time since which less than half of the pool has been in use; `None` while more is.
     pub(crate) underused_since: Option<Monotonic>,
+    /// Time of the last start that used the reserve of a runner that is left to more urgent
+    /// queues; `None` before the first one.
+    pub(crate) urgent_reserve_used_at: Option<Monotonic>,
     runners: BTreeSet<RunnerIndex>,
     racks: BTreeMap<RackName, BTreeSet<RunnerIndex>>,
 }
--- a/crates/scheduler/src/reserve.rs
+++ b/crates/scheduler/src/reserve.rs
@@ -241,6 +241,10 @@
     fn bind(&mut self, reservation: &Reservation, pull: &Pull, now: Now) -> Option<()> {
         let entry = self.tasks.get(reservation.task)?;
         let needs = self.shapes.get(entry.shape)?;
+        let reserve = self.urgent_reserve(self.lists[entry.list].queue, pull);
+        if !reserve.admits(needs, pull) {
+            self.pools[pull.pool].urgent_reserve_used_at = Some(now.monotonic);
+        }
         let list = &mut self.lists[entry.list];
         list.last_placed_at = now.monotonic;
         let run = Run {
--- a/crates/scheduler/src/scan.rs
+++ b/crates/scheduler/src/scan.rs
@@ -42,7 +42,10 @@
         let finds_starving = search == StarvationSearch::Enabled && !in_shadow;
         let reserve = self.urgent_reserve(list.queue, pull);
         let bounds = list.pending().bounds();
-        let may_admit = bounds.is_some_and(|bounds| reserve.may_admit(&bounds, pull));
+        let may_admit = bounds.is_some_and(|bounds| {
+            reserve.may_admit(&bounds, pull)
+                || (bounds.min.fits_in(&pull.free) && self.may_use_urgent_reserve(pull.pool, now))
+        });
         if !finds_starving && !may_admit && self.skips_by_bounds {
             return ScanResult::default();
         }
@@ -90,6 +93,9 @@
         allowance: &Resources,
         now: Now,
     ) -> Option<Match<TaskRef>> {
+        let may_use_urgent_reserve = self.may_use_urgent_reserve(pull.pool, now);
+        let ignores_reserve =
+            |since: Monotonic| may_use_urgent_reserve && self.is_overdue(since, now);
         let is_in_scope = |since: Monotonic| match pull.scope {
             PullScope::All => true,
             PullScope::Overdue => self.is_overdue(since, now),
@@ -98,17 +104,21 @@
             labels: &pull.labels,
             has_seats: |licence: Option<&LicenceName>| self.has_seats(licence, list.queue, 1),
             may_match: |heads: &HeadSummary| {
-                heads.bounds.min.fits_in(allowance)
+                let min = &heads.bounds.min;
+                min.fits_in(allowance)
                     && is_in_scope(heads.waiting_since)
-                    && reserve.may_admit(&heads.bounds, pull)
+                    && (reserve.may_admit(&heads.bounds, pull)
+                        || (ignores_reserve(heads.waiting_since) && min.fits_in(&pull.free)))
             },
         };
         let mut accept = |head: &ShapeHead| {
             let task = head.order.task;
             let needs = self.matching_shape(head, &query)?;
+            let fits = reserve.admits(needs, pull)
+                || (ignores_reserve(head.waiting_since) && needs.resources.fits_in(&pull.free));
             let may_start = needs.resources.fits_in(allowance)
                 && is_in_scope(head.waiting_since)
-                && reserve.admits(needs, pull)
+                && fits
                 && self.is_eligible(task, needs, pull, now);
             may_start.then_some(task)
         };
