Set seats aside only for urgent tasks that can start in a foreseeable time

Seats were set aside for an urgent gang that needs more seats than the licence has, and for urgent tasks that only a draining runner could take.

Cause: what counts as placeable looked at runners alone, and at draining ones too. Now a task counts if a runner that takes work could take it, its tenant's limit allows it, and for a gang the seats suffice beside those of runs that go on for longer than a reservation. Likewise the usage of a pool counts only runners that take work.

Tests, red without the change (trials): the two new ones in scheduler/tests/licences.

--- a/crates/scheduler/src/backfill_placement.rs
+++ b/crates/scheduler/src/backfill_placement.rs
@@ -85,7 +85,7 @@
     }
 
     /// Returns the maximum duration of a reservation.
-    fn max_backfill_duration(&self) -> Milliseconds {
+    pub(crate) fn max_backfill_duration(&self) -> Milliseconds {
         let reserve_after = self.options.reserve_after.0;
         Milliseconds(reserve_after.saturating_mul(MAX_BACKFILL_FACTOR))
     }
--- a/crates/scheduler/src/heartbeat.rs
+++ b/crates/scheduler/src/heartbeat.rs
@@ -15,7 +15,7 @@
 /// unresponsive.
 const REMOVE_AFTER: Milliseconds = Milliseconds(600_000);
 
-/// Resources of a pool's runners that are not draining.
+/// Resources of a pool's runners that take work: responsive and not draining.
 #[derive(Debug, Clone, Copy, Default)]
 pub(crate) struct PoolUsage {
     capacity: Resources,
@@ -72,7 +72,7 @@
                 continue;
             };
             capacity = capacity.plus(&last.capacity);
-            if !state.is_draining() {
+            if state.takes_work(now, self.options.unresponsive_after) {
                 usage.capacity = usage.capacity.plus(&last.capacity);
                 usage.used = usage.used.plus(&last.capacity.minus(&state.free()));
             }
--- a/crates/scheduler/src/licence.rs
+++ b/crates/scheduler/src/licence.rs
@@ -18,6 +18,11 @@
 }
 
 impl Licence {
+    /// Returns the number of seats, free or in use.
+    pub(crate) fn seats(&self) -> u32 {
+        self.seats
+    }
+
     /// Returns the number of seats in use.
     pub(crate) fn used(&self) -> u32 {
         self.used
--- a/crates/scheduler/src/run.rs
+++ b/crates/scheduler/src/run.rs
@@ -68,6 +68,11 @@
         self.runs.contains_key(&run)
     }
 
+    /// Returns the open runs in order of identifier.
+    pub(crate) fn iter(&self) -> impl Iterator<Item = (RunId, &Run)> {
+        self.runs.iter().map(|(id, run)| (*id, run))
+    }
+
     /// Adds an open run.
     pub(crate) fn insert(&mut self, id: RunId, run: Run) {
         self.by_task.entry(run.task).or_default().push(id);
--- a/crates/scheduler/src/runner.rs
+++ b/crates/scheduler/src/runner.rs
@@ -50,6 +50,14 @@
     listed: bool,
 }
 
+impl BoundRun {
+    /// Returns whether the run can be expected to end within `horizon`.
+    fn ends_within(&self, horizon: Milliseconds, now: Monotonic) -> bool {
+        let remaining = self.duration.remaining(self.opened_at, now);
+        remaining.is_some_and(|remaining| remaining <= horizon)
+    }
+}
+
 /// Runner, by its last heartbeat, and its open runs.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct Runner {
@@ -153,6 +161,14 @@
         is_present.then_some(last)
     }
 
+    /// Returns whether the runner takes work in general: it is not draining, and its last
+    /// heartbeat is at most `max_age` old.
+    pub(crate) fn takes_work(&self, now: Monotonic, max_age: Milliseconds) -> bool {
+        let last = self.reported.as_ref();
+        let is_responsive = last.is_some_and(|last| now.since(last.received_at) <= max_age);
+        is_responsive && !self.is_draining()
+    }
+
     /// Returns the number of open runs, including those of earlier incarnations.
     pub(crate) fn open_runs(&self) -> usize {
         self.bound.len()
@@ -209,19 +225,21 @@
         let Some(reported) = &self.reported else {
             return Resources::ZERO;
         };
-        let goes_on = |bound: &&BoundRun| {
-            let remaining = bound.duration.remaining(bound.opened_at, now);
-            remaining.is_none_or(|remaining| remaining > horizon)
-        };
         self.bound
             .values()
             .filter(|bound| self.uses_resources(bound))
-            .filter(goes_on)
+            .filter(|bound| !bound.ends_within(horizon, now))
             .fold(reported.capacity, |free, bound| {
                 free.minus(&bound.resources)
             })
     }
 
+    /// Returns whether an open run can be expected to end within `horizon`.
+    pub(crate) fn ends_within(&self, run: RunId, horizon: Milliseconds, now: Monotonic) -> bool {
+        let bound = self.bound.get(&run);
+        bound.is_none_or(|bound| bound.ends_within(horizon, now))
+    }
+
     /// Returns whether the runner or an operator has set it to draining.
     pub(crate) fn is_draining(&self) -> bool {
         self.drained_by_operator || self.reported.as_ref().is_some_and(|last| last.draining)
--- a/crates/scheduler/src/seats.rs
+++ b/crates/scheduler/src/seats.rs
@@ -1,13 +1,16 @@
 //! Seats of a licence that less urgent work leaves to more urgent work.
 //!
 //! One free seat is set aside for each waiting task of a more urgent queue, in
-//! any pool. A task that no runner could take in a foreseeable time gets none:
+//! any pool. A task that cannot start in a foreseeable time gets none, since no runner
+//! could take it, its tenant is at its limit, or its gang needs more seats than become free:
 //! otherwise enough of them would keep all seats from less urgent work for good.
 
 use crate::head::ShapeHead;
 use crate::index::{ListIndex, PoolIndex, QueueIndex, RunnerIndex, ShapeIndex};
+use crate::licence::Licence;
 use crate::needs_tree::HeadSummary;
 use crate::pending::HeadQuery;
+use crate::run::Run;
 use crate::runner_kind::RunnerKind;
 use crate::shape::Shape;
 use crate::view::View;
@@ -70,10 +73,10 @@
         count
     }
 
-    /// Returns the different kinds of the pool's responsive runners.
+    /// Returns the different kinds of the pool's runners that take work.
     fn present_kinds(&self, pool: PoolIndex) -> IndexSet<RunnerKind> {
         self.count_scans(self.pools[pool].runner_count());
-        self.runner_kinds(self.responsive_runners(pool), self.latest())
+        self.runner_kinds(self.working_runners(pool), self.latest())
     }
 
     fn count_placeable_tasks(
@@ -83,18 +86,26 @@
         kinds: &IndexSet<RunnerKind>,
     ) -> usize {
         let tasks = self.lists[list].pending();
+        let tenant = &self.tenants[self.lists[list].tenant];
+        let Some(allowance) = tenant.allowance() else {
+            return 0;
+        };
         let mut shapes: BTreeSet<ShapeIndex> = BTreeSet::new();
         for kind in kinds {
+            let largest = kind.foreseeable.component_min(&allowance);
             let query = HeadQuery {
                 labels: &kind.labels,
                 has_seats: |other: Option<&LicenceName>| other == Some(licence),
                 may_match: |heads: &HeadSummary| {
                     self.count_scan();
-                    heads.bounds.min.fits_in(&kind.foreseeable)
+                    heads.bounds.min.fits_in(&largest)
                 },
             };
             let mut record = |head: &ShapeHead| {
-                shapes.insert(head.shape);
+                let needs = self.shapes.get(head.shape)?;
+                if needs.resources.fits_in(&largest) {
+                    shapes.insert(head.shape);
+                }
                 None::<()>
             };
             tasks.find_first(&query, &mut record, &mut None);
@@ -111,35 +122,52 @@
         licence: &LicenceName,
         pool: PoolIndex,
     ) -> usize {
+        let tenant = &self.tenants[self.lists[list].tenant];
         let gangs = self.gangs.of_list(list);
         let placeable = gangs.filter(|(step, gang)| {
             let first = gang.first_task(*step);
             let entry = first.and_then(|task| self.tasks.get(task));
             let needs = entry.and_then(|entry| self.shapes.get(entry.shape));
             needs.is_some_and(|needs| {
+                let size = gang.size as usize;
                 needs.licence.as_ref() == Some(licence)
-                    && self.max_gang_size(needs, pool) >= gang.size as usize
+                    && tenant.allows(&needs.resources.times(gang.size))
+                    && self.foreseeable_seats(licence) >= size
+                    && self.max_gang_size(needs, pool) >= size
             })
         });
         placeable.map(|(_, gang)| gang.startable_count()).sum()
     }
 
+    /// Returns the number of seats that can be expected to be free within the time of a
+    /// reservation.
+    fn foreseeable_seats(&self, licence: &LicenceName) -> usize {
+        let seats = self.licences.get(licence).map_or(0, Licence::seats);
+        let horizon = self.max_backfill_duration();
+        let of_licence = |run: &Run| run.licence.as_ref() == Some(licence);
+        let runs = self.runs.iter().filter(|(_, run)| of_licence(run));
+        let going_on = runs.filter(|(id, run)| {
+            let runner = &self.runners[run.runner];
+            !runner.ends_within(*id, horizon, self.latest())
+        });
+        (seats as usize).saturating_sub(going_on.count())
+    }
+
     /// Returns how many tasks of a gang the pool's runners could take together
     /// in a foreseeable time.
     fn max_gang_size(&self, needs: &Shape, pool: PoolIndex) -> usize {
         self.count_scans(self.pools[pool].runner_count());
-        self.responsive_runners(pool)
+        self.working_runners(pool)
             .filter_map(|runner| self.gang_candidate(runner, needs, self.latest()))
             .map(|candidate| candidate.fits_foreseeable)
             .fold(0, usize::saturating_add)
     }
 
-    /// Returns the pool's runners that this leader has a recent heartbeat of.
-    fn responsive_runners(&self, pool: PoolIndex) -> impl Iterator<Item = RunnerIndex> {
+    /// Returns the pool's runners that take work.
+    fn working_runners(&self, pool: PoolIndex) -> impl Iterator<Item = RunnerIndex> {
         let max_age = self.options.unresponsive_after;
-        self.pools[pool].runners().filter(move |runner| {
-            let last = self.runners[*runner].reported.as_ref();
-            last.is_some_and(|last| self.latest().since(last.received_at) <= max_age)
-        })
+        self.pools[pool]
+            .runners()
+            .filter(move |runner| self.runners[*runner].takes_work(self.latest(), max_age))
     }
 }
--- a/crates/scheduler/tests/licences.rs
+++ b/crates/scheduler/tests/licences.rs
@@ -196,3 +196,32 @@
     next.publish(licensed_task(2, "live"), at(0));
     assert!(all_placed(next.place(at(0), 10)).is_empty());
 }
+
+/// Guards against seats that are left for good to an urgent gang which needs more seats than
+/// the licence has.
+#[test]
+fn gang_that_needs_more_seats_than_there_are_leaves_them_to_others() {
+    let mut scheduler = scheduler(&document_with(2));
+    heartbeat_both(&mut scheduler, 1, 0);
+    for index in 0..3 {
+        let mut member = licensed_task(1, "live");
+        member.task.task = index;
+        member.step_tasks = 3;
+        member.rules.gang = true;
+        scheduler.publish(member, at(0));
+    }
+    scheduler.publish(licensed_task(2, "main"), at(0));
+    assert_eq!(all_placed(scheduler.place(at(0), 10)).len(), 1);
+}
+
+/// Guards against seats that are left to urgent tasks for as long as the only runner that
+/// could take them is draining.
+#[test]
+fn urgent_task_that_only_a_draining_runner_could_take_leaves_its_seat_to_others() {
+    let mut scheduler = scheduler(&document_with(1));
+    heartbeat_both(&mut scheduler, 1, 0);
+    scheduler.set_draining(&runner("r2"), true);
+    scheduler.publish(licensed_task(1, "live"), at(0));
+    scheduler.publish(licensed_task(2, "main"), at(0));
+    assert_eq!(all_placed(scheduler.place(at(0), 10)).len(), 1);
+}
