Explain what keeps a gang, a full step and the urgent reserve waiting

Change: the limits and the room of a gang are examined for all its tasks; a step's limit on a runner counts as no room; the new reason reserved_for_urgent names the runner. It is appended to the reasons, so that recorded ones are read as before; two golden files of the API and one line of the transport's have the new reason among their samples.

--- a/crates/api/src/decision.rs
+++ b/crates/api/src/decision.rs
@@ -171,6 +171,8 @@
     NoRunnerKnown,
     /// The task has as many open runs as it may have.
     AlreadyRunning,
+    /// What the runner has free is reserved for more urgent queues.
+    ReservedForUrgent,
 }
 
 impl From<&NotPlacedReason> for Reason {
@@ -191,6 +193,7 @@
             NotPlacedReason::QueueShadow => Self::QueueShadow,
             NotPlacedReason::NoRunnerKnown => Self::NoRunnerKnown,
             NotPlacedReason::AlreadyRunning => Self::AlreadyRunning,
+            NotPlacedReason::ReservedForUrgent { .. } => Self::ReservedForUrgent,
         }
     }
 }
--- a/crates/api/tests/golden_bodies/decisions.rs
+++ b/crates/api/tests/golden_bodies/decisions.rs
@@ -38,6 +38,7 @@
         QueueShadow,
         NoRunnerKnown,
         AlreadyRunning,
+        ReservedForUrgent { runner: name("stills-4") },
     )
     .to_vec()
 }
--- a/crates/api/tests/golden_bodies/words.rs
+++ b/crates/api/tests/golden_bodies/words.rs
@@ -90,6 +90,7 @@
                 QueueShadow,
                 NoRunnerKnown,
                 AlreadyRunning,
+                ReservedForUrgent,
             )),
         ),
         (
--- a/crates/lab/src/losses/account.rs
+++ b/crates/lab/src/losses/account.rs
@@ -326,7 +326,9 @@
         NotPlacedReason::NoSeat => Some(Cause::Seat),
         NotPlacedReason::TenantAboveShare => Some(Cause::Share),
         NotPlacedReason::RunnersAway => Some(Cause::RunnersAway),
-        NotPlacedReason::NoCapacity => Some(Cause::Capacity),
+        NotPlacedReason::NoCapacity | NotPlacedReason::ReservedForUrgent { .. } => {
+            Some(Cause::Capacity)
+        }
         NotPlacedReason::NoRunnerWithLabels => Some(Cause::Labels),
         NotPlacedReason::RunnerOnProbation => Some(Cause::Probation),
         NotPlacedReason::ReservedForLargerTask { .. } => Some(Cause::ReservedForLargerTask),
--- a/crates/scheduler/src/decision.rs
+++ b/crates/scheduler/src/decision.rs
@@ -87,6 +87,12 @@
     NoRunnerKnown,
     /// The task has as many open runs as it may have.
     AlreadyRunning,
+    /// A runner has the resources free only in the part that is left to more
+    /// urgent queues.
+    ReservedForUrgent {
+        /// Runner with these resources.
+        runner: RunnerId,
+    },
 }
 
 impl fmt::Display for NotPlacedReason {
@@ -122,6 +128,10 @@
             Self::NoRunnerKnown => {
                 formatter.write_str("no runner of the pool has reported to this leader yet")
             }
+            Self::ReservedForUrgent { runner } => write!(
+                formatter,
+                "what runner {runner} has free is reserved for more urgent work"
+            ),
             Self::AlreadyRunning => formatter.write_str("it has all the runs it may have"),
         }
     }
--- a/crates/scheduler/src/explain.rs
+++ b/crates/scheduler/src/explain.rs
@@ -5,6 +5,7 @@
 use crate::index::{PoolIndex, RunnerIndex};
 use crate::queue::Queue;
 use crate::shape::Shape;
+use crate::step::StepRef;
 use crate::task::{Task, TaskStatus};
 use crate::tenant_list::TenantList;
 use crate::view::View;
@@ -34,11 +35,44 @@
             Err(reason) => return Some(reason),
         };
         let needs = self.shapes.get(entry.shape)?;
-        self.reason_of_limits(entry, needs, now)
+        let size = self.gang_size(task);
+        self.reason_of_limits(entry, needs, size, now)
             .or_else(|| self.reason_of_runners(task, entry, needs, pool, now))
+            .or_else(|| self.reason_of_gang_room(task, needs, pool, now))
             .or_else(|| self.reason_of_share(list, pool))
     }
 
+    /// Returns the number of tasks that start together with this one, itself included.
+    fn gang_size(&self, task: TaskRef) -> u32 {
+        let gang = self.gangs.get(StepRef::of(task));
+        gang.map_or(1, |gang| gang.size)
+    }
+
+    /// Returns the reason for which runners have room for each task of a gang but not for
+    /// all of them at once; `None` when they have, and outside gangs.
+    fn reason_of_gang_room(
+        &self,
+        task: TaskRef,
+        needs: &Shape,
+        pool: PoolIndex,
+        now: Now,
+    ) -> Option<NotPlacedReason> {
+        let step = StepRef::of(task);
+        let size = self.gangs.get(step)?.size as usize;
+        self.count_scans(self.pools[pool].runner_count());
+        let is_free = |runner: &RunnerIndex| {
+            let backfill = self.backfills.get(*runner);
+            let is_reserved = backfill.is_some_and(|other| StepRef::of(other.task) != step);
+            !is_reserved && self.pull_rejection(*runner, now).is_none()
+        };
+        let runners = self.pools[pool].runners().filter(is_free);
+        let room: usize = runners
+            .filter_map(|runner| self.gang_candidate(runner, needs, now.monotonic))
+            .map(|candidate| candidate.fits)
+            .sum();
+        (room < size).then_some(NotPlacedReason::NoCapacity)
+    }
+
     /// Returns since when, as far as this leader knows, no runner that reports
     /// can meet the needs of a task, even when it is empty; `None` when one can,
     /// when the task is not waiting, or when the pool has no runner at all.
@@ -68,15 +102,22 @@
         Some(WallTime(now.wall.0.saturating_sub(elapsed.0)))
     }
 
-    fn reason_of_limits(&self, entry: &Task, needs: &Shape, now: Now) -> Option<NotPlacedReason> {
+    fn reason_of_limits(
+        &self,
+        entry: &Task,
+        needs: &Shape,
+        size: u32,
+        now: Now,
+    ) -> Option<NotPlacedReason> {
         let list = &self.lists[entry.list];
-        if !self.tenants[list.tenant].allows(&needs.resources) {
+        let resources = needs.resources.times(size);
+        if !self.tenants[list.tenant].allows(&resources) {
             return Some(NotPlacedReason::TenantAtLimit);
         }
-        if !self.list_allows(entry.list, &needs.resources, now) {
+        if !self.list_allows(entry.list, &resources, now) {
             return Some(NotPlacedReason::LimitReservedForUrgent);
         }
-        if !self.has_seats(needs.licence.as_ref(), list.queue, 1) {
+        if !self.has_seats(needs.licence.as_ref(), list.queue, size) {
             return Some(NotPlacedReason::NoSeat);
         }
         None
@@ -124,16 +165,24 @@
         }
         let is_copy_here =
             entry.status == TaskStatus::Copyable && self.runs.has_task_on_runner(task, runner);
-        if is_copy_here || !needs.resources.fits_in(&state.free()) {
+        let has_room = needs.resources.fits_in(&state.free());
+        if is_copy_here || !has_room || !self.is_below_step_limit(needs, runner) {
             return Some(NotPlacedReason::NoCapacity);
         }
         if rejection.is_some() {
             return Some(NotPlacedReason::RunnerOnProbation);
         }
+        let name = self.runners.name(runner)?;
         let backfill = self.backfills.get(runner);
-        backfill.filter(|backfill| backfill.task != task)?;
-        Some(NotPlacedReason::ReservedForLargerTask {
-            runner: self.runners.name(runner)?.clone(),
+        if backfill.is_some_and(|backfill| backfill.task != task) {
+            let runner = name.clone();
+            return Some(NotPlacedReason::ReservedForLargerTask { runner });
+        }
+        let pull = self.pull_of(runner)?;
+        let reserve = self.urgent_reserve(self.lists[entry.list].queue, &pull);
+        let is_in_gang = entry.status == TaskStatus::InGang;
+        (!is_in_gang && !reserve.admits(needs, &pull)).then(|| NotPlacedReason::ReservedForUrgent {
+            runner: name.clone(),
         })
     }
 
@@ -167,7 +216,8 @@
 /// reported: the reason of the runner that is closest to taking the task.
 fn rank(reason: &NotPlacedReason) -> u8 {
     match reason {
-        NotPlacedReason::ReservedForLargerTask { .. } => 4,
+        NotPlacedReason::ReservedForLargerTask { .. } => 5,
+        NotPlacedReason::ReservedForUrgent { .. } => 4,
         NotPlacedReason::RunnerOnProbation => 3,
         NotPlacedReason::NoCapacity => 2,
         NotPlacedReason::RunnersAway => 1,
--- a/crates/scheduler/src/gang_placement.rs
+++ b/crates/scheduler/src/gang_placement.rs
@@ -23,7 +23,7 @@
     runner: RunnerIndex,
     rack: RackName,
     /// Number of the gang's tasks that fit now.
-    fits: usize,
+    pub(crate) fits: usize,
     /// Number of the gang's tasks that would fit on the empty runner.
     fits_empty: usize,
     /// Number of the gang's tasks that can be expected to fit within the time of a
--- a/crates/transport/tests/golden/answers.rs
+++ b/crates/transport/tests/golden/answers.rs
@@ -145,6 +145,9 @@
         NotPlacedReason::QueueShadow,
         NotPlacedReason::NoRunnerKnown,
         NotPlacedReason::AlreadyRunning,
+        NotPlacedReason::ReservedForUrgent {
+            runner: name("sorb"),
+        },
     ]
 }
 
--- a/crates/transport/tests/golden_messages.rs
+++ b/crates/transport/tests/golden_messages.rs
@@ -217,6 +217,7 @@
         QueueShadow,
         NoRunnerKnown,
         AlreadyRunning,
+        ReservedForUrgent,
     })
     .assert_covered(&answers::not_placed_reasons());
     variants!(RunClose {
