--- a/crates/scheduler/tests/every_job_starts/scenario.rs
+++ b/crates/scheduler/tests/every_job_starts/scenario.rs
@@ -14,6 +14,10 @@
 pub const OTHER_POOL: &str = "other";
 /// Seats of the licence that some jobs need.
 const SEATS: u32 = 4;
+/// Number of runners of a pool from which on one of them may go on probation.
+const MIN_POOL_WITH_PROBATION: usize = 3;
+/// Start of the failures of a failing runner.
+const FAILS_FROM_MS: u64 = 1_000;
 /// Number of failures after which a job that always fails has failed.
 pub const MAX_FAILURES: u32 = 2;
 
@@ -248,22 +252,75 @@
     let limits = prop::collection::vec(limit, TENANTS.len());
     let jobs = prop::collection::vec(any_job(), 1..25);
     let events = prop::collection::vec((0..ARRIVALS_MS, any_event()), 0..8);
-    let is_narrow = prop::bool::weighted(0.4);
-    (runners, limits, jobs, events, is_narrow).prop_map(
-        |(runners, limits, jobs, events, is_narrow)| {
-            let scenario = Scenario {
-                runners,
-                limits,
-                jobs,
-                events,
-            };
-            if is_narrow {
-                narrow(scenario)
-            } else {
-                scenario
-            }
-        },
-    )
+    let focus = prop_oneof![
+        12 => Just(Focus::Any),
+        6 => Just(Focus::OneRunner),
+        2 => Just(Focus::FailingRunner),
+    ];
+    (runners, limits, jobs, events, focus).prop_map(|(runners, limits, jobs, events, focus)| {
+        let scenario = Scenario {
+            runners,
+            limits,
+            jobs,
+            events,
+        };
+        match focus {
+            Focus::Any => scenario,
+            Focus::OneRunner => narrow(scenario),
+            Focus::FailingRunner => fail_first_runner(narrow(scenario)),
+        }
+    })
+}
+
+/// What a scenario is about.
+#[derive(Debug, Clone, Copy)]
+enum Focus {
+    Any,
+    /// Most jobs fit on one runner only.
+    OneRunner,
+    /// That runner fails all it starts for a while, beside a lasting run.
+    FailingRunner,
+}
+
+/// Gives the first runner a lasting run, and lets it fail all it starts after that while
+/// short jobs arrive.
+fn fail_first_runner(mut scenario: Scenario) -> Scenario {
+    let Some(first) = scenario.runners.first().cloned() else {
+        return scenario;
+    };
+    let other = RunnerPlan {
+        has_label: false,
+        ..first
+    };
+    while scenario.runners.len() < MIN_POOL_WITH_PROBATION {
+        scenario.runners.push(other.clone());
+    }
+    for (number, job) in scenario.jobs.iter_mut().enumerate() {
+        job.is_gang = false;
+        job.is_impossible = false;
+        job.is_licensed = false;
+        job.start_delay_ms = 0;
+        job.ending = match job.ending {
+            _ if number == 0 => Ending::Never,
+            Ending::Failed(duration) => Ending::Failed(duration),
+            Ending::Done(duration) => Ending::Done(duration.min(2_000)),
+            Ending::Never => Ending::Done(500),
+        };
+        let window = job.at_ms % (ARRIVALS_MS / 2);
+        job.at_ms = if number == 0 {
+            0
+        } else {
+            FAILS_FROM_MS + window
+        };
+        job.cores = job.cores.min(2);
+        job.tasks = job.tasks.min(2);
+    }
+    let fails = Event::FailAll {
+        runner: 0,
+        for_ms: ARRIVALS_MS / 2,
+    };
+    scenario.events = vec![(FAILS_FROM_MS, fails)];
+    scenario
 }
 
 /// Makes the first runner the only one that may run most jobs, which are small, and lets it
